--- /dev/null
+++ b/crates/turmericfold-fleet/src/jobs/requests.rs
@@ -0,0 +1,153 @@
+//! Answers callers' requests about the jobs owned here.
+
+use std::sync::Arc;
+
+use turmericfold_jobs::{Job, JobId, JobRecord, JobSpec, QueueSettings};
+
+use super::caller::Caller;
+use super::entry::Entry;
+use super::owner::JobOwner;
+use crate::context::Context;
+use crate::{ClientAnswer, JobShard, Moment, Outbox, RefusalReason};
+
+/// How long a caller waits for the store, in milliseconds; longer than the store's
+/// own answer takes when it is slow, shorter than callers wait.
+const STORE_WAIT_MS: u64 = 2_200;
+
+/// When a caller may come back after the store refused a write, in milliseconds.
+const STORE_RETRY_AFTER_MS: u64 = 1_000;
+
+/// When a caller may come back after the owner of its job changed, in milliseconds.
+const OWNER_RETRY_AFTER_MS: u64 = 500;
+
+impl JobOwner {
+    /// Returns whether this process can answer about a job.
+    pub(crate) fn can_answer(&self, job: JobId) -> bool {
+        let shard = self.shards.get(&JobShard::of(job));
+        shard.is_some_and(super::shard::Shard::is_loaded)
+    }
+
+    /// Accepts a job once it is stored.
+    pub(crate) fn submit(
+        &mut self,
+        context: Context<'_>,
+        caller: Caller,
+        queue: &Arc<QueueSettings>,
+        id: JobId,
+        spec: JobSpec,
+        out: &mut Outbox,
+    ) {
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            if entry.stored {
+                caller.answer(ClientAnswer::Accepted, out);
+            } else {
+                entry.accepting.push(caller);
+            }
+            return;
+        }
+        if let Some(retry_after_ms) = self.journal.refuses(context.moment) {
+            log::info!(job:% = id, queue:% = queue.name; "refused a job: the store does not answer");
+            let reason = RefusalReason::StoreUnavailable;
+            refuse(&caller, reason, retry_after_ms, out);
+            return;
+        }
+        let record = JobRecord {
+            queue: (**queue).clone(),
+            spec,
+            accepted_at_ms: context.moment.unix_ms,
+        };
+        let job = Job::new(id, Arc::new(record));
+        let mut entry = Entry::submitted(job, context.moment.now);
+        entry.accepting.push(caller);
+        self.jobs.insert(id, entry);
+        self.journal.enqueue(id);
+    }
+
+    /// Returns the state of a job.
+    pub(crate) fn state(&self, id: JobId) -> ClientAnswer {
+        match self.jobs.get(&id) {
+            Some(entry) if entry.stored => ClientAnswer::State(entry.visible_state()),
+            Some(_) => ClientAnswer::Unknown,
+            None => ClientAnswer::NoSuchJob,
+        }
+    }
+
+    /// Cancels a job; the answer is given once that is stored.
+    pub(crate) fn cancel(
+        &mut self,
+        context: Context<'_>,
+        caller: Caller,
+        id: JobId,
+        out: &mut Outbox,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            caller.answer(ClientAnswer::NoSuchJob, out);
+            return;
+        };
+        if entry.shown.is_final() {
+            caller.answer(ClientAnswer::Cancelled, out);
+            return;
+        }
+        let change = entry.job.cancel();
+        entry.mark_dirty(context.moment.now);
+        self.journal.mark(id);
+        entry.cancelling.push(caller);
+        log::info!(job:% = id, running = change.stop.len(); "cancels a job");
+        self.stop_runs(context, &change.stop, out);
+    }
+
+    /// Gives up on callers that have waited for the store too long.
+    pub(super) fn expire_waiting(&mut self, moment: Moment, out: &mut Outbox) {
+        let mut refused = Vec::new();
+        for (id, entry) in &mut self.jobs {
+            if entry.stored || moment.since_ms(entry.since) < STORE_WAIT_MS {
+                continue;
+            }
+            if entry.doubtful || entry.writing {
+                for caller in entry.accepting.drain(..) {
+                    caller.answer(ClientAnswer::Unknown, out);
+                }
+            } else {
+                refused.push(*id);
+            }
+        }
+        for id in refused {
+            self.refuse_job(id, out);
+        }
+    }
+
+    /// Refuses a job that is certainly not stored.
+    pub(super) fn refuse_job(&mut self, id: JobId, out: &mut Outbox) {
+        if let Some(entry) = self.jobs.remove(&id) {
+            log::info!(job:% = id; "refused a job: the store did not take it");
+            for caller in entry.accepting {
+                let reason = RefusalReason::StoreUnavailable;
+                refuse(&caller, reason, STORE_RETRY_AFTER_MS, out);
+            }
+        }
+    }
+
+    /// Answers the callers of a job whose shard this process has lost.
+    pub(super) fn answer_lost(&self, entry: Entry, out: &mut Outbox) {
+        let uncertain = entry.doubtful || entry.writing;
+        for caller in entry.accepting {
+            if uncertain {
+                caller.answer(ClientAnswer::Unknown, out);
+            } else {
+                let reason = RefusalReason::OwnerUnavailable;
+                refuse(&caller, reason, OWNER_RETRY_AFTER_MS, out);
+            }
+        }
+        for caller in entry.cancelling {
+            caller.answer(ClientAnswer::Unknown, out);
+        }
+    }
+}
+
+fn refuse(caller: &Caller, reason: RefusalReason, retry_after_ms: u64, out: &mut Outbox) {
+    let answer = ClientAnswer::Refused {
+        reason,
+        retry_after_ms,
+    };
+    caller.answer(answer, out);
+}
--- /dev/null
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -0,0 +1,200 @@
+//! Starts tasks: the most urgent first, each where it fits best.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use turmericfold_jobs::{JobId, RunKey, TaskKey};
+use turmericfold_types::InstanceName;
+
+use super::entry::Entry;
+use super::orders::Order;
+use super::owner::JobOwner;
+use super::recovery::details_of;
+use super::shard::Shard;
+use crate::context::Context;
+use crate::policy::order::{Urgency, urgency};
+use crate::policy::placement::{Demand, Offer, choose};
+use crate::workers::WorkerOwner;
+use crate::{Configuration, JobShard, Outbox, PeerMessage, StartOrder, Unit};
+
+impl JobOwner {
+    /// Starts all tasks that can be.
+    pub(super) fn start_tasks(
+        &mut self,
+        context: Context<'_>,
+        workers: &WorkerOwner,
+        configuration: &Arc<Configuration>,
+        out: &mut Outbox,
+    ) {
+        let jobs = self.startable_jobs(context);
+        self.contended = false;
+        if jobs.is_empty() {
+            return;
+        }
+        let mut offers = self.rooms.offers(context, workers, &self.orders);
+        for (_, job) in jobs {
+            let left_over = self.start_tasks_of(context, configuration, job, &mut offers, out);
+            self.contended |= left_over;
+        }
+    }
+
+    fn startable_jobs(&self, context: Context<'_>) -> Vec<(Urgency, JobId)> {
+        let unix_ms = context.moment.unix_ms;
+        let mut jobs: Vec<(Urgency, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| self.is_startable(entry))
+            .map(|(id, entry)| (urgency(&entry.job, unix_ms), *id))
+            .collect();
+        jobs.sort_unstable();
+        jobs
+    }
+
+    fn is_startable(&self, entry: &Entry) -> bool {
+        let shard = self.shards.get(&JobShard::of(entry.job.id));
+        let known = shard.is_some_and(|shard| !entry.recovered || shard.is_ready());
+        entry.stored && known && entry.job.has_startable()
+    }
+
+    /// Starts what it can of a job; returns whether a counted task found no room.
+    fn start_tasks_of(
+        &mut self,
+        context: Context<'_>,
+        configuration: &Arc<Configuration>,
+        id: JobId,
+        offers: &mut [Offer],
+        out: &mut Outbox,
+    ) -> bool {
+        let Some(entry) = self.jobs.get(&id) else {
+            return false;
+        };
+        let queue = &entry.job.record.queue;
+        let service = configuration
+            .queues
+            .get(&queue.name)
+            .map_or(&queue.service, |queue| &queue.service)
+            .clone();
+        if !configuration.uses(&service) {
+            return false;
+        }
+        let mut full_step = None;
+        let mut left_over = false;
+        for task in entry.job.startable() {
+            // The tasks of a step are alike: once one finds no room, none does.
+            if full_step == Some((task.occurrence, task.step)) {
+                continue;
+            }
+            let chosen = self.choose_offer(&service, task, offers);
+            let Some(chosen) = chosen else {
+                full_step = Some((task.occurrence, task.step));
+                left_over |= self.is_counted(task);
+                continue;
+            };
+            self.order(context, task, &mut offers[chosen], out);
+        }
+        left_over
+    }
+
+    fn is_counted(&self, task: TaskKey) -> bool {
+        let step = self
+            .jobs
+            .get(&task.job)
+            .and_then(|entry| entry.job.step_spec(task));
+        step.is_some_and(|step| !step.filler)
+    }
+
+    fn choose_offer(
+        &self,
+        service: &turmericfold_types::ServiceName,
+        task: TaskKey,
+        offers: &[Offer],
+    ) -> Option<usize> {
+        let entry = self.jobs.get(&task.job)?;
+        let step = entry.job.step_spec(task)?;
+        let beside = match step.max_per_worker {
+            Some(_) => count_beside(entry, task),
+            None => BTreeMap::new(),
+        };
+        let avoided = entry.failed_on.get(&task).map_or(&[][..], Vec::as_slice);
+        let demand = Demand {
+            step,
+            service,
+            beside: &beside,
+            avoided,
+        };
+        choose(demand, offers)
+    }
+
+    fn order(&mut self, context: Context<'_>, task: TaskKey, offer: &mut Offer, out: &mut Outbox) {
+        let worker = offer.worker.worker.clone();
+        let shard = self.shards.get(&JobShard::of(task.job));
+        let unit = Unit::Worker(worker.clone());
+        let owned = context.ownership.owner(&unit);
+        let (Some(shard), Some(owned)) = (shard, owned) else {
+            return;
+        };
+        let (authority, floor) = (shard.authority, Shard::number_floor(shard));
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(step) = entry.job.step_spec(task) else {
+            return;
+        };
+        let details = details_of(step);
+        let filler_millicores = match details.filler {
+            true => details.wanted_millicores,
+            false => 0,
+        };
+        let number = entry.job.next_number(task, floor);
+        let run = RunKey { task, number };
+        let checkpoint = entry
+            .job
+            .task(task)
+            .and_then(|task| task.checkpoint.clone());
+        log::info!(
+            job:% = task.job,
+            run:% = run,
+            worker:% = worker,
+            owner:% = owned.owner.process,
+            epoch = authority.epoch.0,
+            free_millicores = offer.worker.free.cpu_millicores,
+            resumes = checkpoint.is_some();
+            "orders a run"
+        );
+        offer.take(&details.room, filler_millicores);
+        entry.job.add_run(run, worker.clone());
+        let order = Order {
+            worker: worker.clone(),
+            worker_epoch: owned.epoch,
+            room: details.room,
+            filler_millicores,
+            since: context.moment.now,
+            answered: false,
+            stopping: false,
+            told_at: context.moment.now,
+            percent: 0,
+        };
+        let message = StartOrder {
+            authority,
+            worker,
+            worker_epoch: order.worker_epoch,
+            run,
+            payload: entry.job.spec().payload.clone(),
+            checkpoint,
+            details,
+        };
+        out.send(&owned.owner.process, PeerMessage::Start(Box::new(message)));
+        self.orders.insert(run, order);
+    }
+}
+
+/// Counts the tasks of the same step and occurrence on every worker.
+fn count_beside(entry: &Entry, task: TaskKey) -> BTreeMap<InstanceName, u32> {
+    let mut counts = BTreeMap::new();
+    if let Some(step) = entry.job.step(task.occurrence, task.step) {
+        for active in step.tasks.iter().flat_map(|task| &task.active) {
+            *counts.entry(active.worker.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
--- /dev/null
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -0,0 +1,6 @@
+//! Decisions of their own: order, placement, pacing and admission.
+
+pub mod admission;
+pub mod order;
+pub mod pacing;
+pub mod placement;
--- /dev/null
+++ b/crates/turmericfold-fleet/src/policy/order.rs
@@ -0,0 +1,58 @@
+//! In which order tasks are started.
+//!
+//! Answers bursts that ask for more than the fleet has: what can still be done in
+//! time goes before what can't.
+
+use turmericfold_jobs::{Job, JobSpec, StepSpec};
+
+/// How many times the objective a job may take before it is worth nothing.
+const WORTHLESS_AFTER: u64 = 3;
+
+/// How urgent a job is; less goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Whether it is too late to be worth anything.
+    pub worthless: bool,
+    /// Whether its objective has passed.
+    pub late: bool,
+    /// The priority of its queue.
+    pub priority: u32,
+    /// When its objective passes, in milliseconds since 1970.
+    pub due_ms: u64,
+}
+
+/// Returns the urgency of a job at `unix_ms`, in milliseconds since 1970.
+pub fn urgency(job: &Job, unix_ms: u64) -> Urgency {
+    let objective_ms = objective_ms(job);
+    let begun_ms = job.record.accepted_at_ms;
+    let due_ms = begun_ms + objective_ms;
+    let lasting = job.spec().is_long_running();
+    Urgency {
+        worthless: !lasting && unix_ms > begun_ms + WORTHLESS_AFTER * objective_ms,
+        late: !lasting && unix_ms > due_ms,
+        priority: job.record.queue.priority,
+        due_ms,
+    }
+}
+
+/// Returns the time that a job may take, in milliseconds, by the caller's estimates.
+pub fn objective_ms(job: &Job) -> u64 {
+    let queue = &job.record.queue;
+    let chain_ms = chain_ms(job.spec()) as f64;
+    (queue.slack_factor * chain_ms) as u64 + queue.target_duration_ms
+}
+
+/// Returns the longest chain of steps that wait for each other, in milliseconds.
+pub fn chain_ms(spec: &JobSpec) -> u64 {
+    let mut ends_ms: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
+        let begin_ms = begin_ms(step, &ends_ms);
+        ends_ms.push(begin_ms + step.estimate_ms);
+    }
+    ends_ms.into_iter().max().unwrap_or_default()
+}
+
+fn begin_ms(step: &StepSpec, ends_ms: &[u64]) -> u64 {
+    let end = |after: &u32| ends_ms.get(usize::try_from(*after).ok()?).copied();
+    step.after.iter().filter_map(end).max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/turmericfold-fleet/src/workers/clock.rs
@@ -0,0 +1,31 @@
+//! What is known of a worker's clock.
+
+use turmericfold_types::MonotonicMs;
+
+/// The slowest that a worker's clock may run, in thousandths of true time.
+const SLOWEST_PERMILLE: u64 = 980;
+
+/// A reading of a worker's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct WorkerClock {
+    read_ms: u64,
+    read_at: MonotonicMs,
+}
+
+impl WorkerClock {
+    /// Creates the reading `read_ms` that arrived at `read_at`.
+    pub(crate) fn new(read_ms: u64, read_at: MonotonicMs) -> Self {
+        Self { read_ms, read_at }
+    }
+
+    /// Returns the earliest time that the worker's clock can show now, in
+    /// milliseconds.
+    pub(crate) fn earliest_ms(&self, now: MonotonicMs) -> u64 {
+        self.read_ms + now.since_ms(self.read_at) * SLOWEST_PERMILLE / 1_000
+    }
+
+    /// Returns the time that the worker's clock shows about now, in milliseconds.
+    pub(crate) fn likely_ms(&self, now: MonotonicMs) -> u64 {
+        self.read_ms + now.since_ms(self.read_at)
+    }
+}
--- /dev/null
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -0,0 +1,365 @@
+//! Orders to start and stop runs.
+
+use std::sync::Arc;
+
+use turmericfold_jobs::RunKey;
+use turmericfold_platform::{PlatformError, StartCall, StartReply, StopCall};
+use turmericfold_types::{InstanceName, ProcessId};
+
+use super::owner::{WorkerOwner, keys_where};
+use super::run::{Run, RunPhase};
+use super::worker::Worker;
+use crate::context::Context;
+use crate::{
+    Authority, CallId, Outbox, PeerMessage, ReportedEnd, StartOrder, StartOutcome, StartRefusal,
+    WorkerCall,
+};
+use turmericfold_jobs::{EndedRun, RunEnd};
+
+/// How often a start is sent in all before the run is stopped instead.
+const START_ATTEMPTS: u32 = 2;
+
+/// How long a start or stop without an answer waits for the next, in milliseconds.
+const CALL_AGAIN_MS: u64 = 150;
+
+/// How long beyond the time for a stop a run may still be listed before it is
+/// stopped again, in milliseconds.
+const STOP_AGAIN_MS: u64 = 800;
+
+impl WorkerOwner {
+    /// Takes an order to start a run.
+    pub(super) fn on_start(
+        &mut self,
+        context: Context<'_>,
+        from: &ProcessId,
+        order: StartOrder,
+        out: &mut Outbox,
+    ) {
+        let admitted = self.admits(context.ownership, order.authority);
+        let run = order.run;
+        let name = order.worker.clone();
+        let answer = |outcome: StartOutcome, out: &mut Outbox| {
+            let worker = name.clone();
+            let message = PeerMessage::StartAnswer {
+                worker,
+                run,
+                outcome,
+            };
+            out.send(from, message);
+        };
+        let worker = self
+            .worker(&name)
+            .filter(|worker| worker.epoch == order.worker_epoch);
+        let Some(worker) = worker else {
+            let refused = StartOutcome::Refused(StartRefusal::NotOwner);
+            answer(refused, out);
+            return;
+        };
+        if let Some(known) = worker.runs.get(&run) {
+            if matches!(known.phase, RunPhase::Running { .. }) {
+                answer(StartOutcome::Started, out);
+            }
+            return;
+        }
+        if let Some(kept) = worker.ends.get(&run) {
+            tell_end(from, &name, kept.end.clone(), out);
+            return;
+        }
+        if let Some(refusal) = refusal(context, worker, &order, admitted) {
+            log::info!(
+                run:% = run,
+                worker:% = name,
+                refusal:? = refusal,
+                free_millicores = worker.free().cpu_millicores;
+                "refused to start a run"
+            );
+            answer(StartOutcome::Refused(refusal), out);
+            self.bar(context, &name, run);
+            return;
+        }
+        let order = Arc::new(order);
+        if let Some(worker) = self.worker_mut(&name) {
+            let ordered = Run::ordered(order, context.moment.now);
+            worker.runs.insert(run, ordered);
+        }
+        self.send_start(context, &name, run, out);
+    }
+
+    /// Takes an order to stop a run.
+    pub(super) fn on_stop(
+        &mut self,
+        context: Context<'_>,
+        from: &ProcessId,
+        authority: Authority,
+        name: &InstanceName,
+        run: RunKey,
+        out: &mut Outbox,
+    ) {
+        if !self.admits(context.ownership, authority) {
+            return;
+        }
+        let Some(worker) = self.worker(name).filter(|worker| worker.heard_at.is_some()) else {
+            return;
+        };
+        if let Some(kept) = worker.ends.get(&run) {
+            tell_end(from, name, kept.end.clone(), out);
+            return;
+        }
+        if !worker.runs.contains_key(&run) {
+            self.bar(context, name, run);
+            let ended = EndedRun {
+                run,
+                end: RunEnd::Stopped,
+                checkpoint: None,
+            };
+            tell_end(from, name, ReportedEnd { ended, ran_ms: 0 }, out);
+            return;
+        }
+        self.begin_stop(context, name, run, out);
+    }
+
+    /// Stops a run.
+    pub(super) fn begin_stop(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        run: RunKey,
+        out: &mut Outbox,
+    ) {
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let Some(known) = worker.runs.get_mut(&run) else {
+            return;
+        };
+        if known.is_stopping() {
+            return;
+        }
+        known.phase = RunPhase::Stopping { taken_at: None };
+        known.call = None;
+        self.send_stop(context, name, run, out);
+    }
+
+    /// Takes the answer to a start.
+    pub(super) fn on_start_result(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        call: CallId,
+        result: Result<StartReply, PlatformError>,
+        out: &mut Outbox,
+    ) {
+        let now = context.moment.now;
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let found = worker
+            .runs
+            .iter_mut()
+            .find(|(_, run)| run.call == Some(call));
+        let Some((key, run)) = found else {
+            return;
+        };
+        let key = *key;
+        run.call = None;
+        if run.phase != RunPhase::Ordered {
+            return;
+        }
+        let doubtful = run.unanswered_starts > 0;
+        match (&result, doubtful) {
+            (Ok(StartReply::Started), _) => {
+                run.phase = RunPhase::Running { since: now };
+                self.answer_start(context, name, key, StartOutcome::Started, out);
+            }
+            // An earlier call may have started it, and it has ended since.
+            (Ok(StartReply::Superseded), true) => run.phase = RunPhase::Running { since: now },
+            (Ok(StartReply::Fenced | StartReply::Superseded), _) | (Ok(_), false) => {
+                let refusal = refusal_of(&result);
+                log::info!(run:% = key, worker:% = name, reply:? = result; "the worker refused a run");
+                worker.runs.remove(&key);
+                self.bar(context, name, key);
+                let outcome = StartOutcome::Refused(refusal);
+                self.answer_start(context, name, key, outcome, out);
+            }
+            (Err(error), false) if error.has_no_effect() => {
+                log::info!(run:% = key, worker:% = name, error:% = error; "a run could not be ordered");
+                worker.runs.remove(&key);
+                self.bar(context, name, key);
+                let outcome = StartOutcome::Refused(StartRefusal::WorkerUnusable);
+                self.answer_start(context, name, key, outcome, out);
+            }
+            (Err(error), _) => {
+                run.unanswered_starts += 1;
+                run.next_call_at = now + CALL_AGAIN_MS;
+                log::info!(run:% = key, worker:% = name, error:% = error; "a start had no answer");
+                if run.unanswered_starts >= START_ATTEMPTS {
+                    self.begin_stop(context, name, key, out);
+                }
+            }
+            // An earlier call may still come through; only a stop makes sure.
+            (Ok(_), true) => self.begin_stop(context, name, key, out),
+        }
+    }
+
+    /// Takes the answer to a stop.
+    pub(super) fn on_stop_result(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        call: CallId,
+        result: Result<(), PlatformError>,
+    ) {
+        let stop_timeout_ms = self.stop_timeout_ms;
+        let now = context.moment.now;
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let run = worker.runs.values_mut().find(|run| run.call == Some(call));
+        let Some(run) = run else {
+            return;
+        };
+        run.call = None;
+        match result {
+            Ok(()) => {
+                run.phase = RunPhase::Stopping {
+                    taken_at: Some(now),
+                };
+                run.next_call_at = now + stop_timeout_ms + STOP_AGAIN_MS;
+            }
+            Err(error) => {
+                log::info!(worker:% = name, error:% = error; "a stop had no answer");
+                run.next_call_at = now + CALL_AGAIN_MS;
+            }
+        }
+    }
+
+    /// Makes calls again that had no answer.
+    pub(super) fn call_again(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        out: &mut Outbox,
+    ) {
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        let due = keys_where(worker, |_, run| {
+            let waiting = matches!(run.phase, RunPhase::Ordered | RunPhase::Stopping { .. });
+            waiting && run.call.is_none() && context.moment.has_reached(run.next_call_at)
+        });
+        for run in due {
+            let known = self.worker(name).and_then(|worker| worker.runs.get(&run));
+            match known.is_some_and(Run::is_stopping) {
+                true => self.send_stop(context, name, run, out),
+                false => self.send_start(context, name, run, out),
+            }
+        }
+    }
+
+    fn send_start(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        key: RunKey,
+        out: &mut Outbox,
+    ) {
+        let lease_ms = self.lease_ms;
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let Some(clock) = worker.clock else {
+            return;
+        };
+        let until_ms = clock.likely_ms(context.moment.now) + lease_ms;
+        worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+        let (entry, token) = (worker.entry.clone(), worker.epoch.0);
+        let lease_until_ms = worker.lease_until_ms;
+        let Some(run) = worker.runs.get_mut(&key) else {
+            return;
+        };
+        let Some(order) = run.order.clone() else {
+            return;
+        };
+        let call = StartCall {
+            run: key,
+            payload: order.payload.clone(),
+            lease_until_ms,
+            token,
+            checkpoint: order.checkpoint.clone(),
+        };
+        run.call = Some(out.call_worker(&entry, WorkerCall::Start(call)));
+    }
+
+    fn send_stop(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        key: RunKey,
+        out: &mut Outbox,
+    ) {
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let (entry, token) = (worker.entry.clone(), worker.epoch.0);
+        let Some(run) = worker.runs.get_mut(&key) else {
+            return;
+        };
+        let call = StopCall { run: key, token };
+        run.call = Some(out.call_worker(&entry, WorkerCall::Stop(call)));
+        run.next_call_at = context.moment.now;
+    }
+
+    fn answer_start(
+        &self,
+        context: Context<'_>,
+        name: &InstanceName,
+        run: RunKey,
+        outcome: StartOutcome,
+        out: &mut Outbox,
+    ) {
+        if let Some(owner) = context.job_owner(&run) {
+            let message = PeerMessage::StartAnswer {
+                worker: name.clone(),
+                run,
+                outcome,
+            };
+            out.send(&owner, message);
+        }
+    }
+}
+
+fn refusal(
+    context: Context<'_>,
+    worker: &Worker,
+    order: &StartOrder,
+    admitted: bool,
+) -> Option<StartRefusal> {
+    if !admitted {
+        return Some(StartRefusal::OldAuthority);
+    }
+    if worker.barred.contains_key(&order.run) {
+        return Some(StartRefusal::Superseded);
+    }
+    if !worker.is_usable(context.moment) {
+        return Some(StartRefusal::WorkerUnusable);
+    }
+    let fits = order.details.room.fits_in(&worker.free());
+    (!fits).then_some(StartRefusal::NoRoom)
+}
+
+fn refusal_of(result: &Result<StartReply, PlatformError>) -> StartRefusal {
+    match result {
+        Ok(StartReply::NoRoom) => StartRefusal::NoRoom,
+        Ok(StartReply::Superseded) => StartRefusal::Superseded,
+        Ok(StartReply::Fenced) => StartRefusal::NotOwner,
+        _ => StartRefusal::WorkerUnusable,
+    }
+}
+
+fn tell_end(to: &ProcessId, worker: &InstanceName, end: ReportedEnd, out: &mut Outbox) {
+    let message = PeerMessage::Ended {
+        worker: worker.clone(),
+        ends: vec![end],
+    };
+    out.send(to, message);
+}
--- /dev/null
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -0,0 +1,464 @@
+//! A job and its state machine.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use turmericfold_types::InstanceName;
+
+use crate::{
+    ActiveRun, EndedRun, JobId, JobSpec, Occurrence, OccurrenceProgress, Progress, QueueSettings,
+    RunEnd, RunKey, RunNumber, Step, StepProgress, StepSpec, Task, TaskKey,
+};
+
+/// What is kept of a job from its acceptance on; written once.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Its queue, as configured when it was accepted.
+    pub queue: QueueSettings,
+    /// What was submitted.
+    pub spec: JobSpec,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_at_ms: u64,
+}
+
+/// The state of a job as callers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Accepted; no task has started.
+    Queued,
+    /// Some task has started.
+    Active,
+    /// All tasks are done.
+    Completed,
+    /// A task, or a gang, has failed too often.
+    Failed,
+    /// The caller has cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Returns whether nothing more runs in this state.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// What an event has changed about a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[must_use]
+pub struct JobChange {
+    /// Whether the progress has to be stored.
+    pub durable: bool,
+    /// The runs that are to be stopped now.
+    pub stop: Vec<RunKey>,
+}
+
+/// A job: what was submitted and how far it is.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// The identifier.
+    pub id: JobId,
+    /// What was accepted.
+    pub record: Arc<JobRecord>,
+    occurrences: BTreeMap<u32, Occurrence>,
+    started: bool,
+    cancelled: bool,
+    failed: bool,
+}
+
+impl Job {
+    /// Creates a job of which nothing has started.
+    pub fn new(id: JobId, record: Arc<JobRecord>) -> Self {
+        let mut job = Self {
+            id,
+            record,
+            occurrences: BTreeMap::new(),
+            started: false,
+            cancelled: false,
+            failed: false,
+        };
+        if job.record.spec.recurrence.is_none() {
+            job.open_occurrence(0);
+        }
+        job
+    }
+
+    /// Sets the progress that was kept.
+    #[must_use]
+    pub fn with_progress(mut self, progress: &Progress) -> Self {
+        self.cancelled = progress.cancelled;
+        self.failed = progress.failed;
+        self.started |= !progress.occurrences.is_empty();
+        for (number, kept) in &progress.occurrences {
+            self.open_occurrence(*number);
+            for (step, kept) in &kept.steps {
+                if let Some(step) = self.step_mut(*number, *step) {
+                    restore_step(step, kept);
+                }
+            }
+        }
+        self
+    }
+
+    /// Returns the progress to be kept.
+    pub fn progress(&self) -> Progress {
+        let kept = |occurrence: &Occurrence| OccurrenceProgress {
+            steps: (0..)
+                .zip(&occurrence.steps)
+                .map(|(number, step)| (number, kept_of_step(step)))
+                .filter(|(_, kept)| *kept != StepProgress::default())
+                .collect(),
+        };
+        Progress {
+            cancelled: self.cancelled,
+            failed: self.failed,
+            occurrences: self
+                .occurrences
+                .iter()
+                .map(|(number, occurrence)| (*number, kept(occurrence)))
+                .filter(|(_, kept)| !kept.steps.is_empty())
+                .collect(),
+        }
+    }
+
+    /// Returns what was submitted.
+    pub fn spec(&self) -> &JobSpec {
+        &self.record.spec
+    }
+
+    /// Returns the state as callers see it.
+    pub fn state(&self) -> JobState {
+        if self.cancelled {
+            JobState::Cancelled
+        } else if self.failed {
+            JobState::Failed
+        } else if self.is_done() {
+            JobState::Completed
+        } else if self.started {
+            JobState::Active
+        } else {
+            JobState::Queued
+        }
+    }
+
+    /// Returns the specification of a task's step, if there is such a step.
+    pub fn step_spec(&self, task: TaskKey) -> Option<&StepSpec> {
+        let step = usize::try_from(task.step).ok()?;
+        self.record.spec.steps.get(step)
+    }
+
+    /// Returns a task, if there is such a task.
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        let step = self.step(key.occurrence, key.step)?;
+        step.tasks.get(usize::try_from(key.index).ok()?)
+    }
+
+    /// Returns a step of an occurrence, if it is open.
+    pub fn step(&self, occurrence: u32, step: u32) -> Option<&Step> {
+        let occurrence = self.occurrences.get(&occurrence)?;
+        occurrence.steps.get(usize::try_from(step).ok()?)
+    }
+
+    /// Returns the occurrences that are open, by number.
+    pub fn occurrences(&self) -> &BTreeMap<u32, Occurrence> {
+        &self.occurrences
+    }
+
+    /// Opens the occurrences of a recurring job that are due at `unix_ms`.
+    ///
+    /// Returns whether there are new ones.
+    pub fn open_due(&mut self, unix_ms: u64) -> bool {
+        let Some(recurrence) = self.record.spec.recurrence else {
+            return false;
+        };
+        if self.state().is_final() || unix_ms < recurrence.first_due_ms {
+            return false;
+        }
+        let passed = (unix_ms - recurrence.first_due_ms) / recurrence.interval_ms.max(1);
+        let due = u64::from(recurrence.count).min(passed + 1);
+        let due = u32::try_from(due).unwrap_or(u32::MAX);
+        let before = self.occurrences.len();
+        for number in 0..due {
+            self.open_occurrence(number);
+        }
+        before != self.occurrences.len()
+    }
+
+    /// Returns when the next occurrence is due, in milliseconds since 1970.
+    pub fn next_due_ms(&self) -> Option<u64> {
+        let recurrence = self.record.spec.recurrence?;
+        let next = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+        (next < recurrence.count)
+            .then(|| recurrence.first_due_ms + u64::from(next) * recurrence.interval_ms)
+    }
+
+    /// Returns the tasks that may be started now, in the order of their steps.
+    pub fn startable(&self) -> Vec<TaskKey> {
+        let mut tasks = Vec::new();
+        if self.state().is_final() {
+            return tasks;
+        }
+        for (number, occurrence) in &self.occurrences {
+            for (step_number, step) in (0..).zip(&occurrence.steps) {
+                if step.waiting_count == 0 || !self.is_unlocked(occurrence, step_number) {
+                    continue;
+                }
+                let waiting = (0..).zip(&step.tasks).filter(|(_, task)| task.is_waiting());
+                tasks.extend(waiting.map(|(index, _)| TaskKey {
+                    job: self.id,
+                    occurrence: *number,
+                    step: step_number,
+                    index,
+                }));
+            }
+        }
+        tasks
+    }
+
+    /// Returns whether some task may be started now.
+    pub fn has_startable(&self) -> bool {
+        let startable = |occurrence: &Occurrence| {
+            let mut steps = (0..).zip(&occurrence.steps);
+            steps.any(|(number, step)| {
+                step.waiting_count > 0 && self.is_unlocked(occurrence, number)
+            })
+        };
+        !self.state().is_final() && self.occurrences.values().any(startable)
+    }
+
+    /// Returns all runs that may be in progress.
+    pub fn active_runs(&self) -> Vec<(RunKey, InstanceName)> {
+        let mut runs = Vec::new();
+        for (number, occurrence) in &self.occurrences {
+            for (step, state) in (0..).zip(&occurrence.steps) {
+                for (index, task) in (0..).zip(&state.tasks) {
+                    let task_key = TaskKey {
+                        job: self.id,
+                        occurrence: *number,
+                        step,
+                        index,
+                    };
+                    runs.extend(task.active.iter().map(|active| {
+                        let run = RunKey {
+                            task: task_key,
+                            number: active.number,
+                        };
+                        (run, active.worker.clone())
+                    }));
+                }
+            }
+        }
+        runs
+    }
+
+    /// Returns the number that the next run of a task gets, above `floor`.
+    pub fn next_number(&self, task: TaskKey, floor: RunNumber) -> RunNumber {
+        let last = match self.step_spec(task) {
+            Some(spec) if spec.gang => self
+                .step(task.occurrence, task.step)
+                .and_then(|step| step.tasks.iter().map(|task| task.last_number).max()),
+            _ => self.task(task).map(|task| task.last_number),
+        };
+        RunNumber(last.unwrap_or_default().max(floor).0 + 1)
+    }
+
+    /// Notes that a run was ordered, or was found on a worker.
+    ///
+    /// Returns false if there is no such task.
+    pub fn add_run(&mut self, run: RunKey, worker: InstanceName) -> bool {
+        let RunKey { task, number } = run;
+        if self.step_spec(task).is_none() {
+            return false;
+        }
+        self.open_occurrence(task.occurrence);
+        let Some(step) = self.step_mut(task.occurrence, task.step) else {
+            return false;
+        };
+        let index = usize::try_from(task.index).unwrap_or(usize::MAX);
+        let Some(task) = step.tasks.get_mut(index) else {
+            return false;
+        };
+        task.add_run(number, worker);
+        step.recount();
+        self.started = true;
+        true
+    }
+
+    /// Notes that a run certainly did not begin and never will.
+    pub fn refuse_run(&mut self, run: RunKey) {
+        self.with_task(run.task, |task| task.remove_run(run.number));
+    }
+
+    /// Notes the end of a run.
+    pub fn end_run(&mut self, ended: &EndedRun) -> JobChange {
+        let key = ended.run.task;
+        let Some(spec) = self.step_spec(key) else {
+            return JobChange::default();
+        };
+        let (gang, long_running) = (spec.gang, spec.long_running);
+        let max_attempts = self.record.queue.max_attempts.max(1);
+        let was_final = self.state().is_final();
+        let was_done = self.task(key).is_some_and(|task| task.done);
+        self.open_occurrence(key.occurrence);
+        self.with_task(key, |task| {
+            task.last_number = task.last_number.max(ended.run.number);
+            task.remove_run(ended.run.number);
+            if ended.checkpoint.is_some() {
+                task.checkpoint.clone_from(&ended.checkpoint);
+            }
+        });
+        if was_final || was_done {
+            return JobChange::default();
+        }
+        self.started = true;
+        match ended.end {
+            RunEnd::Done if !long_running => self.finish_task(key, gang),
+            RunEnd::Failed => self.count_failure(key, gang, long_running, max_attempts),
+            _ => JobChange::default(),
+        }
+    }
+
+    /// Cancels the job; the change says whether that is news.
+    pub fn cancel(&mut self) -> JobChange {
+        if self.state().is_final() {
+            return JobChange::default();
+        }
+        self.cancelled = true;
+        JobChange {
+            durable: true,
+            stop: self.runs(),
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        let count = usize::try_from(self.record.spec.occurrence_count()).unwrap_or(usize::MAX);
+        !self.record.spec.is_long_running()
+            && self.occurrences.len() == count
+            && self.occurrences.values().all(Occurrence::is_done)
+    }
+
+    fn is_unlocked(&self, occurrence: &Occurrence, step: u32) -> bool {
+        let step = usize::try_from(step).unwrap_or(usize::MAX);
+        occurrence.is_unlocked(&self.record.spec, step)
+    }
+
+    fn runs(&self) -> Vec<RunKey> {
+        let runs = self.active_runs();
+        runs.into_iter().map(|(run, _)| run).collect()
+    }
+
+    fn finish_task(&mut self, key: TaskKey, gang: bool) -> JobChange {
+        let mut stop = Vec::new();
+        let Some(step) = self.step_mut(key.occurrence, key.step) else {
+            return JobChange::default();
+        };
+        for (index, task) in (0..).zip(&mut step.tasks) {
+            if index != key.index && !gang {
+                continue;
+            }
+            task.done = true;
+            task.checkpoint = None;
+            let task_key = TaskKey { index, ..key };
+            stop.extend(task.active.iter().map(|active| run_of(task_key, active)));
+        }
+        step.recount();
+        JobChange {
+            durable: true,
+            // The other members of a gang end by themselves.
+            stop: if gang { Vec::new() } else { stop },
+        }
+    }
+
+    fn count_failure(
+        &mut self,
+        key: TaskKey,
+        gang: bool,
+        long_running: bool,
+        max_attempts: u32,
+    ) -> JobChange {
+        let counted = match gang {
+            true => TaskKey { index: 0, ..key },
+            false => key,
+        };
+        self.with_task(counted, |task| task.failed_runs += 1);
+        let failures = self.task(counted).map_or(0, |task| task.failed_runs);
+        if long_running || failures < max_attempts {
+            return JobChange {
+                durable: !long_running,
+                stop: Vec::new(),
+            };
+        }
+        self.failed = true;
+        JobChange {
+            durable: true,
+            stop: self.runs(),
+        }
+    }
+
+    fn open_occurrence(&mut self, number: u32) {
+        if number < self.record.spec.occurrence_count() {
+            let spec = &self.record.spec;
+            let open = || Occurrence::new(spec);
+            self.occurrences.entry(number).or_insert_with(open);
+        }
+    }
+
+    fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut Step> {
+        let occurrence = self.occurrences.get_mut(&occurrence)?;
+        occurrence.steps.get_mut(usize::try_from(step).ok()?)
+    }
+
+    fn with_task<Change, Answer>(&mut self, key: TaskKey, change: Change)
+    where
+        Change: FnOnce(&mut Task) -> Answer,
+    {
+        let Some(step) = self.step_mut(key.occurrence, key.step) else {
+            return;
+        };
+        let index = usize::try_from(key.index).unwrap_or(usize::MAX);
+        if let Some(task) = step.tasks.get_mut(index) {
+            change(task);
+            step.recount();
+        }
+    }
+}
+
+fn run_of(task: TaskKey, active: &ActiveRun) -> RunKey {
+    RunKey {
+        task,
+        number: active.number,
+    }
+}
+
+fn kept_of_step(step: &Step) -> StepProgress {
+    if step.is_done() {
+        return StepProgress {
+            complete: true,
+            ..StepProgress::default()
+        };
+    }
+    let mut kept = StepProgress::default();
+    for (index, task) in (0..).zip(&step.tasks) {
+        if task.done {
+            kept.done.push(index);
+            continue;
+        }
+        if task.failed_runs > 0 {
+            kept.failed_runs.insert(index, task.failed_runs);
+        }
+        if let Some(checkpoint) = &task.checkpoint {
+            kept.checkpoints.insert(index, checkpoint.clone());
+        }
+    }
+    kept
+}
+
+fn restore_step(step: &mut Step, kept: &StepProgress) {
+    for (index, task) in (0..).zip(&mut step.tasks) {
+        task.done = kept.complete || kept.done.contains(&index);
+        task.failed_runs = kept.failed_runs.get(&index).copied().unwrap_or_default();
+        task.checkpoint = kept.checkpoints.get(&index).cloned();
+    }
+    step.recount();
+}
--- /dev/null
+++ b/crates/turmericfold-jobs/src/lib.rs
@@ -0,0 +1,22 @@
+//! Jobs of steps and tasks: their model and state machine, without input or
+//! output.
+
+mod end;
+mod ids;
+mod job;
+mod occurrence;
+mod progress;
+mod queue;
+mod spec;
+mod step;
+mod task;
+
+pub use end::{EndedRun, RunEnd};
+pub use ids::{JobId, MalformedName, RunKey, RunNumber, TaskKey};
+pub use job::{Job, JobChange, JobRecord, JobState};
+pub use occurrence::Occurrence;
+pub use progress::{OccurrenceProgress, Progress, StepProgress};
+pub use queue::{QueueName, QueueSettings};
+pub use spec::{FaultySpec, JobSpec, Recurrence, StepSpec};
+pub use step::Step;
+pub use task::{ActiveRun, Task};
--- /dev/null
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -0,0 +1,39 @@
+//! The state of one step of one occurrence.
+
+use crate::Task;
+
+/// The state of one step of one occurrence.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Step {
+    /// The tasks by index.
+    pub tasks: Vec<Task>,
+    /// How many of them are done.
+    pub done_count: u32,
+    /// How many of them have no run and aren't done.
+    pub waiting_count: u32,
+}
+
+impl Step {
+    /// Creates a step of which no task has started.
+    pub fn new(task_count: u32) -> Self {
+        Self {
+            tasks: (0..task_count).map(|_| Task::default()).collect(),
+            done_count: 0,
+            waiting_count: task_count,
+        }
+    }
+
+    /// Returns whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        usize::try_from(self.done_count).is_ok_and(|done| done == self.tasks.len())
+    }
+
+    /// Counts the tasks anew after they were changed.
+    pub(crate) fn recount(&mut self) {
+        let count = |which: fn(&Task) -> bool, tasks: &[Task]| {
+            u32::try_from(tasks.iter().filter(|task| which(task)).count()).unwrap_or(u32::MAX)
+        };
+        self.done_count = count(|task| task.done, &self.tasks);
+        self.waiting_count = count(Task::is_waiting, &self.tasks);
+    }
+}
--- a/crates/turmericfold-peer/src/client.rs
+++ b/crates/turmericfold-peer/src/client.rs
@@ -27,6 +27,10 @@
 /// How long after a request's deadline the owner's answer may come, in milliseconds.
 const ANSWER_GRACE_MS: u64 = 250;
 
+/// A connection to a peer, as the service's client uses it.
+pub(crate) type PeerTransport<Item, SinkItem> =
+    tarpc::serde_transport::Transport<TcpStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+
 /// Why a call to a peer failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum PeerCallError {
@@ -149,31 +153,7 @@
         if let Some(known) = known.filter(|known| !known.ended.load(Ordering::Acquire)) {
             return Ok(known.client);
         }
-        let not_sent = |cause: EcoString| PeerCallError::NotSent {
-            address: address.clone(),
-            cause,
-        };
-        let attempt = TcpStream::connect(address.as_str());
-        let stream = tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), attempt)
-            .await
-            .map_err(|_| not_sent("connection timed out".into()))?
-            .map_err(|error| match error.kind() {
-                ErrorKind::ConnectionRefused => PeerCallError::Refused {
-                    address: address.clone(),
-                },
-                _ => not_sent(ecow::eco_format!("{error}")),
-            })?;
-        let _ = stream.set_nodelay(true);
-        let mut stream = stream;
-        if let Some(key) = &self.key {
-            authenticate(&mut stream, Side::Client, key, rand::random())
-                .await
-                .map_err(|error| not_sent(ecow::eco_format!("not authenticated: {error}")))?;
-        }
-        let framed = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
-            .new_framed(stream);
-        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        let transport = open_transport(address, self.key.as_ref()).await?;
         let NewClient { client, dispatch } =
             PeerServiceClient::new(tarpc::client::Config::default(), transport);
         let ended = Arc::new(AtomicBool::new(false));
@@ -214,7 +194,42 @@
     }
 }
 
-fn context(timeout_ms: u64) -> Context {
+/// Opens a connection to the peer at `address`, authenticated if there is a key.
+pub(crate) async fn open_transport<Item, SinkItem>(
+    address: &EcoString,
+    key: Option<&PeerKey>,
+) -> Result<PeerTransport<Item, SinkItem>, PeerCallError>
+where
+    Item: for<'de> serde::Deserialize<'de>,
+    SinkItem: serde::Serialize,
+{
+    let not_sent = |cause: EcoString| PeerCallError::NotSent {
+        address: address.clone(),
+        cause,
+    };
+    let attempt = TcpStream::connect(address.as_str());
+    let mut stream = tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), attempt)
+        .await
+        .map_err(|_| not_sent("connection timed out".into()))?
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => PeerCallError::Refused {
+                address: address.clone(),
+            },
+            _ => not_sent(ecow::eco_format!("{error}")),
+        })?;
+    let _ = stream.set_nodelay(true);
+    if let Some(key) = key {
+        authenticate(&mut stream, Side::Client, key, rand::random())
+            .await
+            .map_err(|error| not_sent(ecow::eco_format!("not authenticated: {error}")))?;
+    }
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_framed(stream);
+    Ok(tarpc::serde_transport::new(framed, Bincode::default()))
+}
+
+pub(crate) fn context(timeout_ms: u64) -> Context {
     let mut context = tarpc::context::current();
     context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
     context
--- a/crates/turmericfold-peer/src/lib.rs
+++ b/crates/turmericfold-peer/src/lib.rs
@@ -5,6 +5,8 @@
 mod auth;
 mod client;
 mod control_call;
+mod fleet_client;
+mod fleet_server;
 mod messages;
 mod server;
 mod service;
@@ -12,6 +14,8 @@
 pub use auth::{PeerKey, Side, authenticate};
 pub use client::{PeerCallError, PeerClients};
 pub use control_call::{ControlAnswer, ControlCall, ShardEpoch};
+pub use fleet_client::FleetPeer;
+pub use fleet_server::{Delivery, serve_fleet};
 pub use messages::{
     ForwardedAnswer, ForwardedRequest, HeaderLine, Heartbeat, TaskAnswer, TaskCall, TaskPage,
 };
--- a/crates/turmericfold-platform/src/lib.rs
+++ b/crates/turmericfold-platform/src/lib.rs
@@ -6,6 +6,7 @@
 mod instances;
 mod platform_error;
 mod store;
+mod task_worker;
 mod worker;
 
 pub use clock::{BootClock, Clock};
@@ -15,8 +16,12 @@
 };
 pub use platform_error::{Effect, PlatformError};
 pub use store::{
-    KeyChange, LeaseId, MAX_VALUE_BYTES, Store, StoreCall, StoreReply, StoreVersion, StoredKey,
-    StoredValue,
+    Expectation, ExpectedKey, KeyChange, KeyWrite, LeaseId, MAX_VALUE_BYTES, Store, StoreCall,
+    StoreReply, StoreVersion, StoredKey, StoredValue, Transaction,
+};
+pub use task_worker::{
+    FinishedRow, LookCall, LookReply, PaceCall, RunningRow, StartCall, StartReply, StopCall,
+    TaskWorkers, WorkerEntry,
 };
 pub use worker::{
     RunOutcome, RunReport, RunState, RunningTask, UsageSample, WorkerAddress, WorkerCommand,
--- a/crates/turmericfold-platform/src/platform_error.rs
+++ b/crates/turmericfold-platform/src/platform_error.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns whether the call certainly had no effect.
+    pub fn has_no_effect(&self) -> bool {
+        self.effect == Effect::None
+    }
+
     /// Creates the error of a call that may have taken effect.
     pub fn unknown<Text>(message: Text) -> Self
     where
--- a/crates/turmericfold-platform/src/store.rs
+++ b/crates/turmericfold-platform/src/store.rs
@@ -82,6 +82,8 @@
         /// The lease the key lives under, if any.
         lease: Option<LeaseId>,
     },
+    /// Makes several changes at once, or none if an expectation does not hold.
+    Transact(Transaction),
     /// Grants a lease.
     GrantLease {
         /// How long the lease lasts without renewal, in milliseconds.
@@ -114,6 +116,7 @@
         matches!(
             self,
             Self::CompareAndSwap { .. }
+                | Self::Transact(_)
                 | Self::GrantLease { .. }
                 | Self::RenewLease { .. }
                 | Self::RevokeLease { .. }
@@ -121,6 +124,63 @@
     }
 }
 
+/// Changes that are made together or not at all.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transaction {
+    /// The versions that keys must have.
+    pub expect: Vec<Expectation>,
+    /// The keys that are written.
+    pub write: Vec<KeyWrite>,
+    /// The keys that are removed.
+    pub remove: Vec<EcoString>,
+}
+
+impl Transaction {
+    /// Returns how many expectations and changes it holds.
+    pub fn entry_count(&self) -> usize {
+        self.expect.len() + self.write.len() + self.remove.len()
+    }
+
+    /// Expects `key` to have `version`, or to be absent.
+    pub fn expect_version(&mut self, key: EcoString, version: Option<StoreVersion>) {
+        self.expect.push(Expectation { key, version });
+    }
+
+    /// Writes `value` to `key`, under `lease` if there is one.
+    pub fn write_value(&mut self, key: EcoString, value: String, lease: Option<LeaseId>) {
+        self.write.push(KeyWrite { key, value, lease });
+    }
+}
+
+/// The version that a key must have.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Expectation {
+    /// The key.
+    pub key: EcoString,
+    /// The version, or `None` if the key must be absent.
+    pub version: Option<StoreVersion>,
+}
+
+/// A key that is written.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyWrite {
+    /// The key.
+    pub key: EcoString,
+    /// The new value.
+    pub value: String,
+    /// The lease the key lives under, if any.
+    pub lease: Option<LeaseId>,
+}
+
+/// What an expected key holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpectedKey {
+    /// The key.
+    pub key: EcoString,
+    /// The value with its version, or `None` if the key is absent.
+    pub stored: Option<StoredValue>,
+}
+
 /// The answer to a [`StoreCall`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -146,6 +206,16 @@
         /// What the key holds, or `None` if it is absent.
         current: Option<StoredValue>,
     },
+    /// The transaction took place.
+    Committed {
+        /// The version of every key it wrote.
+        version: StoreVersion,
+    },
+    /// The transaction did not take place.
+    Refused {
+        /// What the keys of its expectations hold.
+        current: Vec<ExpectedKey>,
+    },
     /// The lease was granted or renewed.
     Lease {
         /// The lease.
--- a/crates/turmericfold-standin/src/store_model.rs
+++ b/crates/turmericfold-standin/src/store_model.rs
@@ -4,8 +4,8 @@
 
 use ecow::EcoString;
 use turmericfold_platform::{
-    KeyChange, LeaseId, MAX_VALUE_BYTES, PlatformError, StoreCall, StoreReply, StoreVersion,
-    StoredKey, StoredValue,
+    ExpectedKey, KeyChange, KeyWrite, LeaseId, MAX_VALUE_BYTES, PlatformError, StoreCall,
+    StoreReply, StoreVersion, StoredKey, StoredValue, Transaction,
 };
 use turmericfold_types::MonotonicMs;
 
@@ -67,6 +67,7 @@
                 value,
                 lease,
             } => self.swap(key, expected, value, lease),
+            StoreCall::Transact(transaction) => self.transact(transaction),
             StoreCall::GrantLease { ttl_ms } => {
                 self.next_lease += 1;
                 let lease = LeaseId(self.next_lease);
@@ -180,6 +181,52 @@
         Ok(StoreReply::Swapped { version })
     }
 
+    fn transact(&mut self, transaction: Transaction) -> Result<StoreReply, PlatformError> {
+        let Transaction {
+            expect,
+            write,
+            remove,
+        } = transaction;
+        if write
+            .iter()
+            .any(|write| write.value.len() > MAX_VALUE_BYTES)
+        {
+            return Err(PlatformError::no_effect(
+                "a value is larger than the service holds",
+            ));
+        }
+        let mut leases = write.iter().filter_map(|write| write.lease);
+        if leases.any(|lease| !self.leases.contains_key(&lease)) {
+            return Ok(StoreReply::NoLease);
+        }
+        let current: Vec<ExpectedKey> = expect
+            .iter()
+            .map(|expected| ExpectedKey {
+                key: expected.key.clone(),
+                stored: self
+                    .keys
+                    .get(&expected.key)
+                    .map(|entry| entry.stored.clone()),
+            })
+            .collect();
+        let holds = expect.iter().zip(&current).all(|(expected, current)| {
+            current.stored.as_ref().map(|stored| stored.version) == expected.version
+        });
+        if !holds {
+            return Ok(StoreReply::Refused { current });
+        }
+        self.version += 1;
+        for KeyWrite { key, value, lease } in write {
+            self.put(key, Some(value), lease);
+        }
+        for key in remove {
+            self.put(key, None, None);
+        }
+        Ok(StoreReply::Committed {
+            version: StoreVersion(self.version),
+        })
+    }
+
     fn write(
         &mut self,
         key: EcoString,
@@ -187,6 +234,12 @@
         lease: Option<LeaseId>,
     ) -> StoreVersion {
         self.version += 1;
+        self.put(key, value, lease);
+        StoreVersion(self.version)
+    }
+
+    /// Changes a key at the present version.
+    fn put(&mut self, key: EcoString, value: Option<String>, lease: Option<LeaseId>) {
         let version = StoreVersion(self.version);
         if self.history.len() >= HISTORY {
             self.history.pop_front();
@@ -205,7 +258,6 @@
                 self.keys.remove(&key);
             }
         }
-        version
     }
 
     fn changes(&self, prefix: &str, after: StoreVersion) -> StoreReply {
--- a/crates/turmericfold/src/args.rs
+++ b/crates/turmericfold/src/args.rs
@@ -14,6 +14,11 @@
         /// The settings file.
         settings: PathBuf,
     },
+    /// Runs an entry process on the users' platform.
+    Enter {
+        /// The settings file that the platform writes.
+        settings: PathBuf,
+    },
     /// Checks a configuration.
     Check {
         /// Whether the result is JSON.
@@ -145,6 +150,7 @@
 pub fn command() -> OptionParser<Command> {
     let commands = construct!([
         serve(),
+        enter(),
         check(),
         schema(),
         plan(),
@@ -172,6 +178,18 @@
         .help("Run an entry process")
 }
 
+fn enter() -> impl Parser<Command> {
+    let settings = long("settings")
+        .help("Settings as the platform writes them, key=value lines")
+        .env("TURMERICFOLD_CONFIG")
+        .argument("FILE");
+    construct!(Command::Enter { settings })
+        .to_options()
+        .descr("Runs an entry process on the users' platform until SIGTERM.")
+        .command("enter")
+        .help("Run an entry process on the users' platform")
+}
+
 fn configuration() -> impl Parser<PathBuf> {
     positional("CONFIGURATION").help("The configuration: a YAML file, or a directory of them")
 }
--- /dev/null
+++ b/crates/turmericfold/src/commands/enter.rs
@@ -0,0 +1,170 @@
+//! `turmericfold enter`.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use turmericfold_adapter::{
+    CONFIGURATION_KEY, HttpPool, SiteSettings, SiteStore, SiteWorkers, WORKER_PREFIX,
+    decode_configuration, decode_worker, serve_front, serve_ready, worker_of_key,
+};
+use turmericfold_fleet::{Configuration, FleetSettings, Member};
+use turmericfold_peer::serve_fleet;
+use turmericfold_platform::WorkerEntry;
+use turmericfold_types::{FailureDomain, InstanceName, ProcessId};
+
+use super::block_on;
+use crate::exit::ExitCode;
+use crate::fleet::{Driver, PlatformDecoder, FrontHandle, Inputs, Listeners, Watches};
+use crate::logging::init_site_logging;
+
+/// How many events, messages or requests may wait for the node; whoever sends
+/// more waits.
+const QUEUE_LENGTH: usize = 1_024;
+
+/// Runs an entry process on the users' platform until it is told to stop.
+pub(super) fn enter(path: &Path) -> Result<ExitCode> {
+    let settings = match SiteSettings::read(path) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("{fault}");
+            return Ok(ExitCode::Faulty);
+        }
+    };
+    init_site_logging(&settings.instance);
+    block_on(tokio::task::LocalSet::new().run_until(run(path.to_owned(), settings)))?
+}
+
+async fn run(path: PathBuf, settings: SiteSettings) -> Result<ExitCode> {
+    let listeners = Listeners::bind(&settings).await?;
+    let fleet = fleet_settings(&settings);
+    log::info!(
+        process:% = fleet.member.process,
+        settings:% = path.display(),
+        weight = fleet.member.weight,
+        version = env!("CARGO_PKG_VERSION");
+        "starts"
+    );
+    let pool = HttpPool::new();
+    let store = SiteStore::new(pool.clone(), settings.store_address.clone());
+    let (event_sender, events) = mpsc::channel(QUEUE_LENGTH);
+    let (delivery_sender, deliveries) = mpsc::channel(QUEUE_LENGTH);
+    let (request_sender, requests) = mpsc::channel(QUEUE_LENGTH);
+    let (stop_sender, stop) = oneshot::channel();
+    let driver = Driver::new(
+        &fleet,
+        store.clone(),
+        SiteWorkers::new(pool),
+        event_sender.clone(),
+    )
+    .with_stop_grace_ms(settings.stop_grace_ms);
+    let front = FrontHandle::new(request_sender, driver.configuration(), driver.leaving());
+    let watches = Watches::start(store, SiteDecoder, event_sender);
+    let mut servers = JoinSet::new();
+    servers.spawn(serve_ready(listeners.ready, driver.ready()));
+    servers.spawn(serve_front(listeners.front, front));
+    servers.spawn(serve_fleet(listeners.peers, delivery_sender));
+    let mut signals = JoinSet::new();
+    let reload_path = path.clone();
+    signals.spawn(watch_reloads(reload_path, settings.clone()));
+    signals.spawn(watch_stop(stop_sender));
+    let inputs = Inputs {
+        events,
+        deliveries,
+        requests,
+        stop,
+    };
+    driver.run(inputs).await;
+    watches.stop().await;
+    servers.shutdown().await;
+    signals.shutdown().await;
+    log::info!(process:% = fleet.member.process; "has stopped");
+    Ok(ExitCode::Done)
+}
+
+async fn watch_stop(stop: oneshot::Sender<()>) {
+    let terminate = signal(SignalKind::terminate());
+    match terminate {
+        Ok(mut terminate) => {
+            terminate.recv().await;
+            if stop.send(()).is_err() {
+                log::debug!("the process stops already");
+            }
+        }
+        Err(error) => log::error!(error:% = error; "SIGTERM can't be watched"),
+    }
+}
+
+/// Reads the settings anew at SIGHUP and says what would need a new start.
+async fn watch_reloads(path: PathBuf, in_force: SiteSettings) {
+    let mut reload = match signal(SignalKind::hangup()) {
+        Ok(reload) => reload,
+        Err(error) => {
+            log::error!(error:% = error; "SIGHUP can't be watched");
+            return;
+        }
+    };
+    while reload.recv().await.is_some() {
+        match SiteSettings::read(&path) {
+            Ok(read) => {
+                let changed = read != in_force;
+                log::info!(changed = changed; "read the settings anew; changes need a new start");
+            }
+            Err(fault) => log::error!(fault:% = fault; "the new settings are not used"),
+        }
+    }
+}
+
+fn fleet_settings(settings: &SiteSettings) -> FleetSettings {
+    let process = ProcessId {
+        instance: InstanceName::new(settings.instance.clone()),
+        boot: rand::random(),
+    };
+    let member = Member {
+        process,
+        address: settings.peer_address.clone(),
+        domain: FailureDomain::new(settings.failure_domain.clone()),
+        weight: settings.cpu_millicores.max(1),
+        stopping: false,
+    };
+    FleetSettings::new(member)
+        .with_member_ttl_ms(
+            settings
+                .store_lease_min_ms
+                .max(FleetSettings::MEMBER_TTL_MS),
+        )
+        .with_worker_lease_max_ms(settings.worker_lease_max_ms)
+        .with_stop_timeout_ms(settings.stop_timeout_ms)
+        .with_job_retention_ms(settings.job_retention_ms)
+}
+
+/// The platform's keys, decoded by the adapter.
+#[derive(Debug, Clone, Copy)]
+struct SiteDecoder;
+
+impl PlatformDecoder for SiteDecoder {
+    fn configuration_key(&self) -> &'static str {
+        CONFIGURATION_KEY
+    }
+
+    fn worker_prefix(&self) -> &'static str {
+        WORKER_PREFIX
+    }
+
+    fn configuration(&self, value: &str) -> Option<Configuration> {
+        let decoded = decode_configuration(value).context("op/config");
+        decoded
+            .inspect_err(|error| log::error!(error:% = format!("{error:#}"); "a configuration can't be read"))
+            .ok()
+    }
+
+    fn worker(&self, key: &str, value: &str) -> Option<WorkerEntry> {
+        decode_worker(key, value)
+    }
+
+    fn worker_of_key(&self, key: &str) -> Option<InstanceName> {
+        worker_of_key(key)
+    }
+}
--- a/crates/turmericfold/src/commands/mod.rs
+++ b/crates/turmericfold/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod enter;
 mod explain;
 mod plan;
 mod schema;
@@ -16,6 +17,7 @@
 pub fn run(command: Command) -> ExitCode {
     let result = match command {
         Command::Serve { settings } => serve::serve(&settings),
+        Command::Enter { settings } => enter::enter(&settings),
         Command::Check {
             json,
             configuration,
--- /dev/null
+++ b/crates/turmericfold/src/fleet/driver.rs
@@ -0,0 +1,293 @@
+//! Carries events to the node and does what it asks.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior};
+use turmericfold_fleet::{
+    CallId, ClientAnswer, Configuration, Event, FleetNode, FleetSettings, Moment, Outbox,
+    StoreOrder, WorkerCall, WorkerOrder, WorkerResult,
+};
+use turmericfold_peer::Delivery;
+use turmericfold_platform::{BootClock, Clock, Store, TaskWorkers};
+
+use super::front::FrontRequest;
+use super::peers::Peers;
+
+/// How often the node is told that time has passed, in milliseconds.
+const TICK_MS: u64 = 25;
+
+/// How long a process that was told to stop goes on at least, in milliseconds, so
+/// that the platform's balancer notices before it ends.
+const LINGER_MS: u64 = 2_500;
+
+/// How long before the end of the grace period a stopping process ends at the
+/// latest, in milliseconds.
+const GRACE_MARGIN_MS: u64 = 800;
+
+/// How long the last messages and calls may take, in milliseconds.
+const CLOSE_MS: u64 = 300;
+
+/// Why the driver has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DriverEnd {
+    /// The process was told to stop, and has.
+    Stopped,
+}
+
+/// Carries events to the node and does what it asks.
+#[derive(Debug)]
+pub struct Driver<KeyValues, Workers> {
+    node: FleetNode,
+    outbox: Outbox,
+    store: KeyValues,
+    workers: Workers,
+    clock: BootClock,
+    peers: Peers,
+    calls: JoinSet<Event>,
+    callers: HashMap<CallId, oneshot::Sender<ClientAnswer>>,
+    last_caller: u64,
+    configuration: Arc<ArcSwapOption<Configuration>>,
+    leaving: Arc<AtomicBool>,
+    ready: Arc<AtomicBool>,
+    stop_grace_ms: u64,
+}
+
+/// What reaches a driver from outside.
+#[derive(Debug)]
+pub struct Inputs {
+    /// What the watches have seen.
+    pub events: mpsc::Receiver<Event>,
+    /// Messages of peers.
+    pub deliveries: mpsc::Receiver<Delivery>,
+    /// Callers' requests.
+    pub requests: mpsc::Receiver<FrontRequest>,
+    /// The order to stop.
+    pub stop: oneshot::Receiver<()>,
+}
+
+impl<KeyValues, Workers> Driver<KeyValues, Workers>
+where
+    KeyValues: Store,
+    Workers: TaskWorkers,
+{
+    /// Creates the driver of a new node; failed deliveries go to `events`.
+    pub fn new(
+        settings: &FleetSettings,
+        store: KeyValues,
+        workers: Workers,
+        events: mpsc::Sender<Event>,
+    ) -> Self {
+        let me = settings.member.process.clone();
+        Self {
+            node: FleetNode::new(settings),
+            outbox: Outbox::new(me.clone()),
+            store,
+            workers,
+            clock: BootClock,
+            peers: Peers::new(me, events),
+            calls: JoinSet::new(),
+            callers: HashMap::new(),
+            last_caller: 0,
+            configuration: Arc::default(),
+            leaving: Arc::default(),
+            ready: Arc::default(),
+            stop_grace_ms: 5_000,
+        }
+    }
+
+    /// Sets how long the process may take to stop, in milliseconds.
+    #[must_use]
+    pub fn with_stop_grace_ms(mut self, stop_grace_ms: u64) -> Self {
+        self.stop_grace_ms = stop_grace_ms;
+        self
+    }
+
+    /// Returns the configuration in force, shared with the caller's side.
+    pub fn configuration(&self) -> Arc<ArcSwapOption<Configuration>> {
+        self.configuration.clone()
+    }
+
+    /// Returns whether the process is leaving, shared with the caller's side.
+    pub fn leaving(&self) -> Arc<AtomicBool> {
+        self.leaving.clone()
+    }
+
+    /// Returns whether callers should be sent here, shared with the probes.
+    pub fn ready(&self) -> Arc<AtomicBool> {
+        self.ready.clone()
+    }
+
+    /// Runs until the process was told to stop and has handed everything over.
+    pub async fn run(mut self, mut inputs: Inputs) -> DriverEnd {
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut stop = Some(inputs.stop);
+        let mut stopped_at: Option<Instant> = None;
+        loop {
+            let event = tokio::select! {
+                Some(ended) = self.calls.join_next() => match ended {
+                    Ok(event) => event,
+                    Err(error) => {
+                        log::error!(error:% = error; "a call has failed within this process");
+                        continue;
+                    }
+                },
+                Some(delivery) = inputs.deliveries.recv() => Event::Peer {
+                    from: delivery.from,
+                    messages: delivery.messages,
+                },
+                Some(request) = inputs.requests.recv() => self.client_event(request),
+                Some(event) = inputs.events.recv() => event,
+                _ = ticks.tick() => Event::Tick,
+                () = told(&mut stop), if stop.is_some() => {
+                    stop = None;
+                    stopped_at = Some(Instant::now());
+                    self.leaving.store(true, Ordering::Relaxed);
+                    Event::Stop
+                }
+            };
+            self.handle(event);
+            if stopped_at.is_some_and(|at| self.may_end(at)) {
+                self.close().await;
+                return DriverEnd::Stopped;
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let moment = self.moment();
+        self.node.handle(moment, event, &mut self.outbox);
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        for order in std::mem::take(&mut self.outbox.store) {
+            self.call_store(order);
+        }
+        for order in std::mem::take(&mut self.outbox.workers) {
+            self.call_worker(order);
+        }
+        for reply in std::mem::take(&mut self.outbox.replies) {
+            if let Some(caller) = self.callers.remove(&reply.call)
+                && caller.send(reply.answer).is_err()
+            {
+                log::debug!("a caller has left before its answer");
+            }
+        }
+        for (to, messages) in std::mem::take(&mut self.outbox.messages) {
+            match self.node.address_of(&to) {
+                Some(address) => self.peers.send(&to, address, messages),
+                None => log::debug!(peer:% = to; "messages to a process that is no member"),
+            }
+        }
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        let node = &self.node;
+        self.peers
+            .retain(|process| node.address_of(process).is_some());
+        if let Some(configuration) = node.configuration()
+            && !self
+                .configuration
+                .load()
+                .as_ref()
+                .is_some_and(|known| Arc::ptr_eq(known, configuration))
+        {
+            self.configuration.store(Some(configuration.clone()));
+        }
+        let ready = node.is_ready();
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            log::info!(ready = ready; "tells the platform whether callers should come");
+        }
+    }
+
+    fn client_event(&mut self, request: FrontRequest) -> Event {
+        self.last_caller += 1;
+        let call = CallId(self.last_caller);
+        self.callers.insert(call, request.answer);
+        Event::Client {
+            call,
+            request: request.request,
+        }
+    }
+
+    fn call_store(&mut self, order: StoreOrder) {
+        let store = self.store.clone();
+        self.calls.spawn_local(async move {
+            let result = store.call(order.store_call).await;
+            let call = order.call;
+            Event::Store { call, result }
+        });
+    }
+
+    fn call_worker(&mut self, order: WorkerOrder) {
+        let workers = self.workers.clone();
+        self.calls.spawn_local(async move {
+            let WorkerOrder {
+                call,
+                worker,
+                worker_call,
+            } = order;
+            let result = match worker_call {
+                WorkerCall::Start(start) => {
+                    WorkerResult::Start(workers.start(&worker, start).await)
+                }
+                WorkerCall::Stop(stop) => WorkerResult::Stop(workers.stop(&worker, stop).await),
+                WorkerCall::Pace(pace) => WorkerResult::Pace(workers.pace(&worker, pace).await),
+                WorkerCall::Look(look) => WorkerResult::Look(workers.look(&worker, look).await),
+            };
+            Event::Worker {
+                worker: worker.id,
+                call,
+                result,
+            }
+        });
+    }
+
+    fn may_end(&self, stopped_at: Instant) -> bool {
+        let waited_ms = stopped_at.elapsed().as_millis();
+        let idle = self.node.is_handed_over() && self.callers.is_empty();
+        let late = waited_ms + u128::from(GRACE_MARGIN_MS) >= u128::from(self.stop_grace_ms);
+        late || (idle && waited_ms >= u128::from(LINGER_MS))
+    }
+
+    /// Ends the registration and delivers what is left.
+    async fn close(mut self) {
+        let moment = self.moment();
+        self.node.leave(moment, &mut self.outbox);
+        self.carry_out();
+        let limit = Duration::from_millis(CLOSE_MS);
+        let rest = async {
+            self.peers.close().await;
+            while self.calls.join_next().await.is_some() {}
+        };
+        if tokio::time::timeout(limit, rest).await.is_err() {
+            log::info!("ends before its last calls were answered");
+        }
+    }
+
+    fn moment(&self) -> Moment {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        let unix = unix.unwrap_or_default().as_millis();
+        Moment {
+            now: self.clock.now(),
+            unix_ms: u64::try_from(unix).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+/// Waits for the order to stop.
+async fn told(stop: &mut Option<oneshot::Receiver<()>>) {
+    if let Some(stop) = stop
+        && stop.await.is_err()
+    {
+        log::debug!("nobody can tell this process to stop any more");
+    }
+}
--- /dev/null
+++ b/crates/turmericfold/src/fleet/front.rs
@@ -0,0 +1,60 @@
+//! Carries callers' requests to the node.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::{mpsc, oneshot};
+use turmericfold_adapter::Front;
+use turmericfold_fleet::{ClientAnswer, ClientRequest, Configuration};
+
+/// A caller's request on its way to the node.
+#[derive(Debug)]
+pub struct FrontRequest {
+    /// The request.
+    pub request: ClientRequest,
+    /// Where the answer goes.
+    pub answer: oneshot::Sender<ClientAnswer>,
+}
+
+/// Carries callers' requests to the node; clones share it.
+#[derive(Debug, Clone)]
+pub struct FrontHandle {
+    requests: mpsc::Sender<FrontRequest>,
+    configuration: Arc<ArcSwapOption<Configuration>>,
+    leaving: Arc<AtomicBool>,
+}
+
+impl FrontHandle {
+    /// Creates the handle; the node sets the configuration and whether it leaves.
+    pub fn new(
+        requests: mpsc::Sender<FrontRequest>,
+        configuration: Arc<ArcSwapOption<Configuration>>,
+        leaving: Arc<AtomicBool>,
+    ) -> Self {
+        Self {
+            requests,
+            configuration,
+            leaving,
+        }
+    }
+}
+
+impl Front for FrontHandle {
+    async fn ask(&self, request: ClientRequest) -> ClientAnswer {
+        let (answer, answered) = oneshot::channel();
+        let request = FrontRequest { request, answer };
+        if self.requests.send(request).await.is_err() {
+            return ClientAnswer::Unknown;
+        }
+        answered.await.unwrap_or(ClientAnswer::Unknown)
+    }
+
+    fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.load_full()
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+}
--- a/crates/turmericfold/src/lib.rs
+++ b/crates/turmericfold/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod args;
 pub mod commands;
 mod exit;
+pub mod fleet;
 mod fleet_view;
 mod logging;
 mod operator_client;
--- a/crates/turmericfold/src/logging.rs
+++ b/crates/turmericfold/src/logging.rs
@@ -18,6 +18,20 @@
             builder.filter_module(module, level);
         }
     }
+    start(builder, process);
+}
+
+/// Starts logging to standard output, as the users' platform collects it.
+pub(crate) fn init_site_logging(process: &str) {
+    let mut builder = env_logger::Builder::new();
+    builder.filter_level(log::LevelFilter::Info);
+    // It writes a line for every message and answer.
+    builder.filter_module("tarpc", log::LevelFilter::Warn);
+    builder.target(env_logger::Target::Stdout);
+    start(builder, process);
+}
+
+fn start(mut builder: env_logger::Builder, process: &str) {
     builder.parse_default_env();
     let process = process.to_owned();
     builder.format(move |buffer, record| {
