Learn which fillers disturb whom, and start them only where they are fast

Cause: fillers were started without bound and slowed alike, so every batch job was late, and tails were missed.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use turmericfold_jobs::{JobId, RunKey, TaskKey};
-use turmericfold_types::InstanceName;
+use turmericfold_types::{InstanceName, ServiceName};
 
 use super::entry::Entry;
 use super::orders::Order;
@@ -12,6 +12,7 @@
 use super::recovery::details_of;
 use super::shard::Shard;
 use crate::context::Context;
+use crate::policy::disturbance::Disturbance;
 use crate::policy::order::{Urgency, urgency};
 use crate::policy::placement::{Demand, Offer, choose};
 use crate::workers::WorkerOwner;
@@ -33,7 +34,8 @@
         }
         let mut offers = self.rooms.offers(context, workers, &self.orders);
         for (_, job) in jobs {
-            let left_over = self.start_tasks_of(context, configuration, job, &mut offers, out);
+            let left_over =
+                self.start_tasks_of(context, workers, configuration, job, &mut offers, out);
             self.contended |= left_over;
         }
     }
@@ -60,6 +62,7 @@
     fn start_tasks_of(
         &mut self,
         context: Context<'_>,
+        workers: &WorkerOwner,
         configuration: &Arc<Configuration>,
         id: JobId,
         offers: &mut [Offer],
@@ -84,13 +87,19 @@
             if full_step == Some((task.occurrence, task.step)) {
                 continue;
             }
-            let chosen = self.choose_offer(&service, task, offers);
+            let chosen = self.choose_offer(workers.disturbance(), &service, task, offers);
             let Some(chosen) = chosen else {
                 full_step = Some((task.occurrence, task.step));
                 left_over |= self.is_counted(task);
                 continue;
             };
-            self.order(context, task, &mut offers[chosen], out);
+            self.order(
+                context,
+                workers.disturbance(),
+                task,
+                &mut offers[chosen],
+                out,
+            );
         }
         left_over
     }
@@ -105,7 +114,8 @@
 
     fn choose_offer(
         &self,
-        service: &turmericfold_types::ServiceName,
+        disturbance: &Disturbance,
+        service: &ServiceName,
         task: TaskKey,
         offers: &[Offer],
     ) -> Option<usize> {
@@ -122,10 +132,17 @@
             beside: &beside,
             avoided,
         };
-        choose(demand, offers)
+        choose(disturbance, demand, offers)
     }
 
-    fn order(&mut self, context: Context<'_>, task: TaskKey, offer: &mut Offer, out: &mut Outbox) {
+    fn order(
+        &mut self,
+        context: Context<'_>,
+        disturbance: &Disturbance,
+        task: TaskKey,
+        offer: &mut Offer,
+        out: &mut Outbox,
+    ) {
         let worker = offer.worker.worker.clone();
         let shard = self.shards.get(&JobShard::of(task.job));
         let unit = Unit::Worker(worker.clone());
@@ -162,6 +179,7 @@
             "orders a run"
         );
         offer.take(&details.room, filler_millicores);
+        offer.disturb(disturbance, &details);
         entry.job.add_run(run, worker.clone());
         let order = Order {
             worker: worker.clone(),
--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -28,8 +28,8 @@
 pub use event::{CallId, Event, WorkerChange, WorkerResult};
 pub use member::{Member, Owner};
 pub use messages::{
-    Account, Authority, PeerMessage, PendingJobs, ReportedEnd, RunAdvance, RunDetails, StartOrder,
-    StartOutcome, StartRefusal, Summary, WorkerSummary,
+    Account, Authority, PeerMessage, PendingJobs, ReportedEnd, RunAdvance, RunDetails, ServingRoom,
+    StartOrder, StartOutcome, StartRefusal, Summary, WorkerSummary,
 };
 pub use moment::Moment;
 pub use node::FleetNode;
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -10,6 +10,7 @@
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{FailureDomain, InstanceName, ProcessId, Resources, ServiceName};
 
+use crate::policy::disturbance::EffectRow;
 use crate::{ClientAnswer, ClientRequest, Configuration, JobShard};
 
 /// A message from one process to another.
@@ -203,7 +204,7 @@
 }
 
 /// What a process tells all of its peers at intervals.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// The process.
     pub process: ProcessId,
@@ -213,6 +214,8 @@
     pub workers: Vec<WorkerSummary>,
     /// How many of its jobs wait for their first start, by queue.
     pub pending: Vec<PendingJobs>,
+    /// How fillers disturb other tasks, as far as it knows; not in every summary.
+    pub effects: Vec<EffectRow>,
 }
 
 /// How many jobs of a queue wait for their first start.
@@ -224,6 +227,17 @@
     pub jobs: u64,
 }
 
+/// How much the tails of tasks of one image on a worker may still rise.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServingRoom {
+    /// The image.
+    pub image: EcoString,
+    /// The latency target, in milliseconds.
+    pub target_ms: u64,
+    /// By how much the worst tail may rise, in milliseconds.
+    pub headroom_ms: u64,
+}
+
 /// What a worker has to offer.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerSummary {
@@ -241,10 +255,10 @@
     pub capacity: Resources,
     /// What is free for runs that are counted.
     pub free: Resources,
-    /// What the fillers on it would use, in millicores.
-    pub filler_millicores: u64,
-    /// The runs on it with a latency target.
-    pub serving_runs: u32,
+    /// The processor time that one more filler would find, in millicores.
+    pub spare_millicores: u64,
+    /// How much the tails on it may still rise, by image.
+    pub serving: Vec<ServingRoom>,
     /// Whether it takes new runs.
     pub usable: bool,
     /// Whether its owner has tasks of its own waiting for room.
--- a/crates/turmericfold-fleet/src/node.rs
+++ b/crates/turmericfold-fleet/src/node.rs
@@ -20,6 +20,9 @@
 /// How often peers are told what is free here, in milliseconds.
 const SUMMARY_MS: u64 = 300;
 
+/// In every how many summaries peers are told how fillers disturb other tasks.
+const SUMMARIES_PER_EFFECTS: u64 = 8;
+
 /// How long a peer's count of waiting jobs holds, in milliseconds.
 const PENDING_STALE_MS: u64 = 2_500;
 
@@ -73,6 +76,7 @@
     last_forward: u64,
     peer_pending: BTreeMap<ProcessId, PeerPending>,
     next_summary_at: MonotonicMs,
+    summaries_sent: u64,
     stopping: bool,
     me: ProcessId,
 }
@@ -94,6 +98,7 @@
             last_forward: 0,
             peer_pending: BTreeMap::new(),
             next_summary_at: MonotonicMs::default(),
+            summaries_sent: 0,
             stopping: false,
             me,
         }
@@ -340,6 +345,7 @@
 
     fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: Summary, out: &mut Outbox) {
         self.jobs.on_summary(moment, &summary);
+        self.workers.disturbance_mut().merge(&summary.effects);
         if let Some(own) = &self.configuration
             && own.version > summary.configuration
         {
@@ -521,6 +527,11 @@
             return;
         }
         self.next_summary_at = moment + SUMMARY_MS;
+        self.summaries_sent += 1;
+        let effects = match self.summaries_sent % SUMMARIES_PER_EFFECTS {
+            0 => self.workers.disturbance().rows(),
+            _ => Vec::new(),
+        };
         let summary = Summary {
             process: self.me.clone(),
             configuration: self.configuration.as_ref().map_or(0, |known| known.version),
@@ -528,6 +539,7 @@
                 .workers
                 .summaries(moment, self.jobs.is_contended() || self.stopping),
             pending: self.jobs.pending(),
+            effects,
         };
         for member in self.membership.members() {
             if member.process != self.me {
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of their own: order, placement, pacing and admission.
 
 pub mod admission;
+pub mod disturbance;
 pub mod order;
 pub mod pacing;
 pub mod placement;
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -1,16 +1,24 @@
 //! On which worker a task is started.
 //!
 //! Answers a fleet that is three quarters full of tasks that last, with short
-//! tasks and fillers beside them: short tasks go where they fit tightest, so that
-//! room for large ones is left; tasks with a latency target and fillers go where
-//! most is free, as they disturb each other.
+//! tasks and fillers beside them: tasks that are counted go where they fit
+//! tightest, and tasks with a latency target to others of their kind, so that
+//! whole workers are left on which fillers disturb nobody. A filler goes where it
+//! will be fastest, and waits while that would be slow.
 
 use std::collections::BTreeMap;
 
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::{InstanceName, Resources, ServiceName};
 
-use crate::WorkerSummary;
+use crate::policy::disturbance::Disturbance;
+use crate::{RunDetails, WorkerSummary};
+
+/// The least share of its full speed at which a filler is started, in thousandths.
+const LEAST_SPEED_PERMILLE: u64 = 450;
+
+/// The differences of speed that count, in thousandths.
+const SPEED_STEP_PERMILLE: u64 = 100;
 
 /// What a worker has to offer, as it is used up by one pass over the tasks.
 #[derive(Debug, Clone)]
@@ -29,14 +37,42 @@
 
     /// Takes room for a run.
     pub fn take(&mut self, room: &Resources, filler_millicores: u64) {
-        self.worker.free = self.worker.free.minus(room);
-        self.worker.filler_millicores += filler_millicores;
+        let worker = &mut self.worker;
+        worker.free = worker.free.minus(room);
+        let used = room.cpu_millicores + filler_millicores;
+        worker.spare_millicores = worker.spare_millicores.saturating_sub(used);
     }
 
-    /// Returns the processor time that one more filler would find, in millicores.
-    fn spare_millicores(&self) -> u64 {
-        let free = self.worker.free.cpu_millicores;
-        free.saturating_sub(self.worker.filler_millicores)
+    /// Lowers what the tails may rise by what a filler will add.
+    pub fn disturb(&mut self, disturbance: &Disturbance, filler: &RunDetails) {
+        if !filler.filler {
+            return;
+        }
+        let share = self.share(filler.wanted_millicores);
+        for room in &mut self.worker.serving {
+            let target_ms = room.target_ms as f64;
+            let effect_ms = disturbance.effect_ms(&room.image, &filler.image, target_ms);
+            let rise_ms = (effect_ms * share).ceil() as u64;
+            room.headroom_ms = room.headroom_ms.saturating_sub(rise_ms);
+        }
+    }
+
+    /// Returns the share of its full speed that a filler of the step would reach, in
+    /// thousandths.
+    fn speed_permille(&self, disturbance: &Disturbance, step: &StepSpec) -> u64 {
+        let wanted = step.room.cpu_millicores.max(1);
+        let by_room = self.worker.spare_millicores * 1_000 / wanted;
+        let share = self.share(wanted);
+        let by_tails = self.worker.serving.iter().map(|room| {
+            let target_ms = room.target_ms as f64;
+            let rise_ms = disturbance.effect_ms(&room.image, &step.image, target_ms) * share;
+            (room.headroom_ms as f64 * 1_000.0 / rise_ms.max(0.001)) as u64
+        });
+        by_tails.fold(by_room.min(1_000), u64::min)
+    }
+
+    fn share(&self, millicores: u64) -> f64 {
+        millicores as f64 / self.worker.capacity.cpu_millicores.max(1) as f64
     }
 }
 
@@ -53,13 +89,31 @@
     pub avoided: &'job [InstanceName],
 }
 
-/// Returns the index of the offer on which the task is started, if any fits.
-pub fn choose(demand: Demand<'_>, offers: &[Offer]) -> Option<usize> {
+/// How good a place is for a task; compared field by field, more is better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Merit {
+    /// Whether the task has not failed there.
+    sound: bool,
+    /// Whether its data is there.
+    near: bool,
+    /// Whether this process owns the worker and the task is no filler.
+    home: bool,
+    /// The speed of a filler, in steps; whether others of its kind are there, of a
+    /// task with a latency target.
+    company: u64,
+    /// How tightly it fits: the less is left the better.
+    left_millicores: std::cmp::Reverse<u64>,
+}
+
+/// Returns the index of the offer on which the task is started, if any is good
+/// enough.
+pub fn choose(disturbance: &Disturbance, demand: Demand<'_>, offers: &[Offer]) -> Option<usize> {
     let fitting = offers
         .iter()
         .enumerate()
-        .filter(|(_, offer)| fits(demand, offer));
-    let best = fitting.max_by_key(|(_, offer)| score(demand, offer))?;
+        .filter(|(_, offer)| fits(demand, offer))
+        .filter_map(|(index, offer)| Some((index, merit(disturbance, demand, offer)?)));
+    let best = fitting.max_by_key(|(_, merit)| *merit)?;
     Some(best.0)
 }
 
@@ -75,29 +129,39 @@
         .is_none_or(|label| worker.labels.contains(label));
     let beside = demand.beside.get(&worker.worker).copied().unwrap_or(0);
     let apart = step.max_per_worker.is_none_or(|max| beside < max);
-    // A peer with tasks of its own waiting lends nothing.
-    labelled && apart && (offer.own || !worker.contended)
+    // A peer with counted tasks of its own waiting lends nothing.
+    let lent = offer.own || step.filler || !worker.contended;
+    labelled && apart && lent
 }
 
-/// Ranks an offer that fits; higher is better.
-fn score(demand: Demand<'_>, offer: &Offer) -> impl Ord + use<> {
+/// Returns how good a place is, or `None` if a filler would be too slow there.
+fn merit(disturbance: &Disturbance, demand: Demand<'_>, offer: &Offer) -> Option<Merit> {
     let worker = &offer.worker;
     let step = demand.step;
     let near = step
         .data_rack
         .as_ref()
         .is_none_or(|rack| worker.labels.contains(rack));
-    let sound = !demand.avoided.contains(&worker.worker);
-    let free = i64::try_from(worker.free.cpu_millicores).unwrap_or(i64::MAX);
-    let preference = if step.filler {
-        let spare = i64::try_from(offer.spare_millicores()).unwrap_or(i64::MAX);
-        spare - i64::from(worker.serving_runs)
+    let company = if step.filler {
+        let speed_permille = offer.speed_permille(disturbance, step);
+        if speed_permille < LEAST_SPEED_PERMILLE {
+            return None;
+        }
+        speed_permille / SPEED_STEP_PERMILLE
     } else if step.latency_target_ms.is_some() {
-        free
+        u64::from(!worker.serving.is_empty())
     } else {
-        -free
+        0
+    };
+    let left = match step.filler {
+        true => worker.spare_millicores,
+        false => worker.free.cpu_millicores,
     };
-    // Fillers take the fastest place wherever it is; others stay at home.
-    let home = offer.own || step.filler;
-    (sound, near, home, preference, offer.own)
+    Some(Merit {
+        sound: !demand.avoided.contains(&worker.worker),
+        near,
+        home: offer.own && !step.filler,
+        company,
+        left_millicores: std::cmp::Reverse(left),
+    })
 }
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -10,6 +10,7 @@
 use super::worker::{KeptEnd, Worker};
 use crate::context::Context;
 use crate::ownership::Ownership;
+use crate::policy::disturbance::Disturbance;
 use crate::{
     Authority, CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, ReportedEnd,
     RunAdvance, RunDetails, Unit, WorkerResult, WorkerSummary, keys,
@@ -44,6 +45,7 @@
     pub(super) authorities: BTreeMap<JobShard, StoreVersion>,
     authorities_call: Option<AuthoritiesCall>,
     next_advance_at: MonotonicMs,
+    disturbance: Disturbance,
 }
 
 /// A read of the owners of all jobs, for workers owned since before it.
@@ -64,6 +66,7 @@
             authorities: BTreeMap::new(),
             authorities_call: None,
             next_advance_at: MonotonicMs::default(),
+            disturbance: Disturbance::default(),
         }
     }
 
@@ -88,6 +91,16 @@
         self.workers.remove(name);
     }
 
+    /// Returns what is known of how fillers disturb other tasks.
+    pub(crate) fn disturbance(&self) -> &Disturbance {
+        &self.disturbance
+    }
+
+    /// Returns what is known of how fillers disturb other tasks, to be changed.
+    pub(crate) fn disturbance_mut(&mut self) -> &mut Disturbance {
+        &mut self.disturbance
+    }
+
     /// Returns the workers by name.
     pub(crate) fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values()
@@ -104,7 +117,7 @@
 
     /// Returns what every worker has to offer.
     pub(crate) fn summaries(&self, moment: Moment, contended: bool) -> Vec<WorkerSummary> {
-        let summary = |worker: &Worker| worker.summary(moment, contended);
+        let summary = |worker: &Worker| worker.summary(moment, &self.disturbance, contended);
         self.workers.values().map(summary).collect()
     }
 
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -102,6 +102,18 @@
         self.details.as_ref().is_some_and(|details| details.filler)
     }
 
+    /// Returns the processor time it would use, in millicores; 0 if not known.
+    pub(crate) fn wanted_millicores(&self) -> u64 {
+        let details = self.details.as_ref();
+        details.map_or(0, |details| details.wanted_millicores)
+    }
+
+    /// Returns its image and latency target in milliseconds, if it has one.
+    pub(crate) fn serving(&self) -> Option<(&EcoString, u64)> {
+        let details = self.details.as_ref()?;
+        Some((&details.image, details.latency_target_ms?))
+    }
+
     /// Returns the bound of its tail, in milliseconds, if it has one.
     pub(crate) fn latency_target_ms(&self) -> Option<u64> {
         self.details.as_ref()?.latency_target_ms
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -8,12 +8,29 @@
 
 use super::clock::WorkerClock;
 use super::run::Run;
-use crate::{Account, CallId, Moment, ReportedEnd, WorkerSummary};
+use crate::policy::disturbance::Disturbance;
+use crate::{Account, CallId, Moment, ReportedEnd, ServingRoom, WorkerSummary};
+use ecow::EcoString;
 
 /// How long a worker may be silent before it gets nothing new, in milliseconds:
 /// one look with its wait and some delay.
 const SILENCE_MS: u64 = 1_600;
 
+/// How long a new filler may be missing in the figures, in milliseconds: their half
+/// second and a look.
+const FIGURE_LAG_MS: u64 = 900;
+
+/// Up to which share of its target a tail may rise through new fillers.
+const HEADROOM_SHARE: f64 = 0.75;
+
+/// What share of their reservation tasks with a latency target are assumed to use,
+/// in thousandths.
+const SERVING_USE_PERMILLE: u64 = 550;
+
+/// Below which share of what they should get fillers show a worker to be saturated,
+/// in thousandths.
+const SATURATED_PERMILLE: u64 = 800;
+
 /// An end that is kept until the owner of its job has noted it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct KeptEnd {
@@ -77,8 +94,11 @@
     pub(crate) ends: BTreeMap<RunKey, KeptEnd>,
     /// Runs that must not begin any more, with the time until which that is kept.
     pub(crate) barred: BTreeMap<RunKey, MonotonicMs>,
-    /// When the pace of fillers was last raised.
+    /// When the pace of fillers was last changed.
     pub(crate) paced_at: MonotonicMs,
+    /// What share of their reservation tasks with a latency target use, in
+    /// thousandths.
+    pub(crate) serving_use_permille: u64,
 }
 
 impl Worker {
@@ -105,6 +125,7 @@
             ends: BTreeMap::new(),
             barred: BTreeMap::new(),
             paced_at: now,
+            serving_use_permille: SERVING_USE_PERMILLE,
         }
     }
 
@@ -131,20 +152,106 @@
         self.entry.capacity.minus(&used)
     }
 
-    /// Returns what the fillers would use, in millicores.
-    pub(crate) fn filler_millicores(&self) -> u64 {
+    /// Returns the processor time that one more filler would find, in millicores.
+    fn spare_millicores(&self) -> u64 {
+        let counted = |serving: bool| {
+            let details = self.runs.values().filter_map(|run| run.details.as_ref());
+            details
+                .filter(|details| !details.filler)
+                .filter(|details| details.latency_target_ms.is_some() == serving)
+                .map(|details| details.wanted_millicores)
+                .sum::<u64>()
+        };
+        let fillers: u64 = self
+            .runs
+            .values()
+            .filter(|run| run.is_filler())
+            .map(|run| run.wanted_millicores() * u64::from(run.pace_percent) / 100)
+            .sum();
+        let serving_use = counted(true) * self.serving_use_permille / 1_000;
+        let used = serving_use + counted(false) + fillers;
+        self.entry.capacity.cpu_millicores.saturating_sub(used)
+    }
+
+    /// Returns how much the tails may still rise, by image.
+    fn serving_rooms(&self, moment: Moment, disturbance: &Disturbance) -> Vec<ServingRoom> {
+        let mut rooms: Vec<ServingRoom> = Vec::new();
+        for run in self.runs.values() {
+            let Some((image, target_ms)) = run.serving() else {
+                continue;
+            };
+            let coming_ms = self.coming_effect_ms(moment, disturbance, image, target_ms);
+            let limit_ms = target_ms as f64 * HEADROOM_SHARE;
+            let headroom_ms = (limit_ms - run.figure as f64 - coming_ms).max(0.0) as u64;
+            match rooms.iter_mut().find(|room| room.image == *image) {
+                Some(room) => room.headroom_ms = room.headroom_ms.min(headroom_ms),
+                None => rooms.push(ServingRoom {
+                    image: image.clone(),
+                    target_ms,
+                    headroom_ms,
+                }),
+            }
+        }
+        rooms
+    }
+
+    /// Returns the rise that fillers will cause which are too new for the figures.
+    fn coming_effect_ms(
+        &self,
+        moment: Moment,
+        disturbance: &Disturbance,
+        serving: &EcoString,
+        target_ms: u64,
+    ) -> f64 {
+        let whole = self.entry.capacity.cpu_millicores.max(1) as f64;
         self.runs
             .values()
+            .filter(|run| run.is_filler() && moment.since_ms(run.since) < FIGURE_LAG_MS)
             .filter_map(|run| run.details.as_ref())
-            .filter(|details| details.filler)
-            .map(|details| details.wanted_millicores)
+            .map(|details| {
+                let effect_ms = disturbance.effect_ms(serving, &details.image, target_ms as f64);
+                effect_ms * details.wanted_millicores as f64 / whole
+            })
             .sum()
     }
 
+    /// Learns what share of their reservation the tasks with a latency target use:
+    /// fillers that get less than their pace show that nothing is left.
+    pub(crate) fn learn_serving_use(&mut self, moment: Moment) {
+        let reserved: u64 = self
+            .runs
+            .values()
+            .filter(|run| run.latency_target_ms().is_some())
+            .map(Run::wanted_millicores)
+            .sum();
+        let settled = |run: &&Run| moment.since_ms(run.since) >= FIGURE_LAG_MS;
+        let (mut expected, mut used) = (0, 0);
+        for run in self.runs.values().filter(settled) {
+            if run.latency_target_ms().is_none() {
+                expected += run.wanted_millicores() * u64::from(run.pace_percent) / 100;
+                used += run.figure;
+            }
+        }
+        if reserved == 0 {
+            return;
+        }
+        let left = self.entry.capacity.cpu_millicores.saturating_sub(used);
+        let seen = if used * 1_000 < expected * SATURATED_PERMILLE {
+            left * 1_000 / reserved
+        } else {
+            SERVING_USE_PERMILLE.min(left * 1_000 / reserved)
+        };
+        let seen = seen.min(1_000);
+        self.serving_use_permille = (self.serving_use_permille * 7 + seen) / 8;
+    }
+
     /// Returns what the worker has to offer.
-    pub(crate) fn summary(&self, moment: Moment, contended: bool) -> WorkerSummary {
-        let serving = |run: &&Run| run.latency_target_ms().is_some();
-        let serving_runs = self.runs.values().filter(serving).count();
+    pub(crate) fn summary(
+        &self,
+        moment: Moment,
+        disturbance: &Disturbance,
+        contended: bool,
+    ) -> WorkerSummary {
         WorkerSummary {
             worker: self.id.clone(),
             epoch: self.epoch,
@@ -153,8 +260,8 @@
             labels: self.entry.labels.clone(),
             capacity: self.entry.capacity,
             free: self.free(),
-            filler_millicores: self.filler_millicores(),
-            serving_runs: u32::try_from(serving_runs).unwrap_or(u32::MAX),
+            spare_millicores: self.spare_millicores(),
+            serving: self.serving_rooms(moment, disturbance),
             usable: self.is_usable(moment),
             contended,
         }
--- a/crates/turmericfold/src/commands/enter.rs
+++ b/crates/turmericfold/src/commands/enter.rs
@@ -17,7 +17,7 @@
 
 use super::block_on;
 use crate::exit::ExitCode;
-use crate::fleet::{Driver, PlatformDecoder, FrontHandle, Inputs, Listeners, Watches};
+use crate::fleet::{Driver, FrontHandle, Inputs, Listeners, PlatformDecoder, Watches};
 use crate::logging::init_site_logging;
 
 /// How many events, messages or requests may wait for the node; whoever sends
