Follow the slack of serving tasks, and place their jobs together

Cause: tails are like 1 / (1 - load); a linear model of the tail mislearned.

Change: effects learned from changes of slack by least squares and passed on; paces from the slack that is left; new fillers paced at once; jobs with a latency target packed together; least work left first.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -121,9 +121,10 @@
     ) -> Option<usize> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step_spec(task)?;
-        let beside = match step.max_per_worker {
-            Some(_) => count_beside(entry, task),
-            None => BTreeMap::new(),
+        let matters = step.max_per_worker.is_some() || step.latency_target_ms.is_some();
+        let beside = match matters {
+            true => count_beside(entry, task),
+            false => BTreeMap::new(),
         };
         let avoided = entry.failed_on.get(&task).map_or(&[][..], Vec::as_slice);
         let demand = Demand {
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -227,15 +227,13 @@
     pub jobs: u64,
 }
 
-/// How much the tails of tasks of one image on a worker may still rise.
+/// The slack that fillers may still take from the tasks of one image on a worker.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServingRoom {
     /// The image.
     pub image: EcoString,
-    /// The latency target, in milliseconds.
-    pub target_ms: u64,
-    /// By how much the worst tail may rise, in milliseconds.
-    pub headroom_ms: u64,
+    /// The slack, in thousandths.
+    pub slack_permille: u64,
 }
 
 /// What a worker has to offer.
@@ -257,7 +255,7 @@
     pub free: Resources,
     /// The processor time that one more filler would find, in millicores.
     pub spare_millicores: u64,
-    /// How much the tails on it may still rise, by image.
+    /// The slack that fillers may still take, by image.
     pub serving: Vec<ServingRoom>,
     /// Whether it takes new runs.
     pub usable: bool,
--- a/crates/turmericfold-fleet/src/node.rs
+++ b/crates/turmericfold-fleet/src/node.rs
@@ -345,7 +345,7 @@
 
     fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: Summary, out: &mut Outbox) {
         self.jobs.on_summary(moment, &summary);
-        self.workers.disturbance_mut().merge(&summary.effects);
+        self.workers.disturbance_mut().merge(from, &summary.effects);
         if let Some(own) = &self.configuration
             && own.version > summary.configuration
         {
--- a/crates/turmericfold-fleet/src/policy/disturbance.rs
+++ b/crates/turmericfold-fleet/src/policy/disturbance.rs
@@ -1,41 +1,32 @@
-//! How much fillers of one image raise the tails of tasks of another.
+//! How much fillers of one image disturb tasks of another.
 //!
 //! Answers the load of batch work beside tasks with a latency target: which
 //! fillers may go fast where is learned within seconds from rough figures.
+//!
+//! A task's *slack* is its latency target over its tail. As with a queue, the tail
+//! grows with 1 / (1 - load), so the slack falls linearly with the load that
+//! fillers add. An *effect* is the slack that a whole worker of fillers takes.
 
 use std::collections::BTreeMap;
 
 use ecow::EcoString;
 use serde::{Deserialize, Serialize};
+use turmericfold_types::ProcessId;
 
-/// The effect assumed of a pair that was not observed yet, in milliseconds for a
-/// filler that uses the whole worker, as a multiple of the latency target.
-const UNKNOWN_EFFECT_PER_TARGET: f64 = 4.0;
-
-/// The share of an error that one observation corrects.
-const LEARNING_RATE: f64 = 0.25;
-
-/// The input of the tail that does not come from fillers, as a share of a worker;
-/// small, so that most of an error goes to the fillers.
-const BASE_INPUT: f64 = 0.25;
-
-/// The power of the inputs below which an observation says little of the fillers.
-const LEAST_POWER: f64 = 0.02;
+/// The effect assumed of a pair that was not observed yet: between that of images
+/// that hardly disturb and of those that do.
+const UNKNOWN_EFFECT: f64 = 3.0;
 
-/// The observations after which an estimate is no longer mostly its first guess.
-const SETTLED_OBSERVATIONS: f64 = 8.0;
+/// The weight of the assumption, in squared shares of a worker: some ten
+/// observations of a filler that uses a fifteenth of it.
+const UNKNOWN_WEIGHT: f64 = 0.05;
 
-/// The most observations that count, so that changes are followed.
-const MOST_OBSERVATIONS: f64 = 60.0;
+/// What of a peer's weight counts here, as its workers have other tasks.
+const PEER_TRUST: f64 = 0.5;
 
-/// What is known of one pair of images.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct PairEffect {
-    /// By how much the tail rises, in milliseconds, for a whole worker of fillers.
-    pub effect_ms: f64,
-    /// How many observations stand behind it.
-    pub observations: f64,
-}
+/// What is kept of earlier observations at every new one, so that changes are
+/// followed within some hundreds.
+const MEMORY: f64 = 0.997;
 
 /// An estimate as processes pass it on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -44,8 +35,10 @@
     pub serving: EcoString,
     /// The image of the fillers.
     pub filler: EcoString,
-    /// What is known.
-    pub effect: PairEffect,
+    /// The effect.
+    pub effect: f64,
+    /// The weight of the observations behind it, in squared shares of a worker.
+    pub weight: f64,
 }
 
 /// The processor time that fillers of one image used on a worker.
@@ -53,108 +46,157 @@
 pub struct FillerUse {
     /// The image.
     pub image: EcoString,
-    /// The share of the worker, from 0 to 1.
+    /// The share of the worker; a change of it may be negative.
     pub share: f64,
 }
 
-/// The tail of one task with a latency target, and what ran beside it.
-#[derive(Debug, Clone, Copy)]
-pub struct Observation<'look> {
-    /// The image of the task.
-    pub serving: &'look EcoString,
-    /// Its latency target, in milliseconds.
-    pub target_ms: f64,
-    /// Its tail, in milliseconds.
-    pub tail_ms: f64,
-    /// The fillers beside it.
-    pub fillers: &'look [FillerUse],
+/// What is known of the tasks of one image: least squares over changes of slack.
+#[derive(Debug, Clone, Default)]
+struct Model {
+    /// Sums of products of the changes of two fillers' shares.
+    products: Vec<Vec<f64>>,
+    /// Sums of products of the changes of a filler's share and of the lost slack.
+    losses: Vec<f64>,
+    /// The estimates.
+    effects: Vec<f64>,
+    /// What peers know, by filler.
+    peers: BTreeMap<usize, PeerView>,
 }
 
-#[derive(Debug, Clone, Default)]
-struct Serving {
-    base_ms: f64,
-    by_filler: BTreeMap<EcoString, PairEffect>,
+/// What peers know of one pair.
+#[derive(Debug, Clone, Copy, Default)]
+struct PeerView {
+    effect: f64,
+    weight: f64,
 }
 
-/// Learns how much fillers of one image raise the tails of tasks of another.
-///
-/// The tail is taken as a base and the sum of (effect x share of the worker); each
-/// error is spread over its inputs (normalised least mean squares).
+impl Model {
+    fn grow(&mut self, fillers: usize) {
+        for row in &mut self.products {
+            row.resize(fillers, 0.0);
+        }
+        self.products.resize(fillers, vec![0.0; fillers]);
+        self.losses.resize(fillers, 0.0);
+        self.effects.resize(fillers, UNKNOWN_EFFECT);
+    }
+
+    fn observe(&mut self, lost: f64, changes: &[f64]) {
+        for (row, change) in self.products.iter_mut().zip(changes) {
+            for (sum, other) in row.iter_mut().zip(changes) {
+                *sum = *sum * MEMORY + change * other;
+            }
+        }
+        for (sum, change) in self.losses.iter_mut().zip(changes) {
+            *sum = *sum * MEMORY + change * lost;
+        }
+        self.solve();
+    }
+
+    /// Improves the estimates by one pass; they never fall below zero.
+    fn solve(&mut self) {
+        for filler in 0..self.effects.len() {
+            let peer = self.peers.get(&filler).copied().unwrap_or_default();
+            let peer_weight = peer.weight * PEER_TRUST;
+            let row = &self.products[filler];
+            let others: f64 = (0..self.effects.len())
+                .filter(|other| *other != filler)
+                .map(|other| row[other] * self.effects[other])
+                .sum();
+            let known = self.losses[filler] - others
+                + UNKNOWN_WEIGHT * UNKNOWN_EFFECT
+                + peer_weight * peer.effect;
+            let weight = row[filler] + UNKNOWN_WEIGHT + peer_weight;
+            self.effects[filler] = (known / weight).max(0.0);
+        }
+    }
+}
+
+/// Learns how much fillers of one image disturb tasks of another.
 #[derive(Debug, Clone, Default)]
 pub struct Disturbance {
-    serving: BTreeMap<EcoString, Serving>,
+    fillers: Vec<EcoString>,
+    serving: BTreeMap<EcoString, Model>,
+    peers: BTreeMap<ProcessId, Vec<EffectRow>>,
 }
 
 impl Disturbance {
-    /// Takes an observation.
-    pub fn observe(&mut self, observation: Observation<'_>) {
-        let unknown_ms = observation.target_ms * UNKNOWN_EFFECT_PER_TARGET;
-        let serving = self.serving.entry(observation.serving.clone()).or_default();
-        let power = BASE_INPUT * BASE_INPUT
-            + observation
-                .fillers
-                .iter()
-                .map(|filler| filler.share * filler.share)
-                .sum::<f64>();
-        let mut predicted_ms = serving.base_ms;
-        for filler in observation.fillers {
-            let effect = serving
-                .by_filler
-                .entry(filler.image.clone())
-                .or_insert(PairEffect {
-                    effect_ms: unknown_ms,
-                    observations: 0.0,
-                });
-            predicted_ms += effect.effect_ms * filler.share;
-        }
-        let error_ms = (observation.tail_ms - predicted_ms)
-            .clamp(-observation.target_ms, observation.target_ms);
-        let step = LEARNING_RATE * error_ms / power.max(LEAST_POWER);
-        let base_ms = serving.base_ms + step * BASE_INPUT * BASE_INPUT;
-        serving.base_ms = base_ms.clamp(0.0, observation.target_ms);
-        for filler in observation.fillers {
-            if let Some(effect) = serving.by_filler.get_mut(&filler.image) {
-                let weight = filler.share * filler.share / power;
-                effect.effect_ms = (effect.effect_ms + step * filler.share).max(0.0);
-                effect.observations = (effect.observations + weight).min(MOST_OBSERVATIONS);
-            }
+    /// Takes in that a task of an image lost `lost` slack while the use of the
+    /// fillers beside it changed by `changes`.
+    pub fn observe(&mut self, serving: &EcoString, lost: f64, changes: &[FillerUse]) {
+        for change in changes {
+            self.index_of(&change.image);
         }
+        let inputs: Vec<f64> = self
+            .fillers
+            .iter()
+            .map(|image| {
+                let known = changes.iter().find(|change| change.image == *image);
+                known.map_or(0.0, |change| change.share)
+            })
+            .collect();
+        let model = self.serving.entry(serving.clone()).or_default();
+        model.grow(inputs.len());
+        model.observe(lost, &inputs);
     }
 
-    /// Returns by how much a whole worker of fillers raises the tail, in milliseconds.
-    pub fn effect_ms(&self, serving: &EcoString, filler: &EcoString, target_ms: f64) -> f64 {
-        let unknown_ms = target_ms * UNKNOWN_EFFECT_PER_TARGET;
-        let known = self
-            .serving
-            .get(serving)
-            .and_then(|serving| serving.by_filler.get(filler));
-        let Some(effect) = known else {
-            return unknown_ms;
-        };
-        let trust = (effect.observations / SETTLED_OBSERVATIONS).min(1.0);
-        effect.effect_ms * trust + unknown_ms * (1.0 - trust)
+    /// Returns the slack that a whole worker of fillers takes.
+    pub fn effect(&self, serving: &EcoString, filler: &EcoString) -> f64 {
+        let index = self.fillers.iter().position(|image| image == filler);
+        let model = self.serving.get(serving);
+        let known = model
+            .zip(index)
+            .and_then(|(model, index)| model.effects.get(index));
+        known.copied().unwrap_or(UNKNOWN_EFFECT)
     }
 
-    /// Returns all estimates, to be passed on.
+    /// Returns the slack that fillers take together.
+    pub fn taken(&self, serving: &EcoString, uses: &[FillerUse]) -> f64 {
+        let taken = |filler: &FillerUse| self.effect(serving, &filler.image) * filler.share;
+        uses.iter().map(taken).sum()
+    }
+
+    /// Returns what was observed here, to be passed on.
     pub fn rows(&self) -> Vec<EffectRow> {
-        let rows = self.serving.iter().flat_map(|(image, serving)| {
-            serving.by_filler.iter().map(|(filler, effect)| EffectRow {
-                serving: image.clone(),
+        let rows = self.serving.iter().flat_map(|(serving, model)| {
+            let known = self.fillers.iter().zip(&model.effects).enumerate();
+            known.map(move |(index, (filler, effect))| EffectRow {
+                serving: serving.clone(),
                 filler: filler.clone(),
                 effect: *effect,
+                weight: model.products[index][index],
             })
         });
-        rows.collect()
+        rows.filter(|row| row.weight > 0.0).collect()
     }
 
-    /// Takes the estimates of a peer where more observations stand behind them.
-    pub fn merge(&mut self, rows: &[EffectRow]) {
-        for row in rows {
-            let serving = self.serving.entry(row.serving.clone()).or_default();
-            let own = serving.by_filler.entry(row.filler.clone()).or_default();
-            if own.observations < row.effect.observations {
-                *own = row.effect;
-            }
+    /// Takes what a peer has observed.
+    pub fn merge(&mut self, peer: &ProcessId, rows: &[EffectRow]) {
+        if rows.is_empty() {
+            return;
+        }
+        self.peers.insert(peer.clone(), rows.to_vec());
+        let mut views: BTreeMap<EcoString, BTreeMap<usize, PeerView>> = BTreeMap::new();
+        for row in self.peers.clone().into_values().flatten() {
+            let index = self.index_of(&row.filler);
+            let view = views.entry(row.serving).or_default();
+            let view = view.entry(index).or_default();
+            let weight = view.weight + row.weight;
+            view.effect += (row.effect - view.effect) * row.weight / weight.max(f64::MIN_POSITIVE);
+            view.weight = weight;
         }
+        for (serving, view) in views {
+            let model = self.serving.entry(serving).or_default();
+            model.grow(self.fillers.len());
+            model.peers = view;
+            model.solve();
+        }
+    }
+
+    fn index_of(&mut self, filler: &EcoString) -> usize {
+        let known = self.fillers.iter().position(|image| image == filler);
+        known.unwrap_or_else(|| {
+            self.fillers.push(filler.clone());
+            self.fillers.len() - 1
+        })
     }
 }
--- a/crates/turmericfold-fleet/src/policy/order.rs
+++ b/crates/turmericfold-fleet/src/policy/order.rs
@@ -3,7 +3,7 @@
 //! Answers bursts that ask for more than the fleet has: what can still be done in
 //! time goes before what can't.
 
-use turmericfold_jobs::{Job, JobSpec, StepSpec};
+use turmericfold_jobs::{Job, JobSpec, Occurrence, Step, StepSpec};
 
 /// How many times the objective a job may take before it is worth nothing.
 const WORTHLESS_AFTER: u64 = 3;
@@ -17,8 +17,9 @@
     pub late: bool,
     /// The priority of its queue.
     pub priority: u32,
-    /// When its objective passes, in milliseconds since 1970.
-    pub due_ms: u64,
+    /// The work that is left, in core-milliseconds; the least first, as a job that is
+    /// half done is worth nothing yet, and small jobs are worth more for their work.
+    pub work_left: u64,
 }
 
 /// Returns the urgency of a job at `unix_ms`, in milliseconds since 1970.
@@ -31,10 +32,24 @@
         worthless: !lasting && unix_ms > begun_ms + WORTHLESS_AFTER * objective_ms,
         late: !lasting && unix_ms > due_ms,
         priority: job.record.queue.priority,
-        due_ms,
+        work_left: work_left(job),
     }
 }
 
+/// Returns the work that is left of a job, in core-milliseconds, by the caller's
+/// estimates.
+pub fn work_left(job: &Job) -> u64 {
+    let spec = job.spec();
+    let of_step = |(step, spec): (&Step, &StepSpec)| {
+        let left = u64::from(spec.task_count.saturating_sub(step.done_count));
+        left * spec.estimate_ms * spec.room.cpu_millicores / 1_000
+    };
+    let of_occurrence = |occurrence: &Occurrence| -> u64 {
+        occurrence.steps.iter().zip(&spec.steps).map(of_step).sum()
+    };
+    job.occurrences().values().map(of_occurrence).sum()
+}
+
 /// Returns the time that a job may take, in milliseconds, by the caller's estimates.
 pub fn objective_ms(job: &Job) -> u64 {
     let queue = &job.record.queue;
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -43,17 +43,16 @@
         worker.spare_millicores = worker.spare_millicores.saturating_sub(used);
     }
 
-    /// Lowers what the tails may rise by what a filler will add.
+    /// Takes the slack that a filler will take.
     pub fn disturb(&mut self, disturbance: &Disturbance, filler: &RunDetails) {
         if !filler.filler {
             return;
         }
         let share = self.share(filler.wanted_millicores);
         for room in &mut self.worker.serving {
-            let target_ms = room.target_ms as f64;
-            let effect_ms = disturbance.effect_ms(&room.image, &filler.image, target_ms);
-            let rise_ms = (effect_ms * share).ceil() as u64;
-            room.headroom_ms = room.headroom_ms.saturating_sub(rise_ms);
+            let taken = disturbance.effect(&room.image, &filler.image) * share;
+            let taken_permille = (taken * 1_000.0) as u64;
+            room.slack_permille = room.slack_permille.saturating_sub(taken_permille);
         }
     }
 
@@ -64,9 +63,8 @@
         let by_room = self.worker.spare_millicores * 1_000 / wanted;
         let share = self.share(wanted);
         let by_tails = self.worker.serving.iter().map(|room| {
-            let target_ms = room.target_ms as f64;
-            let rise_ms = disturbance.effect_ms(&room.image, &step.image, target_ms) * share;
-            (room.headroom_ms as f64 * 1_000.0 / rise_ms.max(0.001)) as u64
+            let taken = disturbance.effect(&room.image, &step.image) * share;
+            (room.slack_permille as f64 / taken.max(0.001)) as u64
         });
         by_tails.fold(by_room.min(1_000), u64::min)
     }
@@ -96,11 +94,9 @@
     sound: bool,
     /// Whether its data is there.
     near: bool,
-    /// Whether this process owns the worker and the task is no filler.
-    home: bool,
-    /// The speed of a filler, in steps; whether others of its kind are there, of a
-    /// task with a latency target.
-    company: u64,
+    /// What counts most for its kind: the speed of a filler; company of its kind for
+    /// a task with a latency target; then whether this process owns the worker.
+    rank: u64,
     /// How tightly it fits: the less is left the better.
     left_millicores: std::cmp::Reverse<u64>,
 }
@@ -142,16 +138,17 @@
         .data_rack
         .as_ref()
         .is_none_or(|rack| worker.labels.contains(rack));
-    let company = if step.filler {
+    let own = u64::from(offer.own);
+    let rank = if step.filler {
         let speed_permille = offer.speed_permille(disturbance, step);
         if speed_permille < LEAST_SPEED_PERMILLE {
             return None;
         }
         speed_permille / SPEED_STEP_PERMILLE
     } else if step.latency_target_ms.is_some() {
-        u64::from(!worker.serving.is_empty())
+        2 * company(demand, offer) + own
     } else {
-        0
+        own
     };
     let left = match step.filler {
         true => worker.spare_millicores,
@@ -160,8 +157,15 @@
     Some(Merit {
         sound: !demand.avoided.contains(&worker.worker),
         near,
-        home: offer.own && !step.filler,
-        company,
+        rank,
         left_millicores: std::cmp::Reverse(left),
     })
 }
+
+/// Returns whether a worker has tasks with a latency target, and of the same job: the
+/// load of those rises and falls together, which leaves more room in between.
+fn company(demand: Demand<'_>, offer: &Offer) -> u64 {
+    let some = !offer.worker.serving.is_empty();
+    let alike = demand.beside.contains_key(&offer.worker.worker);
+    u64::from(some) + u64::from(alike)
+}
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -6,6 +6,7 @@
 mod owner;
 mod pace;
 mod run;
+mod tail;
 mod worker;
 
 pub(crate) use owner::WorkerOwner;
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -169,7 +169,12 @@
         match (&result, doubtful) {
             (Ok(StartReply::Started), _) => {
                 run.phase = RunPhase::Running { since: now };
+                let filler = run.is_filler();
                 self.answer_start(context, name, key, StartOutcome::Started, out);
+                if filler {
+                    // It begins at full pace, before any figure shows what that does.
+                    self.set_paces(context, name, out);
+                }
             }
             // An earlier call may have started it, and it has ended since.
             (Ok(StartReply::Superseded), true) => run.phase = RunPhase::Running { since: now },
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -4,17 +4,17 @@
 use turmericfold_platform::{PaceCall, PlatformError};
 use turmericfold_types::InstanceName;
 
-use super::owner::WorkerOwner;
+use super::owner::{WorkerOwner, keys_where};
 use super::run::{Run, RunPhase};
 use super::worker::Worker;
 use crate::context::Context;
-use crate::policy::disturbance::{FillerUse, Observation};
+use crate::policy::disturbance::{Disturbance, FillerUse};
 use crate::policy::pacing::{FillerTask, ServingTask, paces};
 use crate::{CallId, Outbox, WorkerCall};
 
 /// The least time between two changes of pace on one worker, in milliseconds: the
-/// figures are of the last half second, and a change needs some of it to show.
-const CHANGE_MS: u64 = 600;
+/// figures are of the last half second.
+const CHANGE_MS: u64 = 450;
 
 /// The pace of a long-running task that is at work, in hundredths of progress.
 const AT_WORK_PERCENT: u32 = 100;
@@ -31,10 +31,22 @@
         let Some(worker) = self.worker(name) else {
             return;
         };
-        if context.moment.since_ms(worker.paced_at) < CHANGE_MS {
-            return;
+        if context.moment.since_ms(worker.paced_at) >= CHANGE_MS {
+            self.set_paces(context, name, out);
         }
-        let serving = serving_tasks(worker);
+    }
+
+    /// Sets the pace of the fillers on a worker by what is known of its tails.
+    pub(super) fn set_paces(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        out: &mut Outbox,
+    ) {
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        let serving = serving_tasks(self.disturbance(), worker);
         let keys: Vec<RunKey> = paced_fillers(worker).map(|(key, _)| *key).collect();
         let fillers: Vec<FillerTask> = paced_fillers(worker)
             .map(|(_, run)| filler_task(worker, run))
@@ -56,18 +68,38 @@
             return;
         };
         worker.learn_serving_use(context.moment);
-        let serving = serving_tasks(worker);
-        if serving.is_empty() {
-            return;
+        let uses = filler_uses(worker);
+        let keys = keys_where(worker, |_, run| {
+            run.latency_target_ms().is_some() && run.percent >= AT_WORK_PERCENT
+        });
+        for key in keys {
+            self.follow_tail(context, name, key, &uses);
         }
-        let fillers = filler_uses(worker);
-        for task in &serving {
-            self.disturbance_mut().observe(Observation {
-                serving: &task.image,
-                target_ms: task.target_ms,
-                tail_ms: task.tail_ms,
-                fillers: &fillers,
-            });
+    }
+
+    fn follow_tail(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        key: RunKey,
+        uses: &[FillerUse],
+    ) {
+        let known = self.worker(name).and_then(|worker| worker.runs.get(&key));
+        let Some((image, target_ms)) = known.and_then(Run::serving) else {
+            return;
+        };
+        let image = image.clone();
+        let taken = self.disturbance().taken(&image, uses);
+        let run = self
+            .worker_mut(name)
+            .and_then(|worker| worker.runs.get_mut(&key));
+        let change = run.and_then(|run| {
+            run.tail
+                .look(context.moment.now, target_ms, run.figure, uses, taken)
+        });
+        if let Some(change) = change {
+            self.disturbance_mut()
+                .observe(&image, change.lost, &change.changes);
         }
     }
 
@@ -130,14 +162,14 @@
 }
 
 /// Returns the tasks with a latency target that are at work.
-fn serving_tasks(worker: &Worker) -> Vec<ServingTask> {
+fn serving_tasks(disturbance: &Disturbance, worker: &Worker) -> Vec<ServingTask> {
     let at_work = |run: &&Run| run.percent >= AT_WORK_PERCENT;
     let task = |run: &Run| {
-        let details = run.details.as_ref()?;
+        let (image, _) = run.serving()?;
+        let taken = run.tail.taken(disturbance, image);
         Some(ServingTask {
-            image: details.image.clone(),
-            target_ms: details.latency_target_ms? as f64,
-            tail_ms: run.figure as f64,
+            image: image.clone(),
+            slack: run.tail.coming_slack(taken)?,
         })
     };
     worker
@@ -165,6 +197,7 @@
             .map(|details| details.image.clone())
             .unwrap_or_default(),
         percent: f64::from(run.pace_percent),
+        progress_percent: run.percent,
         full_share: share(wanted, worker),
     }
 }
@@ -195,7 +228,7 @@
 
 /// Returns the worst tail against its target, in thousandths; for the log.
 fn worst_tail_permille(worker: &Worker) -> u64 {
-    let permille = |task: &ServingTask| (task.tail_ms * 1_000.0 / task.target_ms) as u64;
-    let tasks = serving_tasks(worker);
-    tasks.iter().map(permille).max().unwrap_or_default()
+    let permille = |run: &Run| Some(run.figure * 1_000 / run.latency_target_ms()?.max(1));
+    let tails = worker.runs.values().filter_map(permille);
+    tails.max().unwrap_or_default()
 }
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -5,6 +5,7 @@
 use ecow::EcoString;
 use turmericfold_types::MonotonicMs;
 
+use super::tail::TailTrack;
 use crate::{CallId, RunDetails, StartOrder};
 
 /// How far a run is.
@@ -51,6 +52,8 @@
     pub(crate) pace_percent: u32,
     /// Whether the pace order is not confirmed yet.
     pub(crate) pace_call: Option<CallId>,
+    /// Its slack, if it has a latency target.
+    pub(crate) tail: TailTrack,
     /// When its owner was last asked or told about it.
     pub(crate) told_at: MonotonicMs,
 }
@@ -81,6 +84,7 @@
             figure: 0,
             pace_percent: 100,
             pace_call: None,
+            tail: TailTrack::default(),
             told_at: MonotonicMs::default(),
         }
     }
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -9,6 +9,7 @@
 use super::clock::WorkerClock;
 use super::run::Run;
 use crate::policy::disturbance::Disturbance;
+use crate::policy::pacing::KEPT_SLACK;
 use crate::{Account, CallId, Moment, ReportedEnd, ServingRoom, WorkerSummary};
 use ecow::EcoString;
 
@@ -20,9 +21,6 @@
 /// second and a look.
 const FIGURE_LAG_MS: u64 = 900;
 
-/// Up to which share of its target a tail may rise through new fillers.
-const HEADROOM_SHARE: f64 = 0.75;
-
 /// What share of their reservation tasks with a latency target are assumed to use,
 /// in thousandths.
 const SERVING_USE_PERMILLE: u64 = 550;
@@ -173,44 +171,35 @@
         self.entry.capacity.cpu_millicores.saturating_sub(used)
     }
 
-    /// Returns how much the tails may still rise, by image.
-    fn serving_rooms(&self, moment: Moment, disturbance: &Disturbance) -> Vec<ServingRoom> {
+    /// Returns the slack that fillers may still take, by image.
+    fn serving_rooms(&self, disturbance: &Disturbance) -> Vec<ServingRoom> {
         let mut rooms: Vec<ServingRoom> = Vec::new();
         for run in self.runs.values() {
-            let Some((image, target_ms)) = run.serving() else {
+            let Some((image, _)) = run.serving() else {
                 continue;
             };
-            let coming_ms = self.coming_effect_ms(moment, disturbance, image, target_ms);
-            let limit_ms = target_ms as f64 * HEADROOM_SHARE;
-            let headroom_ms = (limit_ms - run.figure as f64 - coming_ms).max(0.0) as u64;
+            let slack = run.tail.mean_slack() - KEPT_SLACK - self.wanted_slack(disturbance, image);
+            let slack_permille = (slack * 1_000.0).max(0.0) as u64;
             match rooms.iter_mut().find(|room| room.image == *image) {
-                Some(room) => room.headroom_ms = room.headroom_ms.min(headroom_ms),
+                Some(room) => room.slack_permille = room.slack_permille.min(slack_permille),
                 None => rooms.push(ServingRoom {
                     image: image.clone(),
-                    target_ms,
-                    headroom_ms,
+                    slack_permille,
                 }),
             }
         }
         rooms
     }
 
-    /// Returns the rise that fillers will cause which are too new for the figures.
-    fn coming_effect_ms(
-        &self,
-        moment: Moment,
-        disturbance: &Disturbance,
-        serving: &EcoString,
-        target_ms: u64,
-    ) -> f64 {
+    /// Returns the slack that the fillers here would take at full pace.
+    fn wanted_slack(&self, disturbance: &Disturbance, serving: &EcoString) -> f64 {
         let whole = self.entry.capacity.cpu_millicores.max(1) as f64;
-        self.runs
-            .values()
-            .filter(|run| run.is_filler() && moment.since_ms(run.since) < FIGURE_LAG_MS)
+        let fillers = self.runs.values().filter(|run| run.is_filler());
+        fillers
             .filter_map(|run| run.details.as_ref())
             .map(|details| {
-                let effect_ms = disturbance.effect_ms(serving, &details.image, target_ms as f64);
-                effect_ms * details.wanted_millicores as f64 / whole
+                let effect = disturbance.effect(serving, &details.image);
+                effect * details.wanted_millicores as f64 / whole
             })
             .sum()
     }
@@ -261,7 +250,7 @@
             capacity: self.entry.capacity,
             free: self.free(),
             spare_millicores: self.spare_millicores(),
-            serving: self.serving_rooms(moment, disturbance),
+            serving: self.serving_rooms(disturbance),
             usable: self.is_usable(moment),
             contended,
         }
