--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -13,6 +13,7 @@
 use super::shard::{LoadedProgress, Loading, Phase, Recovering};
 use crate::context::Context;
 use crate::keys::JobKey;
+use crate::policy::order;
 use crate::{
     Account, Authority, CallId, JobShard, Moment, Outbox, PeerMessage, ReportedEnd, RunDetails,
     Unit, keys,
@@ -259,7 +260,7 @@
     ) -> Option<RunDetails> {
         let entry = self.jobs.get_mut(&run.task.job)?;
         let step = entry.job.step_spec(run.task)?;
-        let details = details_of(step);
+        let details = details_of(&entry.job, step);
         let copies_allowed = step.copies_allowed;
         if entry.job.state().is_final() {
             return None;
@@ -360,13 +361,14 @@
 }
 
 /// Returns what the owner of a worker needs to know of a step's runs.
-pub(super) fn details_of(step: &turmericfold_jobs::StepSpec) -> RunDetails {
+pub(super) fn details_of(job: &Job, step: &turmericfold_jobs::StepSpec) -> RunDetails {
     RunDetails {
         room: step.counted_room(),
         wanted_millicores: step.room.cpu_millicores,
         filler: step.filler,
         latency_target_ms: step.latency_target_ms,
         image: step.image.clone(),
+        due_ms: order::due_ms(job),
     }
 }
 
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -158,7 +158,7 @@
         let Some(step) = entry.job.step_spec(task) else {
             return;
         };
-        let details = details_of(step);
+        let details = details_of(&entry.job, step);
         let filler_millicores = match details.filler {
             true => details.wanted_millicores,
             false => 0,
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -144,6 +144,8 @@
     pub latency_target_ms: Option<u64>,
     /// What it runs.
     pub image: EcoString,
+    /// When the objective of its job passes, in milliseconds since 1970.
+    pub due_ms: u64,
 }
 
 /// What became of an order to start a run.
--- a/crates/turmericfold-fleet/src/policy/order.rs
+++ b/crates/turmericfold-fleet/src/policy/order.rs
@@ -26,7 +26,7 @@
 pub fn urgency(job: &Job, unix_ms: u64) -> Urgency {
     let objective_ms = objective_ms(job);
     let begun_ms = job.record.accepted_at_ms;
-    let due_ms = begun_ms + objective_ms;
+    let due_ms = due_ms(job);
     let lasting = job.spec().is_long_running();
     Urgency {
         worthless: !lasting && unix_ms > begun_ms + WORTHLESS_AFTER * objective_ms,
@@ -36,6 +36,11 @@
     }
 }
 
+/// Returns when the objective of a job passes, in milliseconds since 1970.
+pub fn due_ms(job: &Job) -> u64 {
+    job.record.accepted_at_ms + objective_ms(job)
+}
+
 /// Returns the work that is left of a job, in core-milliseconds, by the caller's
 /// estimates.
 pub fn work_left(job: &Job) -> u64 {
--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -9,7 +9,7 @@
 use crate::policy::disturbance::Disturbance;
 
 /// The slack that every task keeps: its tail stays below 1 / slack of its target.
-pub const KEPT_SLACK: f64 = 1.35;
+pub const KEPT_SLACK: f64 = 1.3;
 
 /// The least change of a pace that is worth an order, in hundredths.
 const LEAST_CHANGE_PERCENT: f64 = 8.0;
@@ -30,6 +30,8 @@
     pub image: EcoString,
     /// Its pace, in hundredths.
     pub percent: f64,
+    /// Whether the objective of its job has passed.
+    pub late: bool,
     /// How much of its work is done, in hundredths.
     pub progress_percent: u32,
     /// The share of the worker that it uses at full pace, from 0 to 1.
@@ -63,8 +65,8 @@
     paces
 }
 
-/// Returns the fillers, those that take the least slack first; of the same image
-/// those that are nearest to their end.
+/// Returns the fillers: those whose jobs can still be in time first, then those that
+/// take the least slack; of the same image those that are nearest to their end.
 fn order(disturbance: &Disturbance, serving: &[ServingTask], fillers: &[FillerTask]) -> Vec<usize> {
     let harm = |filler: &FillerTask| {
         let share = |task: &ServingTask| {
@@ -77,8 +79,10 @@
     let mut order: Vec<usize> = (0..fillers.len()).collect();
     order.sort_by(|one, other| {
         let progress = |index: usize| fillers[index].progress_percent;
-        harms[*one]
-            .total_cmp(&harms[*other])
+        let late = |index: usize| fillers[index].late;
+        late(*one)
+            .cmp(&late(*other))
+            .then(harms[*one].total_cmp(&harms[*other]))
             .then(progress(*other).cmp(&progress(*one)))
     });
     order
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -17,6 +17,9 @@
 /// The least share of its full speed at which a filler is started, in thousandths.
 const LEAST_SPEED_PERMILLE: u64 = 450;
 
+/// The share of its full speed from which a filler is fast, in thousandths.
+const FAST_PERMILLE: u64 = 900;
+
 /// The differences of speed that count, in thousandths.
 const SPEED_STEP_PERMILLE: u64 = 100;
 
@@ -144,7 +147,9 @@
         if speed_permille < LEAST_SPEED_PERMILLE {
             return None;
         }
-        speed_permille / SPEED_STEP_PERMILLE
+        // Where nobody is disturbed is left to those that disturb most.
+        let speed = speed_permille.min(FAST_PERMILLE) / SPEED_STEP_PERMILLE;
+        2 * speed + u64::from(!worker.serving.is_empty())
     } else if step.latency_target_ms.is_some() {
         2 * company(demand, offer) + own
     } else {
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -49,7 +49,7 @@
         let serving = serving_tasks(self.disturbance(), worker);
         let keys: Vec<RunKey> = paced_fillers(worker).map(|(key, _)| *key).collect();
         let fillers: Vec<FillerTask> = paced_fillers(worker)
-            .map(|(_, run)| filler_task(worker, run))
+            .map(|(_, run)| filler_task(context, worker, run))
             .collect();
         let wanted = paces(self.disturbance(), &serving, &fillers);
         let changes: Vec<(RunKey, u32)> = keys
@@ -189,7 +189,7 @@
         .filter(move |(_, run)| run.is_filler() && running(run) && run.pace_call.is_none())
 }
 
-fn filler_task(worker: &Worker, run: &Run) -> FillerTask {
+fn filler_task(context: Context<'_>, worker: &Worker, run: &Run) -> FillerTask {
     let details = run.details.as_ref();
     let wanted = details.map_or(0, |details| details.wanted_millicores);
     FillerTask {
@@ -197,6 +197,7 @@
             .map(|details| details.image.clone())
             .unwrap_or_default(),
         percent: f64::from(run.pace_percent),
+        late: details.is_some_and(|details| context.moment.unix_ms > details.due_ms),
         progress_percent: run.percent,
         full_share: share(wanted, worker),
     }
