Only the owner of a worker infers ends, and failures are kept by run

Cause, by trace: (1) an end reported again while its change was being stored was noted at once, and a new owner ran the task again (TWICE); (2) a failed run reported again was counted twice (LOST: shown as failed); (3) an owner that was cut off and had lost a worker took its lease for passed while the new owner renewed it (TWICE).

Change: ends are noted with the write that carries them; failures are kept by run number; a fenced or uncertain owner infers nothing, and owners of jobs drop what an earlier owner of a worker inferred.

--- a/crates/turmericfold-fleet/src/context.rs
+++ b/crates/turmericfold-fleet/src/context.rs
@@ -13,6 +13,9 @@
     pub(crate) moment: Moment,
     /// Who owns what.
     pub(crate) ownership: &'node Ownership,
+    /// Whether this process is certainly registered, so that nobody else can have
+    /// claimed what it owns.
+    pub(crate) secure: bool,
 }
 
 impl Context<'_> {
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use turmericfold_jobs::{JobId, RunEnd, RunKey};
+use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::entry::{Entry, OpenEnd};
@@ -164,7 +165,12 @@
                 run,
                 outcome,
             } => self.on_start_answer(context, &worker, run, outcome),
-            PeerMessage::Ended { worker, ends } => {
+            PeerMessage::Ended {
+                worker,
+                worker_epoch,
+                ends,
+            } => {
+                let ends = admissible(context, &worker, worker_epoch, ends);
                 self.on_ended(context, from, &worker, &ends, out);
             }
             PeerMessage::Found { worker, runs } => {
@@ -259,21 +265,25 @@
         if entry.open_ends.iter().any(|open| open.run == run) {
             return false;
         }
-        log::info!(
-            job:% = run.task.job,
-            run:% = run,
-            worker:% = worker,
-            end:? = end.ended.end,
-            ran_ms = end.ran_ms,
-            ordered_ago_ms = order.map_or(0, |order| context.moment.since_ms(order.since));
-            "the end of a run arrives at its job"
-        );
+        if let Some(order) = order {
+            log::info!(
+                job:% = run.task.job,
+                run:% = run,
+                worker:% = worker,
+                end:? = end.ended.end,
+                ran_ms = end.ran_ms,
+                ordered_ago_ms = context.moment.since_ms(order.since);
+                "the end of a run arrives at its job"
+            );
+        }
         if end.ended.end == RunEnd::Failed {
             let failed_on = entry.failed_on.entry(run.task).or_default();
             failed_on.push(worker.clone());
         }
         let change = entry.job.end_run(&end.ended);
-        if change.durable {
+        // A repeated end may be that of a change which is still being stored.
+        let open = change.durable || entry.writing || entry.dirty_since.is_some();
+        if open {
             self.journal.mark(run.task.job);
             entry.open_ends.push(OpenEnd {
                 from: from.clone(),
@@ -283,7 +293,7 @@
             entry.mark_dirty(context.moment.now);
         }
         self.stop_runs(context, &change.stop, out);
-        !change.durable
+        !open
     }
 
     /// Stops runs.
@@ -418,3 +428,18 @@
         }
     }
 }
+
+/// Drops the ends that an earlier owner of a worker has only inferred: the present
+/// owner may have kept those runs.
+fn admissible(
+    context: Context<'_>,
+    worker: &InstanceName,
+    worker_epoch: StoreVersion,
+    ends: Vec<ReportedEnd>,
+) -> Vec<ReportedEnd> {
+    let unit = Unit::Worker(worker.clone());
+    let owned = context.ownership.owner(&unit);
+    let current = owned.is_none_or(|owned| owned.epoch <= worker_epoch);
+    let keep = |end: &ReportedEnd| current || end.listed;
+    ends.into_iter().filter(keep).collect()
+}
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -318,7 +318,11 @@
             end: RunEnd::Lapsed,
             checkpoint: None,
         };
-        let end = ReportedEnd { ended, ran_ms: 0 };
+        let end = ReportedEnd {
+            ended,
+            listed: false,
+            ran_ms: 0,
+        };
         let me = context.ownership.process().clone();
         self.on_ended(context, &me, worker, &[end], out);
     }
--- a/crates/turmericfold-fleet/src/membership.rs
+++ b/crates/turmericfold-fleet/src/membership.rs
@@ -53,6 +53,8 @@
     lease: Option<LeaseId>,
     lease_until: MonotonicMs,
     registered: bool,
+    /// The version of the registration; what was read before it says nothing of it.
+    registered_version: StoreVersion,
     registered_at: Option<MonotonicMs>,
     leaving: bool,
     call: Option<Call>,
@@ -77,6 +79,7 @@
             lease: None,
             lease_until: MonotonicMs::default(),
             registered: false,
+            registered_version: StoreVersion::default(),
             registered_at: None,
             leaving: false,
             call: None,
@@ -185,7 +188,8 @@
                 self.lease_until = call.sent_at + self.ttl_ms;
                 self.next_call_at = moment.now;
             }
-            (Step::Register, Ok(StoreReply::Committed { .. })) => {
+            (Step::Register, Ok(StoreReply::Committed { version })) => {
+                self.registered_version = *version;
                 log::info!(process:% = self.me.process; "registered as a member");
                 self.registered = true;
                 self.registered_at = Some(moment.now);
@@ -237,7 +241,7 @@
             self.insert(moment, member, version);
         }
         self.loaded = true;
-        self.check_own_key();
+        self.check_own_key(version);
     }
 
     /// Takes a change of a member's key.
@@ -257,7 +261,7 @@
             }
             None => self.remove(moment, &name),
         }
-        self.check_own_key();
+        self.check_own_key(change.version);
     }
 
     fn insert(&mut self, moment: Moment, member: Member, version: StoreVersion) {
@@ -285,7 +289,10 @@
     }
 
     /// Registers anew if the store has dropped this process's key unasked.
-    fn check_own_key(&mut self) {
+    fn check_own_key(&mut self, read_at: StoreVersion) {
+        if read_at < self.registered_version {
+            return;
+        }
         let present = self.find(&self.me.process).is_some();
         if self.registered && self.call.is_none() && !present {
             log::warn!(process:% = self.me.process; "the registration has vanished");
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -40,6 +40,8 @@
     Ended {
         /// The worker.
         worker: InstanceName,
+        /// The version at which the worker's ownership was stored.
+        worker_epoch: StoreVersion,
         /// The ends.
         ends: Vec<ReportedEnd>,
     },
@@ -177,6 +179,8 @@
 pub struct ReportedEnd {
     /// The end.
     pub ended: EndedRun,
+    /// Whether the worker itself has listed the end; else it was inferred.
+    pub listed: bool,
     /// How long the run was seen, in milliseconds.
     pub ran_ms: u64,
 }
--- a/crates/turmericfold-fleet/src/node.rs
+++ b/crates/turmericfold-fleet/src/node.rs
@@ -165,6 +165,7 @@
                 let context = Context {
                     moment,
                     ownership: &self.ownership,
+                    secure: self.membership.is_secure(moment),
                 };
                 self.workers.on_result(context, &worker, call, result, out);
             }
@@ -197,6 +198,7 @@
         let context = Context {
             moment,
             ownership: &self.ownership,
+            secure: self.membership.is_secure(moment),
         };
         self.workers.tick(context, out);
         self.jobs
@@ -320,6 +322,7 @@
         let context = Context {
             moment,
             ownership: &self.ownership,
+            secure: self.membership.is_secure(moment),
         };
         let Some(message) = self.workers.on_message(context, from, message, out) else {
             return;
@@ -383,6 +386,7 @@
         let context = Context {
             moment,
             ownership: &self.ownership,
+            secure: self.membership.is_secure(moment),
         };
         match request {
             ClientRequest::Submit { queue, job, spec } => {
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use turmericfold_jobs::RunKey;
-use turmericfold_platform::{PlatformError, StartCall, StartReply, StopCall};
+use turmericfold_platform::{PlatformError, StartCall, StartReply, StopCall, StoreVersion};
 use turmericfold_types::{InstanceName, ProcessId};
 
 use super::owner::{WorkerOwner, keys_where};
@@ -62,7 +62,7 @@
             return;
         }
         if let Some(kept) = worker.ends.get(&run) {
-            tell_end(from, &name, kept.end.clone(), out);
+            tell_end(from, &name, worker.epoch, kept.end.clone(), out);
             return;
         }
         if let Some(refusal) = refusal(context, worker, &order, admitted) {
@@ -102,17 +102,32 @@
             return;
         };
         if let Some(kept) = worker.ends.get(&run) {
-            tell_end(from, name, kept.end.clone(), out);
+            tell_end(from, name, worker.epoch, kept.end.clone(), out);
             return;
         }
+        let epoch = worker.epoch;
         if !worker.runs.contains_key(&run) {
+            // Only the owner of the worker can say that a run is not there.
+            if worker.fenced || !context.secure {
+                return;
+            }
             self.bar(context, name, run);
             let ended = EndedRun {
                 run,
                 end: RunEnd::Stopped,
                 checkpoint: None,
             };
-            tell_end(from, name, ReportedEnd { ended, ran_ms: 0 }, out);
+            tell_end(
+                from,
+                name,
+                epoch,
+                ReportedEnd {
+                    ended,
+                    listed: false,
+                    ran_ms: 0,
+                },
+                out,
+            );
             return;
         }
         self.begin_stop(context, name, run, out);
@@ -361,9 +376,16 @@
     }
 }
 
-fn tell_end(to: &ProcessId, worker: &InstanceName, end: ReportedEnd, out: &mut Outbox) {
+fn tell_end(
+    to: &ProcessId,
+    worker: &InstanceName,
+    worker_epoch: StoreVersion,
+    end: ReportedEnd,
+    out: &mut Outbox,
+) {
     let message = PeerMessage::Ended {
         worker: worker.clone(),
+        worker_epoch,
         ends: vec![end],
     };
     out.send(to, message);
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -251,9 +251,11 @@
             return;
         };
         let key = ended.run;
+        let worker_epoch = worker.epoch;
         let run = worker.runs.remove(&key);
         if let Some(kept) = worker.ends.get_mut(&key) {
             kept.number = kept.number.or(number);
+            kept.end.listed |= number.is_some();
             return;
         }
         let ran_ms = run.map_or(0, |run| context.moment.since_ms(run.since));
@@ -265,7 +267,11 @@
             listed = number.is_some();
             "a run has ended"
         );
-        let end = ReportedEnd { ended, ran_ms };
+        let end = ReportedEnd {
+            ended,
+            listed: number.is_some(),
+            ran_ms,
+        };
         worker.ends.insert(
             key,
             KeptEnd {
@@ -278,6 +284,7 @@
         if let Some(owner) = context.job_owner(&key) {
             let message = PeerMessage::Ended {
                 worker: name.clone(),
+                worker_epoch,
                 ends: vec![end],
             };
             out.send(&owner, message);
@@ -355,10 +362,11 @@
 
     /// Ends the runs of a worker whose lease has certainly passed.
     fn end_lapsed(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
-        let Some(worker) = self.workers.get(name) else {
+        // Another owner may be renewing the lease if this one has lost the worker.
+        let Some(worker) = self.workers.get(name).filter(|worker| !worker.fenced) else {
             return;
         };
-        let Some(clock) = worker.clock else {
+        let Some(clock) = worker.clock.filter(|_| context.secure) else {
             return;
         };
         let lapsed_at_ms = worker.lease_until_ms + LAPSE_MARGIN_MS;
@@ -407,6 +415,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        let worker_epoch = worker.epoch;
         let now = context.moment.now;
         let due = |told_at: MonotonicMs| now.since_ms(told_at) >= TELL_AGAIN_MS;
         let mut ends: BTreeMap<ProcessId, Vec<ReportedEnd>> = BTreeMap::new();
@@ -428,8 +437,12 @@
             }
         }
         for (owner, ends) in ends {
-            let worker = name.clone();
-            out.send(&owner, PeerMessage::Ended { worker, ends });
+            let message = PeerMessage::Ended {
+                worker: name.clone(),
+                worker_epoch,
+                ends,
+            };
+            out.send(&owner, message);
         }
         for (owner, runs) in found {
             let worker = name.clone();
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -314,7 +314,7 @@
         self.started = true;
         match ended.end {
             RunEnd::Done if !long_running => self.finish_task(key, gang),
-            RunEnd::Failed => self.count_failure(key, gang, long_running, max_attempts),
+            RunEnd::Failed if !long_running => self.count_failure(ended.run, gang, max_attempts),
             _ => JobChange::default(),
         }
     }
@@ -370,29 +370,24 @@
         }
     }
 
-    fn count_failure(
-        &mut self,
-        key: TaskKey,
-        gang: bool,
-        long_running: bool,
-        max_attempts: u32,
-    ) -> JobChange {
+    fn count_failure(&mut self, run: RunKey, gang: bool, max_attempts: u32) -> JobChange {
         let counted = match gang {
-            true => TaskKey { index: 0, ..key },
-            false => key,
+            true => TaskKey {
+                index: 0,
+                ..run.task
+            },
+            false => run.task,
         };
-        self.with_task(counted, |task| task.failed_runs += 1);
-        let failures = self.task(counted).map_or(0, |task| task.failed_runs);
-        if long_running || failures < max_attempts {
-            return JobChange {
-                durable: !long_running,
-                stop: Vec::new(),
-            };
-        }
-        self.failed = true;
+        self.with_task(counted, |task| {
+            if !task.failed_runs.contains(&run.number) {
+                task.failed_runs.push(run.number);
+            }
+        });
+        let failures = self.task(counted).map_or(0, |task| task.failed_runs.len());
+        self.failed = u32::try_from(failures).is_ok_and(|failures| failures >= max_attempts);
         JobChange {
             durable: true,
-            stop: self.runs(),
+            stop: if self.failed { self.runs() } else { Vec::new() },
         }
     }
 
@@ -444,8 +439,8 @@
             kept.done.push(index);
             continue;
         }
-        if task.failed_runs > 0 {
-            kept.failed_runs.insert(index, task.failed_runs);
+        if !task.failed_runs.is_empty() {
+            kept.failed_runs.insert(index, task.failed_runs.clone());
         }
         if let Some(checkpoint) = &task.checkpoint {
             kept.checkpoints.insert(index, checkpoint.clone());
@@ -457,7 +452,7 @@
 fn restore_step(step: &mut Step, kept: &StepProgress) {
     for (index, task) in (0..).zip(&mut step.tasks) {
         task.done = kept.complete || kept.done.contains(&index);
-        task.failed_runs = kept.failed_runs.get(&index).copied().unwrap_or_default();
+        task.failed_runs = kept.failed_runs.get(&index).cloned().unwrap_or_default();
         task.checkpoint = kept.checkpoints.get(&index).cloned();
     }
     step.recount();
--- a/crates/turmericfold-jobs/src/progress.rs
+++ b/crates/turmericfold-jobs/src/progress.rs
@@ -5,6 +5,8 @@
 use ecow::EcoString;
 use serde::{Deserialize, Serialize};
 
+use crate::RunNumber;
+
 /// What is kept of a job's progress; all else is asked of the workers.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -38,7 +40,7 @@
     pub done: Vec<u32>,
     /// Failed runs by task.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub failed_runs: BTreeMap<u32, u32>,
+    pub failed_runs: BTreeMap<u32, Vec<RunNumber>>,
     /// The last checkpoint by task.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub checkpoints: BTreeMap<u32, EcoString>,
--- a/crates/turmericfold-jobs/src/task.rs
+++ b/crates/turmericfold-jobs/src/task.rs
@@ -19,8 +19,8 @@
 pub struct Task {
     /// Whether it is complete.
     pub done: bool,
-    /// How many of its runs have failed.
-    pub failed_runs: u32,
+    /// The runs that have failed; kept by number, as an end may be reported again.
+    pub failed_runs: Vec<RunNumber>,
     /// The highest number that a run of it has had; 0 before the first.
     pub last_number: RunNumber,
     /// The last checkpoint, if there is one.
