Move runs off leaving workers, and lend room without a flag

What is free after an owner's own pass is of no use to its own tasks, so the flag is gone.

Change: evacuation as a decision of its own; room lent always; one image a worker for tasks with a latency target.

--- a/crates/turmericfold-fleet/src/context.rs
+++ b/crates/turmericfold-fleet/src/context.rs
@@ -4,6 +4,7 @@
 use turmericfold_types::ProcessId;
 
 use crate::ownership::Ownership;
+use crate::registrations::Registrations;
 use crate::{JobShard, Moment, Unit};
 
 /// What the parts of a process need to know of the rest.
@@ -16,6 +17,8 @@
     /// Whether this process is certainly registered, so that nobody else can have
     /// claimed what it owns.
     pub(crate) secure: bool,
+    /// The workers that are registered.
+    pub(crate) registered: &'node Registrations,
 }
 
 impl Context<'_> {
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod entry;
+mod evacuate;
 mod journal;
 mod orders;
 mod owner;
--- a/crates/turmericfold-fleet/src/jobs/orders.rs
+++ b/crates/turmericfold-fleet/src/jobs/orders.rs
@@ -46,6 +46,11 @@
         self.by_run.remove(run)
     }
 
+    /// Returns a run, if it is known.
+    pub(crate) fn get(&self, run: &RunKey) -> Option<&Order> {
+        self.by_run.get(run)
+    }
+
     /// Returns a run to be changed, if it is known.
     pub(crate) fn get_mut(&mut self, run: &RunKey) -> Option<&mut Order> {
         self.by_run.get_mut(run)
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -41,8 +41,6 @@
     pub(super) retention_ms: u64,
     /// Whether something has changed that may let a task start.
     pub(super) may_start: bool,
-    /// Whether tasks wait for room here.
-    pub(super) contended: bool,
     pub(super) last_collection: u64,
     /// The accounts asked for because a worker has a new owner.
     pub(super) checks: BTreeMap<InstanceName, Check>,
@@ -70,7 +68,6 @@
             journal: Journal::default(),
             retention_ms: settings.job_retention_ms,
             may_start: false,
-            contended: false,
             last_collection: 0,
             checks: BTreeMap::new(),
             finished: VecDeque::new(),
@@ -121,11 +118,6 @@
                 .all(|entry| entry.stored && entry.dirty_since.is_none())
     }
 
-    /// Returns whether tasks wait here for room.
-    pub(crate) fn is_contended(&self) -> bool {
-        self.contended
-    }
-
     /// Returns how many jobs wait for their first start, by queue.
     pub(crate) fn pending(&self) -> Vec<PendingJobs> {
         let mut counts = BTreeMap::new();
@@ -204,6 +196,7 @@
             self.recover_shards(context, out);
             self.check_workers(context, out);
             self.review_orders(context, out);
+            self.evacuate(context, workers, out);
             self.open_due(context.moment);
             self.expire_waiting(context.moment, out);
         }
--- a/crates/turmericfold-fleet/src/jobs/rooms.rs
+++ b/crates/turmericfold-fleet/src/jobs/rooms.rs
@@ -62,7 +62,7 @@
         let own = workers
             .workers()
             .filter(|worker| worker.is_usable(moment))
-            .map(|worker| Offer::new(worker.summary(moment, workers.disturbance(), false), true));
+            .map(|worker| Offer::new(worker.summary(moment, workers.disturbance()), true));
         let theirs = self
             .peers
             .iter()
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -28,15 +28,12 @@
         out: &mut Outbox,
     ) {
         let jobs = self.startable_jobs(context);
-        self.contended = false;
         if jobs.is_empty() {
             return;
         }
         let mut offers = self.rooms.offers(context, workers, &self.orders);
         for (_, job) in jobs {
-            let left_over =
-                self.start_tasks_of(context, workers, configuration, job, &mut offers, out);
-            self.contended |= left_over;
+            self.start_tasks_of(context, workers, configuration, job, &mut offers, out);
         }
     }
 
@@ -58,7 +55,7 @@
         entry.stored && known && entry.job.has_startable()
     }
 
-    /// Starts what it can of a job; returns whether a counted task found no room.
+    /// Starts what it can of a job.
     fn start_tasks_of(
         &mut self,
         context: Context<'_>,
@@ -67,9 +64,9 @@
         id: JobId,
         offers: &mut [Offer],
         out: &mut Outbox,
-    ) -> bool {
+    ) {
         let Some(entry) = self.jobs.get(&id) else {
-            return false;
+            return;
         };
         let queue = &entry.job.record.queue;
         let service = configuration
@@ -78,10 +75,9 @@
             .map_or(&queue.service, |queue| &queue.service)
             .clone();
         if !configuration.uses(&service) {
-            return false;
+            return;
         }
         let mut full_step = None;
-        let mut left_over = false;
         for task in entry.job.startable() {
             // The tasks of a step are alike: once one finds no room, none does.
             if full_step == Some((task.occurrence, task.step)) {
@@ -90,7 +86,6 @@
             let chosen = self.choose_offer(workers.disturbance(), &service, task, offers);
             let Some(chosen) = chosen else {
                 full_step = Some((task.occurrence, task.step));
-                left_over |= self.is_counted(task);
                 continue;
             };
             self.order(
@@ -101,15 +96,6 @@
                 out,
             );
         }
-        left_over
-    }
-
-    fn is_counted(&self, task: TaskKey) -> bool {
-        let step = self
-            .jobs
-            .get(&task.job)
-            .and_then(|entry| entry.job.step_spec(task));
-        step.is_some_and(|step| !step.filler)
     }
 
     fn choose_offer(
@@ -121,10 +107,9 @@
     ) -> Option<usize> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step_spec(task)?;
-        let matters = step.max_per_worker.is_some() || step.latency_target_ms.is_some();
-        let beside = match matters {
-            true => count_beside(entry, task),
-            false => BTreeMap::new(),
+        let beside = match step.max_per_worker {
+            Some(_) => count_beside(entry, task),
+            None => BTreeMap::new(),
         };
         let avoided = entry.failed_on.get(&task).map_or(&[][..], Vec::as_slice);
         let demand = Demand {
--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod outbox;
 mod ownership;
 pub mod policy;
+mod registrations;
 mod settings;
 mod unit;
 mod workers;
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -265,6 +265,4 @@
     pub serving: Vec<ServingRoom>,
     /// Whether it takes new runs.
     pub usable: bool,
-    /// Whether its owner has tasks of its own waiting for room.
-    pub contended: bool,
 }
--- a/crates/turmericfold-fleet/src/node.rs
+++ b/crates/turmericfold-fleet/src/node.rs
@@ -11,6 +11,7 @@
 use crate::membership::Membership;
 use crate::ownership::{Ownership, OwnershipChange};
 use crate::policy::admission;
+use crate::registrations::Registrations;
 use crate::workers::WorkerOwner;
 use crate::{
     CallId, ClientAnswer, ClientRequest, Configuration, Event, FleetSettings, JobShard, Moment,
@@ -68,7 +69,7 @@
     ownership: Ownership,
     jobs: JobOwner,
     workers: WorkerOwner,
-    registered: BTreeMap<InstanceName, WorkerEntry>,
+    registered: Registrations,
     workers_loaded: bool,
     configuration: Option<Arc<Configuration>>,
     parked: Vec<Parked>,
@@ -90,7 +91,7 @@
             ownership: Ownership::new(me.clone()),
             jobs: JobOwner::new(settings),
             workers: WorkerOwner::new(settings),
-            registered: BTreeMap::new(),
+            registered: Registrations::default(),
             workers_loaded: false,
             configuration: None,
             parked: Vec::new(),
@@ -166,6 +167,7 @@
                     moment,
                     ownership: &self.ownership,
                     secure: self.membership.is_secure(moment),
+                    registered: &self.registered,
                 };
                 self.workers.on_result(context, &worker, call, result, out);
             }
@@ -186,7 +188,7 @@
     /// Does what follows from an event, until nothing more does.
     fn settle(&mut self, moment: Moment, out: &mut Outbox) {
         self.membership.tick(moment, out);
-        let registered: BTreeSet<InstanceName> = self.registered.keys().cloned().collect();
+        let registered = self.registered.names();
         // A stopping process first stores what it knows; then it hands over.
         let stopping = self.stopping && self.jobs.is_settled();
         if self.workers_loaded {
@@ -199,6 +201,7 @@
             moment,
             ownership: &self.ownership,
             secure: self.membership.is_secure(moment),
+            registered: &self.registered,
         };
         self.workers.tick(context, out);
         self.jobs
@@ -250,7 +253,7 @@
                 OwnershipChange::Gained { unit, owned } => match unit {
                     Unit::Jobs(shard) => self.jobs.gain(shard, &owned, out),
                     Unit::Worker(worker) => {
-                        let entry = self.registered.get(&worker);
+                        let entry = self.registered.entry(&worker);
                         self.workers.gain(moment, entry, &worker, owned.epoch);
                     }
                 },
@@ -264,12 +267,8 @@
 
     fn on_workers_reloaded(&mut self, moment: Moment, entries: Vec<WorkerEntry>) {
         let read: BTreeSet<InstanceName> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let gone: Vec<InstanceName> = self
-            .registered
-            .keys()
-            .filter(|worker| !read.contains(*worker))
-            .cloned()
-            .collect();
+        let known = self.registered.names();
+        let gone: Vec<InstanceName> = known.difference(&read).cloned().collect();
         let present = entries.into_iter().map(WorkerChange::Present);
         let changes = gone.into_iter().map(WorkerChange::Gone).chain(present);
         self.on_workers_changed(moment, changes.collect());
@@ -280,15 +279,10 @@
         for change in changes {
             match change {
                 WorkerChange::Present(entry) => {
-                    let known = self.registered.get(&entry.id);
-                    if known.is_none_or(|known| known.draining != entry.draining) {
-                        log::info!(worker:% = entry.id, draining = entry.draining; "a worker is registered");
-                    }
                     self.workers.on_entry(&entry);
-                    self.registered.insert(entry.id.clone(), entry);
+                    self.registered.insert(moment, entry);
                 }
                 WorkerChange::Gone(worker) => {
-                    log::info!(worker:% = worker; "a worker is not registered any more");
                     self.registered.remove(&worker);
                     self.workers.on_unregistered(moment, &worker);
                 }
@@ -323,6 +317,7 @@
             moment,
             ownership: &self.ownership,
             secure: self.membership.is_secure(moment),
+            registered: &self.registered,
         };
         let Some(message) = self.workers.on_message(context, from, message, out) else {
             return;
@@ -387,6 +382,7 @@
             moment,
             ownership: &self.ownership,
             secure: self.membership.is_secure(moment),
+            registered: &self.registered,
         };
         match request {
             ClientRequest::Submit { queue, job, spec } => {
@@ -539,9 +535,7 @@
         let summary = Summary {
             process: self.me.clone(),
             configuration: self.configuration.as_ref().map_or(0, |known| known.version),
-            workers: self
-                .workers
-                .summaries(moment, self.jobs.is_contended() || self.stopping),
+            workers: self.workers.summaries(moment),
             pending: self.jobs.pending(),
             effects,
         };
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod disturbance;
+pub mod evacuation;
 pub mod order;
 pub mod pacing;
 pub mod placement;
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -10,6 +10,7 @@
 
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::{InstanceName, Resources, ServiceName};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::policy::disturbance::Disturbance;
 use crate::{RunDetails, WorkerSummary};
@@ -23,6 +24,9 @@
 /// The differences of speed that count, in thousandths.
 const SPEED_STEP_PERMILLE: u64 = 100;
 
+/// The range of the ranks of workers for an image.
+const AFFINITY_RANGE: u64 = 1 << 32;
+
 /// What a worker has to offer, as it is used up by one pass over the tasks.
 #[derive(Debug, Clone)]
 pub struct Offer {
@@ -97,11 +101,11 @@
     sound: bool,
     /// Whether its data is there.
     near: bool,
-    /// What counts most for its kind: the speed of a filler; company of its kind for
-    /// a task with a latency target; then whether this process owns the worker.
+    /// What counts most for its kind: the speed of a filler; the company of its image
+    /// for a task with a latency target; else whether this process owns the worker.
     rank: u64,
-    /// How tightly it fits: the less is left the better.
-    left_millicores: std::cmp::Reverse<u64>,
+    /// How well it fits: tightly, or for a filler with much to spare.
+    fit: u64,
 }
 
 /// Returns the index of the offer on which the task is started, if any is good
@@ -128,9 +132,7 @@
         .is_none_or(|label| worker.labels.contains(label));
     let beside = demand.beside.get(&worker.worker).copied().unwrap_or(0);
     let apart = step.max_per_worker.is_none_or(|max| beside < max);
-    // A peer with counted tasks of its own waiting lends nothing.
-    let lent = offer.own || step.filler || !worker.contended;
-    labelled && apart && lent
+    labelled && apart
 }
 
 /// Returns how good a place is, or `None` if a filler would be too slow there.
@@ -151,26 +153,38 @@
         let speed = speed_permille.min(FAST_PERMILLE) / SPEED_STEP_PERMILLE;
         2 * speed + u64::from(!worker.serving.is_empty())
     } else if step.latency_target_ms.is_some() {
-        2 * company(demand, offer) + own
+        own_kind(step, offer) + affinity(step, offer)
     } else {
         own
     };
-    let left = match step.filler {
+    let fit = match step.filler {
         true => worker.spare_millicores,
-        false => worker.free.cpu_millicores,
+        false => u64::MAX - worker.free.cpu_millicores,
     };
     Some(Merit {
         sound: !demand.avoided.contains(&worker.worker),
         near,
         rank,
-        left_millicores: std::cmp::Reverse(left),
+        fit,
     })
 }
 
-/// Returns whether a worker has tasks with a latency target, and of the same job: the
-/// load of those rises and falls together, which leaves more room in between.
-fn company(demand: Demand<'_>, offer: &Offer) -> u64 {
-    let some = !offer.worker.serving.is_empty();
-    let alike = demand.beside.contains_key(&offer.worker.worker);
-    u64::from(some) + u64::from(alike)
+/// Returns whether a worker has only tasks of the step's image, or no task with a
+/// latency target yet.
+///
+/// Images differ in what disturbs them. Workers with one image each leave a place
+/// for every kind of filler.
+fn own_kind(step: &StepSpec, offer: &Offer) -> u64 {
+    let mut serving = offer.worker.serving.iter();
+    match serving.all(|room| room.image == step.image) {
+        true => AFFINITY_RANGE,
+        false => 0,
+    }
+}
+
+/// Ranks workers for an image, below [`AFFINITY_RANGE`]; all processes rank alike, so
+/// that tasks of an image meet without an agreement.
+fn affinity(step: &StepSpec, offer: &Offer) -> u64 {
+    let text = format!("{}/{}", step.image, offer.worker.worker);
+    xxh3_64(text.as_bytes()) % AFFINITY_RANGE
 }
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -116,8 +116,8 @@
     }
 
     /// Returns what every worker has to offer.
-    pub(crate) fn summaries(&self, moment: Moment, contended: bool) -> Vec<WorkerSummary> {
-        let summary = |worker: &Worker| worker.summary(moment, &self.disturbance, contended);
+    pub(crate) fn summaries(&self, moment: Moment) -> Vec<WorkerSummary> {
+        let summary = |worker: &Worker| worker.summary(moment, &self.disturbance);
         self.workers.values().map(summary).collect()
     }
 
--- a/crates/turmericfold-fleet/src/workers/tail.rs
+++ b/crates/turmericfold-fleet/src/workers/tail.rs
@@ -40,6 +40,8 @@
     /// How fast the slack without fillers changes, by millisecond.
     slope: f64,
     mean_base: f64,
+    /// How far the slack without fillers usually is from its mean.
+    spread: f64,
 }
 
 /// How the slack and the fillers beside it changed between two looks.
@@ -77,7 +79,9 @@
             self.mean_base = sample.base;
             return None;
         };
-        self.mean_base += (sample.base - self.mean_base) * MEAN_WEIGHT;
+        let off = sample.base - self.mean_base;
+        self.mean_base += off * MEAN_WEIGHT;
+        self.spread += (off.abs() - self.spread) * MEAN_WEIGHT;
         let age_ms = now.since_ms(last.at);
         if age_ms > COMPARED_MS {
             self.slope = 0.0;
@@ -99,9 +103,9 @@
         Some(last.slack + disturbance_taken + change)
     }
 
-    /// Returns the slack without fillers, on average over the last looks.
-    pub(crate) fn mean_slack(&self) -> f64 {
-        self.mean_base
+    /// Returns the slack without fillers that the task has most of the time.
+    pub(crate) fn usual_slack(&self) -> f64 {
+        self.mean_base - self.spread
     }
 
     /// Returns what fillers took at the last look, by what is known now.
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -178,7 +178,7 @@
             let Some((image, _)) = run.serving() else {
                 continue;
             };
-            let slack = run.tail.mean_slack() - KEPT_SLACK - self.wanted_slack(disturbance, image);
+            let slack = run.tail.usual_slack() - KEPT_SLACK - self.wanted_slack(disturbance, image);
             let slack_permille = (slack * 1_000.0).max(0.0) as u64;
             match rooms.iter_mut().find(|room| room.image == *image) {
                 Some(room) => room.slack_permille = room.slack_permille.min(slack_permille),
@@ -235,12 +235,7 @@
     }
 
     /// Returns what the worker has to offer.
-    pub(crate) fn summary(
-        &self,
-        moment: Moment,
-        disturbance: &Disturbance,
-        contended: bool,
-    ) -> WorkerSummary {
+    pub(crate) fn summary(&self, moment: Moment, disturbance: &Disturbance) -> WorkerSummary {
         WorkerSummary {
             worker: self.id.clone(),
             epoch: self.epoch,
@@ -252,7 +247,6 @@
             spare_millicores: self.spare_millicores(),
             serving: self.serving_rooms(disturbance),
             usable: self.is_usable(moment),
-            contended,
         }
     }
 
