Doubt what is not known, and let workers that left go at once

Change: before saying that there is no such job, the store is asked whether the shard is still owned here; a worker that was draining, is not registered and refuses connections has left; a silent one is given up after one lease. Paces keep a slack of 1.15 and look 200 ms ahead, and fillers start at 0.7 of their speed or wait.

--- a/crates/turmericfold-fleet/src/jobs/requests.rs
+++ b/crates/turmericfold-fleet/src/jobs/requests.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use turmericfold_jobs::{Job, JobId, JobRecord, JobSpec, QueueSettings};
+use turmericfold_platform::StoreVersion;
 
 use super::caller::Caller;
 use super::entry::Entry;
@@ -27,6 +28,17 @@
         shard.is_some_and(super::shard::Shard::is_loaded)
     }
 
+    /// Returns whether a job is known.
+    pub(crate) fn knows(&self, job: JobId) -> bool {
+        self.jobs.contains_key(&job)
+    }
+
+    /// Returns the version at which the ownership of a job's shard was stored.
+    pub(crate) fn epoch_of(&self, job: JobId) -> Option<StoreVersion> {
+        let shard = self.shards.get(&JobShard::of(job))?;
+        Some(shard.authority.epoch)
+    }
+
     /// Accepts a job once it is stored.
     pub(crate) fn submit(
         &mut self,
--- a/crates/turmericfold-fleet/src/node.rs
+++ b/crates/turmericfold-fleet/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use turmericfold_jobs::JobId;
-use turmericfold_platform::{KeyChange, PlatformError, StoreReply, WorkerEntry};
+use turmericfold_platform::{KeyChange, PlatformError, StoreCall, StoreReply, WorkerEntry};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use crate::context::Context;
@@ -16,7 +16,7 @@
 use crate::workers::WorkerOwner;
 use crate::{
     CallId, ClientAnswer, ClientRequest, Configuration, Event, FleetSettings, JobShard, Moment,
-    Outbox, PeerMessage, PendingJobs, RefusalReason, Summary, Unit, WorkerChange,
+    Outbox, PeerMessage, PendingJobs, RefusalReason, Summary, Unit, WorkerChange, keys,
 };
 
 /// How often peers are told what is free here, in milliseconds.
@@ -54,6 +54,14 @@
     since: MonotonicMs,
 }
 
+/// A request about a job that is not known here, while the store is asked whether
+/// this process still owns the job's shard.
+#[derive(Debug)]
+struct Doubted {
+    caller: Caller,
+    job: JobId,
+}
+
 /// What a peer said of waiting jobs.
 #[derive(Debug)]
 struct PeerPending {
@@ -76,6 +84,7 @@
     parked: Vec<Parked>,
     forwarded: BTreeMap<u64, Forwarded>,
     last_forward: u64,
+    doubted: BTreeMap<CallId, Doubted>,
     peer_pending: BTreeMap<ProcessId, PeerPending>,
     next_summary_at: MonotonicMs,
     summaries_sent: u64,
@@ -98,6 +107,7 @@
             parked: Vec::new(),
             forwarded: BTreeMap::new(),
             last_forward: 0,
+            doubted: BTreeMap::new(),
             peer_pending: BTreeMap::new(),
             next_summary_at: MonotonicMs::default(),
             summaries_sent: 0,
@@ -240,7 +250,8 @@
             || self.ownership.on_store(moment, call, result, out)
             || self.workers.on_store(&mut self.ownership, call, result)
             || self.jobs.on_page(moment, call, result)
-            || self.jobs.on_transaction(moment, call, result, out);
+            || self.jobs.on_transaction(moment, call, result, out)
+            || self.on_owner_read(call, result, out);
         if !taken {
             log::debug!(call = call.0; "the end of a store call that nobody waits for");
         }
@@ -259,8 +270,8 @@
                 OwnershipChange::Gained { unit, owned } => match unit {
                     Unit::Jobs(shard) => self.jobs.gain(shard, &owned, out),
                     Unit::Worker(worker) => {
-                        let entry = self.registered.entry(&worker);
-                        self.workers.gain(moment, entry, &worker, owned.epoch);
+                        self.workers
+                            .gain(moment, &self.registered, &worker, owned.epoch);
                     }
                 },
                 OwnershipChange::Lost { unit } => match unit {
@@ -289,7 +300,7 @@
                     self.registered.insert(moment, entry);
                 }
                 WorkerChange::Gone(worker) => {
-                    self.registered.remove(&worker);
+                    self.registered.remove(moment, &worker);
                     self.workers.on_unregistered(moment, &worker);
                 }
             }
@@ -413,15 +424,54 @@
                 }
             }
             // Without a certain registration another process may own the job.
-            ClientRequest::State { .. } if !self.membership.is_secure(moment) => {
+            ClientRequest::State { .. } | ClientRequest::Cancel { .. }
+                if !self.membership.is_secure(moment) =>
+            {
                 caller.answer(ClientAnswer::Unknown, out);
             }
+            ClientRequest::State { job } | ClientRequest::Cancel { job }
+                if !self.jobs.knows(job) =>
+            {
+                self.doubt(caller, job, out);
+            }
             ClientRequest::State { job } => caller.answer(self.jobs.state(job), out),
             ClientRequest::Cancel { job } => self.jobs.cancel(context, caller, job, out),
             ClientRequest::Pending { .. } => {}
         }
     }
 
+    /// Asks the store whether this process still owns the shard of a job that it does
+    /// not know, before it says that there is no such job.
+    fn doubt(&mut self, caller: Caller, job: JobId, out: &mut Outbox) {
+        let key = keys::owner(&Unit::Jobs(JobShard::of(job)));
+        let call = out.call_store(StoreCall::Get { key });
+        self.doubted.insert(call, Doubted { caller, job });
+    }
+
+    fn on_owner_read(
+        &mut self,
+        call: CallId,
+        result: &Result<StoreReply, PlatformError>,
+        out: &mut Outbox,
+    ) -> bool {
+        let Some(Doubted { caller, job }) = self.doubted.remove(&call) else {
+            return false;
+        };
+        let stored = match result {
+            Ok(StoreReply::Value(Some(stored))) => Some(stored.version),
+            _ => None,
+        };
+        let owned = self.jobs.epoch_of(job);
+        let answer = if self.jobs.knows(job) || stored.is_none() || stored != owned {
+            ClientAnswer::Unknown
+        } else {
+            ClientAnswer::NoSuchJob
+        };
+        log::info!(job:% = job, answer:? = answer; "answered about a job that is not known");
+        caller.answer(answer, out);
+        true
+    }
+
     /// Hands a request on to the owner of its job, or keeps it until there is one.
     fn pass_on(
         &mut self,
--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -9,7 +9,7 @@
 use crate::policy::disturbance::Disturbance;
 
 /// The slack that every task keeps: its tail stays below 1 / slack of its target.
-pub const KEPT_SLACK: f64 = 1.3;
+pub const KEPT_SLACK: f64 = 1.15;
 
 /// The least change of a pace that is worth an order, in hundredths.
 const LEAST_CHANGE_PERCENT: f64 = 8.0;
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -16,7 +16,7 @@
 use crate::{RunDetails, WorkerSummary};
 
 /// The least share of its full speed at which a filler is started, in thousandths.
-const LEAST_SPEED_PERMILLE: u64 = 450;
+const LEAST_SPEED_PERMILLE: u64 = 700;
 
 /// The share of its full speed from which a filler is fast, in thousandths.
 const FAST_PERMILLE: u64 = 900;
--- a/crates/turmericfold-fleet/src/registrations.rs
+++ b/crates/turmericfold-fleet/src/registrations.rs
@@ -11,6 +11,10 @@
 /// milliseconds.
 const UNKNOWN_STAY_MS: u64 = 2_000;
 
+/// How long what a worker had registered is remembered after it is gone, in
+/// milliseconds: longer than a new owner needs to take it over.
+const REMEMBER_MS: u64 = 60_000;
+
 /// A registered worker.
 #[derive(Debug, Clone)]
 struct Registration {
@@ -22,6 +26,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct Registrations {
     by_name: BTreeMap<InstanceName, Registration>,
+    departed: BTreeMap<InstanceName, Departed>,
+}
+
+/// A worker that is not registered any more.
+#[derive(Debug)]
+struct Departed {
+    entry: WorkerEntry,
+    at: MonotonicMs,
 }
 
 impl Registrations {
@@ -42,16 +54,26 @@
             .unwrap_or(moment + stays_ms);
         let leaves_at = entry.draining.then_some(leaves_at);
         let name = entry.id.clone();
+        self.departed.remove(&name);
         self.by_name.insert(name, Registration { entry, leaves_at });
     }
 
     /// Takes the end of a worker's registration.
-    pub(crate) fn remove(&mut self, name: &InstanceName) {
-        if self.by_name.remove(name).is_some() {
-            log::info!(worker:% = name; "a worker is not registered any more");
+    pub(crate) fn remove(&mut self, moment: Moment, name: &InstanceName) {
+        self.departed
+            .retain(|_, departed| moment.since_ms(departed.at) < REMEMBER_MS);
+        if let Some(gone) = self.by_name.remove(name) {
+            log::info!(worker:% = name, draining = gone.entry.draining; "a worker is not registered any more");
+            let (entry, at) = (gone.entry, moment.now);
+            self.departed.insert(name.clone(), Departed { entry, at });
         }
     }
 
+    /// Returns what a worker had registered that is not registered any more.
+    pub(crate) fn departed(&self, name: &InstanceName) -> Option<&WorkerEntry> {
+        self.departed.get(name).map(|departed| &departed.entry)
+    }
+
     /// Returns all workers.
     pub(crate) fn names(&self) -> BTreeSet<InstanceName> {
         self.by_name.keys().cloned().collect()
--- a/crates/turmericfold-fleet/src/settings.rs
+++ b/crates/turmericfold-fleet/src/settings.rs
@@ -12,8 +12,6 @@
     /// How long tasks run on without a renewal of their worker's lease, in
     /// milliseconds.
     pub worker_lease_ms: u64,
-    /// The longest lease that workers grant, in milliseconds.
-    pub worker_lease_max_ms: u64,
     /// How long a worker takes at most to stop a run, in milliseconds.
     pub stop_timeout_ms: u64,
     /// How long the state of an ended job can be read, in milliseconds.
@@ -29,10 +27,6 @@
     /// dead owner and its successor's first look fit twice.
     pub const WORKER_LEASE_MS: u64 = 5_000;
 
-    /// The longest lease of a worker unless the platform says otherwise, in
-    /// milliseconds.
-    const WORKER_LEASE_MAX_MS: u64 = 10_000;
-
     /// How long a stop takes unless the platform says otherwise, in milliseconds.
     const STOP_TIMEOUT_MS: u64 = 500;
 
@@ -46,7 +40,6 @@
             member,
             member_ttl_ms: Self::MEMBER_TTL_MS,
             worker_lease_ms: Self::WORKER_LEASE_MS,
-            worker_lease_max_ms: Self::WORKER_LEASE_MAX_MS,
             stop_timeout_ms: Self::STOP_TIMEOUT_MS,
             job_retention_ms: Self::JOB_RETENTION_MS,
         }
@@ -62,7 +55,6 @@
     /// Sets the longest lease that workers grant, in milliseconds.
     #[must_use]
     pub fn with_worker_lease_max_ms(mut self, worker_lease_max_ms: u64) -> Self {
-        self.worker_lease_max_ms = worker_lease_max_ms;
         self.worker_lease_ms = self.worker_lease_ms.min(worker_lease_max_ms);
         self
     }
--- a/crates/turmericfold-fleet/src/workers/look.rs
+++ b/crates/turmericfold-fleet/src/workers/look.rs
@@ -82,6 +82,7 @@
             return;
         };
         worker.look = None;
+        worker.nobody_listens = matches!(&result, Err(error) if error.nobody_listens);
         match result {
             Ok(LookReply::Runs {
                 clock_ms,
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -11,6 +11,7 @@
 use crate::context::Context;
 use crate::ownership::Ownership;
 use crate::policy::disturbance::Disturbance;
+use crate::registrations::Registrations;
 use crate::{
     Authority, CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, ReportedEnd,
     RunAdvance, RunDetails, Unit, WorkerResult, WorkerSummary, keys,
@@ -27,9 +28,9 @@
 /// can be under way between processes.
 pub(super) const BAR_MS: u64 = 60_000;
 
-/// How long a worker must have been gone from the list beyond the longest lease
-/// before one that was never heard is given up, in milliseconds.
-const GONE_MARGIN_MS: u64 = 2_000;
+/// How long beyond a lease a worker must have been gone from the list before one that
+/// was never heard is given up, in milliseconds.
+const GONE_MARGIN_MS: u64 = 700;
 
 /// Beyond the lease by its slowest clock, when runs have certainly ended, in
 /// milliseconds.
@@ -39,7 +40,6 @@
 #[derive(Debug)]
 pub(crate) struct WorkerOwner {
     pub(super) lease_ms: u64,
-    lease_max_ms: u64,
     pub(super) stop_timeout_ms: u64,
     workers: BTreeMap<InstanceName, Worker>,
     pub(super) authorities: BTreeMap<JobShard, StoreVersion>,
@@ -60,7 +60,6 @@
     pub(crate) fn new(settings: &FleetSettings) -> Self {
         Self {
             lease_ms: settings.worker_lease_ms,
-            lease_max_ms: settings.worker_lease_max_ms,
             stop_timeout_ms: settings.stop_timeout_ms,
             workers: BTreeMap::new(),
             authorities: BTreeMap::new(),
@@ -70,16 +69,18 @@
         }
     }
 
-    /// Takes a worker over; its entry may be unknown if it is not registered.
+    /// Takes a worker over; what it had registered may be unknown.
     pub(crate) fn gain(
         &mut self,
         moment: Moment,
-        entry: Option<&WorkerEntry>,
+        registrations: &Registrations,
         name: &InstanceName,
         epoch: StoreVersion,
     ) {
-        let registered = entry.is_some();
-        let entry = entry.cloned().unwrap_or_else(|| unknown_entry(name));
+        let present = registrations.entry(name);
+        let registered = present.is_some();
+        let known = present.or_else(|| registrations.departed(name));
+        let entry = known.cloned().unwrap_or_else(|| unknown_entry(name));
         let mut worker = Worker::new(entry, epoch, moment.now);
         worker.registered = registered;
         worker.unregistered_at = (!registered).then_some(moment.now);
@@ -218,6 +219,7 @@
         self.read_authorities(context.moment, out);
         let names: Vec<InstanceName> = self.workers.keys().cloned().collect();
         for name in &names {
+            self.end_departed(context, name, out);
             self.end_lapsed(context, name, out);
             self.look_if_due(context, name, out);
             self.call_again(context, name, out);
@@ -360,6 +362,14 @@
         self.authorities_call = Some(AuthoritiesCall { id, sent_at });
     }
 
+    /// Ends the runs of a worker that has left as it had announced.
+    fn end_departed(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
+        let worker = self.workers.get(name).filter(|worker| has_left(worker));
+        if worker.is_some_and(|worker| !worker.runs.is_empty()) && context.secure {
+            self.end_all(context, name, out);
+        }
+    }
+
     /// Ends the runs of a worker whose lease has certainly passed.
     fn end_lapsed(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
         // Another owner may be renewing the lease if this one has lost the worker.
@@ -476,14 +486,15 @@
         let silent = worker
             .heard_at
             .is_none_or(|heard_at| moment.since_ms(heard_at) > self.lease_ms);
-        if !silent {
+        if !silent && !has_left(worker) {
             return false;
         }
-        let lease_over = moment.since_ms(gone_since) > self.lease_max_ms + GONE_MARGIN_MS;
+        // Every owner grants leases of the same length.
+        let lease_over = moment.since_ms(gone_since) > self.lease_ms + GONE_MARGIN_MS;
         let nothing_left = worker.runs.is_empty() && worker.ends.values().all(|kept| kept.noted);
         match worker.heard_at {
             Some(_) => nothing_left,
-            None => lease_over,
+            None => lease_over || has_left(worker),
         }
     }
 
@@ -494,6 +505,12 @@
     }
 }
 
+/// Returns whether a worker has left as it had announced: it was draining, its
+/// registration is gone, and nobody listens at its address.
+fn has_left(worker: &Worker) -> bool {
+    !worker.registered && worker.entry.draining && worker.nobody_listens
+}
+
 /// Moves on up to which number ends are noted, and drops those.
 pub(super) fn advance_noted(worker: &mut Worker) {
     let numbers = |noted: bool| {
--- a/crates/turmericfold-fleet/src/workers/tail.rs
+++ b/crates/turmericfold-fleet/src/workers/tail.rs
@@ -10,9 +10,9 @@
 /// The shortest tail that counts, in milliseconds.
 const LEAST_TAIL_MS: f64 = 0.5;
 
-/// How far ahead the slack is extrapolated, in milliseconds: the age of the figures,
-/// and the time until the next pace shows.
-const HORIZON_MS: f64 = 700.0;
+/// How far ahead the slack is extrapolated, in milliseconds: about the age of the
+/// figures; further ahead their noise would count for more than their trend.
+const HORIZON_MS: f64 = 200.0;
 
 /// The longest time between two looks that are compared, in milliseconds.
 const COMPARED_MS: u64 = 2_500;
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -9,7 +9,6 @@
 use super::clock::WorkerClock;
 use super::run::Run;
 use crate::policy::disturbance::Disturbance;
-use crate::policy::pacing::KEPT_SLACK;
 use crate::{Account, CallId, Moment, ReportedEnd, ServingRoom, WorkerSummary};
 use ecow::EcoString;
 
@@ -21,6 +20,10 @@
 /// second and a look.
 const FIGURE_LAG_MS: u64 = 900;
 
+/// The slack that new fillers leave to tasks with a latency target; more than pacing
+/// keeps, so that fillers seldom have to be slowed down.
+const PLACED_SLACK: f64 = 1.3;
+
 /// What share of their reservation tasks with a latency target are assumed to use,
 /// in thousandths.
 const SERVING_USE_PERMILLE: u64 = 550;
@@ -80,6 +83,8 @@
     pub(crate) look: Option<Look>,
     /// When the next look is due.
     pub(crate) next_look_at: MonotonicMs,
+    /// Whether nobody listened at its address at the last look.
+    pub(crate) nobody_listens: bool,
     /// How many looks in a row had no answer.
     pub(crate) unanswered_looks: u32,
     /// When it last answered a look.
@@ -116,6 +121,7 @@
             noted_up_to: 0,
             look: None,
             next_look_at: now,
+            nobody_listens: false,
             unanswered_looks: 0,
             heard_at: None,
             fenced: false,
@@ -178,7 +184,8 @@
             let Some((image, _)) = run.serving() else {
                 continue;
             };
-            let slack = run.tail.usual_slack() - KEPT_SLACK - self.wanted_slack(disturbance, image);
+            let slack =
+                run.tail.usual_slack() - PLACED_SLACK - self.wanted_slack(disturbance, image);
             let slack_permille = (slack * 1_000.0).max(0.0) as u64;
             match rooms.iter_mut().find(|room| room.image == *image) {
                 Some(room) => room.slack_permille = room.slack_permille.min(slack_permille),
--- a/crates/turmericfold-platform/src/platform_error.rs
+++ b/crates/turmericfold-platform/src/platform_error.rs
@@ -21,6 +21,9 @@
     pub effect: Effect,
     /// The cause, for people.
     pub message: EcoString,
+    /// Whether nobody listens at the address that was called.
+    #[serde(default)]
+    pub nobody_listens: bool,
 }
 
 impl PlatformError {
@@ -32,9 +35,17 @@
         Self {
             effect: Effect::None,
             message: message.into(),
+            nobody_listens: false,
         }
     }
 
+    /// Says that nobody listens at the address that was called.
+    #[must_use]
+    pub fn with_nobody_listening(mut self) -> Self {
+        self.nobody_listens = true;
+        self
+    }
+
     /// Returns whether the call certainly had no effect.
     pub fn has_no_effect(&self) -> bool {
         self.effect == Effect::None
@@ -48,6 +59,7 @@
         Self {
             effect: Effect::Unknown,
             message: message.into(),
+            nobody_listens: false,
         }
     }
 }
