--- a/tests/features/fleet_jobs.rs
+++ b/tests/features/fleet_jobs.rs
@@ -187,6 +187,35 @@
     assert_all_ended(&world);
 }
 
+/// An owner that was cut off and has lost its shards must not deny the jobs that its
+/// successor has accepted.
+#[rstest]
+fn cut_owner_denies_nothing(#[values(51, 52)] seed: u64) {
+    let cut = FaultKind::CutStore {
+        node: 1,
+        for_ms: 10_000,
+    };
+    let mut world = settled(seed, FaultPlan::new().with_fault(3_200, cut));
+    let jobs: Vec<JobId> = (200..)
+        .map(JobId)
+        .filter(|job| world.owner_of(*job) == Some(1))
+        .take(3)
+        .collect();
+    world.run_ms(4_000);
+    for job in &jobs {
+        world.submit(0, *job, two_steps(), vec![truth(2_000), truth(300)]);
+    }
+    world.run_ms(500);
+    for job in &jobs {
+        assert!(world.jobs()[job].accepted, "the successor takes jobs");
+        world.cancel(1, *job);
+        world.ask_state(1, *job);
+    }
+    world.run_ms(2_000);
+    finish(&mut world);
+    assert_all_ended(&world);
+}
+
 #[rstest]
 fn any_faults_keep_promises(#[values(31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42)] seed: u64) {
     let mut world = settled(seed, random_plan(seed));
--- /dev/null
+++ b/tests/src/site_store.rs
@@ -0,0 +1,244 @@
+//! A stand-in of the users' store that speaks its format over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use turmericfold_platform::{
+    KeyChange, LeaseId, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue, Transaction,
+};
+use turmericfold_standin::StoreModel;
+use turmericfold_types::MonotonicMs;
+
+/// What the stand-in does with the next call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum SiteFault {
+    /// It answers.
+    #[default]
+    None,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It does what it is asked, and breaks the connection off.
+    LoseAnswer,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    model: StoreModel,
+    fault: SiteFault,
+}
+
+/// A stand-in of the users' store that speaks its format over HTTP.
+#[derive(Debug)]
+pub struct SiteStoreStandIn {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    server: JoinSet<()>,
+}
+
+impl SiteStoreStandIn {
+    /// Starts an empty store on loopback.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state: Arc<Mutex<State>> = Arc::default();
+        let mut server = JoinSet::new();
+        server.spawn(serve(listener, state.clone()));
+        Self {
+            address,
+            state,
+            server,
+        }
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> String {
+        self.address.to_string()
+    }
+
+    /// Sets what it does with the calls from now on.
+    pub fn set_fault(&self, fault: SiteFault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// Ends it and joins its server.
+    pub async fn stop(mut self) {
+        self.server.shutdown().await;
+    }
+}
+
+async fn serve(listener: TcpListener, state: Arc<Mutex<State>>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let state = state.clone();
+        connections.spawn(async move {
+            let service = service_fn(move |request| answer(state.clone(), request));
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A connection that was broken off on purpose ends with an error.
+            let _ = connection.await;
+        });
+    }
+}
+
+/// Says that the connection is broken off before the answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer is lost")]
+struct AnswerLost;
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, AnswerLost> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.unwrap().to_bytes();
+    let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let query: Vec<(String, String)> =
+        serde_urlencoded::from_str(parts.uri.query().unwrap_or_default()).unwrap();
+    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    if state.fault == SiteFault::Busy {
+        return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+    }
+    let call = decode(&parts.method, parts.uri.path(), &query, &body);
+    let reply = state.model.call(MonotonicMs(1), call).unwrap();
+    if state.fault == SiteFault::LoseAnswer {
+        return Err(AnswerLost);
+    }
+    Ok(encode(reply))
+}
+
+fn decode(method: &Method, path: &str, query: &[(String, String)], body: &Value) -> StoreCall {
+    let named = |name: &str| {
+        let found = query.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.clone())
+    };
+    match (method, path) {
+        (&Method::GET, "/-/kv-key") => StoreCall::Get {
+            key: named("key").unwrap().into(),
+        },
+        (&Method::GET, "/-/kv-range") => StoreCall::Range {
+            prefix: named("prefix").unwrap().into(),
+            after: named("after").map(Into::into),
+            limit: 2,
+        },
+        (&Method::GET, "/-/kv-watch") => StoreCall::Watch {
+            prefix: named("prefix").unwrap().into(),
+            after: StoreVersion(named("after").unwrap().parse().unwrap()),
+            wait_ms: 0,
+        },
+        (&Method::POST, "/-/kv-txn") => StoreCall::Transact(decode_transaction(body)),
+        (&Method::POST, "/-/kv-lease") => StoreCall::GrantLease {
+            ttl_ms: body["ttl_ms"].as_u64().unwrap(),
+        },
+        (&Method::POST, path) => StoreCall::RenewLease {
+            lease: LeaseId(path.strip_prefix("/-/kv-keep/").unwrap().parse().unwrap()),
+        },
+        (_, path) => StoreCall::RevokeLease {
+            lease: LeaseId(
+                path.strip_prefix("/-/kv-lease-end/")
+                    .unwrap()
+                    .parse()
+                    .unwrap(),
+            ),
+        },
+    }
+}
+
+fn decode_transaction(body: &Value) -> Transaction {
+    let mut transaction = Transaction::default();
+    for row in body["expect"].as_array().unwrap() {
+        let version = row["revision"].as_u64().unwrap();
+        let version = (version > 0).then_some(StoreVersion(version));
+        transaction.expect_version(row["key"].as_str().unwrap().into(), version);
+    }
+    for row in body["write"].as_array().unwrap() {
+        let value = STANDARD.decode(row["value"].as_str().unwrap()).unwrap();
+        let value = String::from_utf8(value).unwrap();
+        let lease = row.get("lease").and_then(Value::as_u64).map(LeaseId);
+        transaction.write_value(row["key"].as_str().unwrap().into(), value, lease);
+    }
+    for key in body["remove"].as_array().unwrap() {
+        transaction.remove.push(key.as_str().unwrap().into());
+    }
+    transaction
+}
+
+fn encode(reply: StoreReply) -> Response<Full<Bytes>> {
+    match reply {
+        StoreReply::Value(Some(stored)) => response(StatusCode::OK, &item("asked", &stored)),
+        StoreReply::Value(None) | StoreReply::NoLease => {
+            response(StatusCode::NOT_FOUND, &json!({}))
+        }
+        StoreReply::Page {
+            keys,
+            more,
+            version,
+        } => {
+            let encode = |key: &StoredKey| item(&key.key, &key.stored);
+            let items: Vec<Value> = keys.iter().map(encode).collect();
+            let page = json!({"items": items, "has_more": more, "at": version.0});
+            response(StatusCode::OK, &page)
+        }
+        StoreReply::Committed { version } => {
+            response(StatusCode::OK, &json!({"revision": version.0}))
+        }
+        StoreReply::Refused { current } => {
+            let items: Vec<Value> = current
+                .iter()
+                .map(|key| match &key.stored {
+                    Some(stored) => item(&key.key, stored),
+                    None => json!({"key": key.key.as_str(), "revision": 0}),
+                })
+                .collect();
+            response(StatusCode::PRECONDITION_FAILED, &json!({"items": items}))
+        }
+        StoreReply::Lease { lease } => {
+            response(StatusCode::OK, &json!({"lease": lease.0, "ttl_ms": 2000}))
+        }
+        StoreReply::Changes { changes, version } => {
+            let encode = |change: &KeyChange| match &change.value {
+                Some(value) => item(
+                    &change.key,
+                    &StoredValue {
+                        version: change.version,
+                        value: value.clone(),
+                    },
+                ),
+                None => json!({
+                    "key": change.key.as_str(), "revision": change.version.0, "deleted": true
+                }),
+            };
+            let events: Vec<Value> = changes.iter().map(encode).collect();
+            response(StatusCode::OK, &json!({"events": events, "at": version.0}))
+        }
+        StoreReply::Compacted => response(StatusCode::GONE, &json!({})),
+        other => panic!("a reply that no call asks for: {other:?}"),
+    }
+}
+
+fn item(key: &str, stored: &StoredValue) -> Value {
+    json!({
+        "key": key,
+        "value": STANDARD.encode(&stored.value),
+        "revision": stored.version.0,
+        "created": stored.version.0,
+        "lease": 0,
+    })
+}
+
+fn response(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status;
+    response
+}
