Split the node, the worker owner and the test world by what they do

No change of behaviour: requests, summaries and changes leave the node's file, ends and reports the worker owner's, network, callers and watches the world's.

--- /dev/null
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -0,0 +1,79 @@
+//! Takes what the watches have seen.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use turmericfold_platform::{KeyChange, WorkerEntry};
+use turmericfold_types::InstanceName;
+
+use super::FleetNode;
+use crate::ownership::OwnershipChange;
+use crate::{Configuration, Moment, Outbox, Unit, WorkerChange};
+
+impl FleetNode {
+    pub(super) fn on_workers_reloaded(&mut self, moment: Moment, entries: Vec<WorkerEntry>) {
+        let read: BTreeSet<InstanceName> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let known = self.registered.names();
+        let gone: Vec<InstanceName> = known.difference(&read).cloned().collect();
+        let present = entries.into_iter().map(WorkerChange::Present);
+        let changes = gone.into_iter().map(WorkerChange::Gone).chain(present);
+        self.on_workers_changed(moment, changes.collect());
+        self.workers_loaded = true;
+    }
+
+    pub(super) fn on_workers_changed(&mut self, moment: Moment, changes: Vec<WorkerChange>) {
+        for change in changes {
+            match change {
+                WorkerChange::Present(entry) => {
+                    self.workers.on_entry(&entry);
+                    self.registered.insert(moment, entry);
+                }
+                WorkerChange::Gone(worker) => {
+                    self.registered.remove(moment, &worker);
+                    self.workers.on_unregistered(moment, &worker);
+                }
+            }
+        }
+        self.jobs.on_workers_changed();
+    }
+
+    pub(super) fn on_configuration(&mut self, configuration: Arc<Configuration>) {
+        let current = self.configuration.as_ref().map_or(0, |known| known.version);
+        if configuration.version <= current {
+            return;
+        }
+        log::info!(
+            version = configuration.version,
+            before = current,
+            queues = configuration.queues.len();
+            "a configuration is in force"
+        );
+        self.configuration = Some(configuration);
+        self.jobs.on_workers_changed();
+    }
+
+    pub(super) fn on_changes(&mut self, moment: Moment, changes: &[KeyChange]) {
+        for change in changes {
+            self.membership.on_change(moment, change);
+            self.ownership.on_change(change);
+        }
+    }
+
+    pub(super) fn take_ownership_changes(&mut self, moment: Moment, out: &mut Outbox) {
+        for change in self.ownership.take_changes() {
+            match change {
+                OwnershipChange::Gained { unit, owned } => match unit {
+                    Unit::Jobs(shard) => self.jobs.gain(shard, &owned, out),
+                    Unit::Worker(worker) => {
+                        self.workers
+                            .gain(moment, &self.registered, &worker, owned.epoch);
+                    }
+                },
+                OwnershipChange::Lost { unit } => match unit {
+                    Unit::Jobs(shard) => self.jobs.lose(shard, out),
+                    Unit::Worker(worker) => self.workers.lose(&worker),
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -0,0 +1,263 @@
+//! A process of the fleet: takes events and says what is to be done.
+
+mod changes;
+mod requests;
+mod summary;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use turmericfold_jobs::JobId;
+use turmericfold_platform::{PlatformError, StoreReply};
+use turmericfold_types::{MonotonicMs, ProcessId};
+
+use crate::context::Context;
+use crate::jobs::{Caller, JobOwner};
+use crate::membership::Membership;
+use crate::ownership::Ownership;
+use crate::registrations::Registrations;
+use crate::workers::WorkerOwner;
+use crate::{
+    CallId, Configuration, Event, FleetSettings, JobShard, Moment, Outbox, PeerMessage, Unit,
+};
+use requests::{Doubted, Forwarded, Parked};
+use summary::PeerPending;
+
+/// A process of the fleet: takes events and says what is to be done.
+///
+/// It has no clock, socket or random source of its own.
+#[derive(Debug)]
+pub struct FleetNode {
+    membership: Membership,
+    ownership: Ownership,
+    jobs: JobOwner,
+    workers: WorkerOwner,
+    registered: Registrations,
+    workers_loaded: bool,
+    configuration: Option<Arc<Configuration>>,
+    parked: Vec<Parked>,
+    forwarded: BTreeMap<u64, Forwarded>,
+    last_forward: u64,
+    doubted: BTreeMap<CallId, Doubted>,
+    peer_pending: BTreeMap<ProcessId, PeerPending>,
+    next_summary_at: MonotonicMs,
+    summaries_sent: u64,
+    stopping: bool,
+    me: ProcessId,
+}
+
+impl FleetNode {
+    /// Creates a process that knows nothing yet.
+    pub fn new(settings: &FleetSettings) -> Self {
+        let me = settings.member.process.clone();
+        Self {
+            membership: Membership::new(settings),
+            ownership: Ownership::new(me.clone()),
+            jobs: JobOwner::new(settings),
+            workers: WorkerOwner::new(settings),
+            registered: Registrations::default(),
+            workers_loaded: false,
+            configuration: None,
+            parked: Vec::new(),
+            forwarded: BTreeMap::new(),
+            last_forward: 0,
+            doubted: BTreeMap::new(),
+            peer_pending: BTreeMap::new(),
+            next_summary_at: MonotonicMs::default(),
+            summaries_sent: 0,
+            stopping: false,
+            me,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Returns where a peer takes calls, if it is a member.
+    pub fn address_of(&self, process: &ProcessId) -> Option<&str> {
+        let member = self.membership.find(process)?;
+        Some(member.address.as_str())
+    }
+
+    /// Returns whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let (shards, ready) = self.jobs.shard_counts();
+        !self.stopping
+            && self.configuration.is_some()
+            && self.ownership.is_loaded()
+            && self.membership.registered_at().is_some()
+            && shards == ready
+            && self.all_jobs_owned()
+    }
+
+    /// Returns whether a process that was told to stop has handed everything over.
+    pub fn is_handed_over(&self) -> bool {
+        self.stopping
+            && self.ownership.own_count() == 0
+            && self.parked.is_empty()
+            && self.forwarded.is_empty()
+    }
+
+    /// Returns whether this process owns a job and knows its shard.
+    pub fn owns_job(&self, job: JobId) -> bool {
+        self.jobs.can_answer(job)
+    }
+
+    /// Returns how many runs may be in progress on the workers owned here.
+    pub fn run_count(&self) -> usize {
+        self.workers.run_count()
+    }
+
+    /// Ends the registration, as the last thing before the process ends.
+    pub fn leave(&mut self, moment: Moment, out: &mut Outbox) {
+        self.membership.leave(moment, out);
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, moment: Moment, event: Event, out: &mut Outbox) {
+        match event {
+            Event::Tick => {}
+            Event::Store { call, result } => self.on_store(moment, call, &result, out),
+            Event::Reloaded { keys, version } => {
+                self.membership.on_reload(moment, &keys, version);
+                self.ownership.on_reload(&keys, version);
+            }
+            Event::Changed(changes) => self.on_changes(moment, &changes),
+            Event::WorkersReloaded(entries) => self.on_workers_reloaded(moment, entries),
+            Event::WorkersChanged(changes) => self.on_workers_changed(moment, changes),
+            Event::Configuration(configuration) => self.on_configuration(configuration),
+            Event::Worker {
+                worker,
+                call,
+                result,
+            } => {
+                let context = Context {
+                    moment,
+                    ownership: &self.ownership,
+                    secure: self.membership.is_secure(moment),
+                    registered: &self.registered,
+                };
+                self.workers.on_result(context, &worker, call, result, out);
+            }
+            Event::Peer { from, messages } => {
+                for message in messages {
+                    self.on_message(moment, &from, message, out);
+                }
+            }
+            Event::Undelivered { to } => self.on_undelivered(&to, out),
+            Event::Client { call, request } => {
+                self.on_request(moment, Caller::Here(call), request, out);
+            }
+            Event::Stop => self.on_stop(),
+        }
+        self.settle(moment, out);
+    }
+
+    /// Does what follows from an event, until nothing more does.
+    fn settle(&mut self, moment: Moment, out: &mut Outbox) {
+        self.membership.tick(moment, out);
+        let registered = self.registered.names();
+        // A stopping process first stores what it knows; then it hands over.
+        let stopping = self.stopping && self.jobs.is_settled();
+        if self.workers_loaded {
+            self.ownership
+                .tick(moment, &self.membership, &registered, stopping, out);
+        }
+        self.take_ownership_changes(moment, out);
+        self.drain_own(moment, out);
+        let context = Context {
+            moment,
+            ownership: &self.ownership,
+            secure: self.membership.is_secure(moment),
+            registered: &self.registered,
+        };
+        self.workers.tick(context, out);
+        self.jobs
+            .tick(context, &self.workers, self.configuration.as_ref(), out);
+        self.drain_own(moment, out);
+        for worker in self.workers.gone(moment) {
+            self.ownership.forget_worker(&worker, out);
+        }
+        self.retry_parked(moment, out);
+        self.expire_forwarded(moment, out);
+        self.tell_summary(moment, out);
+    }
+
+    /// Takes the messages of this process to itself.
+    fn drain_own(&mut self, moment: Moment, out: &mut Outbox) {
+        while let Some(message) = out.own.pop_front() {
+            let me = self.me.clone();
+            self.on_message(moment, &me, message, out);
+        }
+    }
+
+    fn on_store(
+        &mut self,
+        moment: Moment,
+        call: CallId,
+        result: &Result<StoreReply, PlatformError>,
+        out: &mut Outbox,
+    ) {
+        let taken = self.membership.on_store(moment, call, result)
+            || self.ownership.on_store(moment, call, result, out)
+            || self.workers.on_store(&mut self.ownership, call, result)
+            || self.jobs.on_page(moment, call, result)
+            || self.jobs.on_transaction(moment, call, result, out)
+            || self.on_owner_read(call, result, out);
+        if !taken {
+            log::debug!(call = call.0; "the end of a store call that nobody waits for");
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        moment: Moment,
+        from: &ProcessId,
+        message: PeerMessage,
+        out: &mut Outbox,
+    ) {
+        let context = Context {
+            moment,
+            ownership: &self.ownership,
+            secure: self.membership.is_secure(moment),
+            registered: &self.registered,
+        };
+        let Some(message) = self.workers.on_message(context, from, message, out) else {
+            return;
+        };
+        let Some(message) = self.jobs.on_message(context, from, message, out) else {
+            return;
+        };
+        match message {
+            PeerMessage::Summary(summary) => self.on_summary(moment, from, summary, out),
+            PeerMessage::Configuration(configuration) => self.on_configuration(configuration),
+            PeerMessage::Forward { call, request } => {
+                let process = from.clone();
+                self.on_request(moment, Caller::Peer { process, call }, request, out);
+            }
+            PeerMessage::Answer { call, answer } => {
+                if let Some(forwarded) = self.forwarded.remove(&call) {
+                    out.reply(forwarded.caller, answer);
+                }
+            }
+            other => log::warn!(message:? = other; "a message that nobody takes"),
+        }
+    }
+
+    fn on_stop(&mut self) {
+        if !self.stopping {
+            log::info!(owned = self.ownership.own_count(); "stops and hands over");
+            self.stopping = true;
+            self.membership.announce_stop();
+        }
+    }
+
+    fn all_jobs_owned(&self) -> bool {
+        JobShard::all().all(|shard| {
+            let owned = self.ownership.owner(&Unit::Jobs(shard));
+            owned.is_some_and(|owned| self.membership.find(&owned.owner.process).is_some())
+        })
+    }
+}
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -1,23 +1,25 @@
 //! A fleet of nodes on one virtual clock, with a store, workers and a network that
 //! fail by a seeded schedule. It drives the deciding code itself.
 
+mod callers;
 mod faults;
+mod network;
 mod oracle;
 mod schedule;
+mod watches;
 
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 
 use ecow::EcoString;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 use turmericfold_fleet::{
-    CallId, CallerLimits, ClientAnswer, ClientRequest, Configuration, Event, FleetNode,
-    FleetSettings, Member, Moment, Outbox, PeerMessage, ServiceSettings, WorkerCall, WorkerResult,
-    keys,
+    CallId, CallerLimits, Configuration, Event, FleetNode, FleetSettings, Member, Moment, Outbox,
+    ServiceSettings, WorkerCall, WorkerResult,
 };
 use turmericfold_jobs::{JobId, JobSpec, QueueName, QueueSettings};
-use turmericfold_platform::{PlatformError, StoreCall, StoreReply, StoreVersion, WorkerEntry};
+use turmericfold_platform::{PlatformError, StoreCall, StoreVersion, WorkerEntry};
 use turmericfold_standin::{StoreModel, TaskTruth, TaskWorkerModel};
 use turmericfold_types::{
     FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
@@ -192,40 +194,6 @@
         }
     }
 
-    /// Hands a job in at a node; its tasks work as `truths` say, one a step.
-    pub fn submit(&mut self, node: usize, job: JobId, spec: JobSpec, truths: Vec<TaskTruth>) {
-        self.truths.insert(job, truths);
-        self.oracle.expect_job(job, &spec);
-        let submitted = Submitted {
-            spec: spec.clone(),
-            accepted: false,
-            cancelled: false,
-            state: None,
-        };
-        self.jobs.entry(job).or_insert(submitted);
-        let queue = QueueName(QUEUE.into());
-        self.ask(node, job, ClientRequest::Submit { queue, job, spec });
-    }
-
-    /// Hands a job in again as its caller does that had no answer.
-    pub fn submit_again(&mut self, node: usize, job: JobId) {
-        let known = self.jobs.get(&job).map(|known| known.spec.clone());
-        if let Some(spec) = known {
-            let queue = QueueName(QUEUE.into());
-            self.ask(node, job, ClientRequest::Submit { queue, job, spec });
-        }
-    }
-
-    /// Cancels a job at a node.
-    pub fn cancel(&mut self, node: usize, job: JobId) {
-        self.ask(node, job, ClientRequest::Cancel { job });
-    }
-
-    /// Asks for the state of a job at a node.
-    pub fn ask_state(&mut self, node: usize, job: JobId) {
-        self.ask(node, job, ClientRequest::State { job });
-    }
-
     /// Ends a node's process at once.
     pub fn kill_node(&mut self, index: usize) {
         self.nodes[index] = None;
@@ -300,18 +268,6 @@
         self.entries.insert(name, entry);
     }
 
-    fn ask(&mut self, node: usize, job: JobId, request: ClientRequest) {
-        self.last_call += 1;
-        let call = CallId(self.last_call);
-        let Some(running) = &self.nodes[node] else {
-            return;
-        };
-        let process = running.process.clone();
-        self.calls.insert(call, job);
-        let event = Event::Client { call, request };
-        self.post(3, Later::Node { process, event });
-    }
-
     fn step(&mut self) {
         self.now = self.now + STEP_MS;
         self.store.expire(self.now);
@@ -477,216 +433,6 @@
         }
     }
 
-    fn take_answer(&mut self, call: CallId, answer: ClientAnswer) {
-        let Some(job) = self.calls.remove(&call) else {
-            return;
-        };
-        let Some(known) = self.jobs.get_mut(&job) else {
-            return;
-        };
-        match answer {
-            ClientAnswer::Accepted => known.accepted = true,
-            ClientAnswer::Cancelled => {
-                known.cancelled = true;
-                self.oracle.note_cancelled(self.now, job);
-            }
-            ClientAnswer::State(state) => {
-                known.state = Some(state);
-                self.oracle.note_state(self.now, job, state);
-            }
-            ClientAnswer::NoSuchJob if known.accepted => self.oracle.note_lost(job),
-            _ => {}
-        }
-    }
-
-    fn send_store(
-        &mut self,
-        index: usize,
-        process: &ProcessId,
-        call: CallId,
-        store_call: StoreCall,
-    ) {
-        let process = process.clone();
-        let delay_ms = self.random.random_range(1..6);
-        if self.faults.refuses_store(index) {
-            let event = Event::Store {
-                call,
-                result: Err(PlatformError::no_effect("the store refuses")),
-            };
-            self.post(delay_ms, Later::Node { process, event });
-            return;
-        }
-        let cut = self.faults.is_store_cut(index);
-        let lost = self.faults.loses(&mut self.random);
-        if cut || lost {
-            let event = Event::Store {
-                call,
-                result: Err(PlatformError::unknown("no answer")),
-            };
-            let failed = process.clone();
-            self.post(
-                TIMEOUT_MS,
-                Later::Node {
-                    process: failed,
-                    event,
-                },
-            );
-        }
-        if !cut {
-            // A call whose answer is lost may also be carried out late.
-            let late_ms = if lost {
-                self.random.random_range(0..4_000)
-            } else {
-                0
-            };
-            let later = Later::Store {
-                process,
-                call,
-                store_call,
-                answered: !lost,
-            };
-            self.post(delay_ms + late_ms, later);
-        }
-    }
-
-    fn send_worker(
-        &mut self,
-        index: usize,
-        process: &ProcessId,
-        call: CallId,
-        worker: InstanceName,
-        worker_call: WorkerCall,
-    ) {
-        let delay_ms = self.random.random_range(1..6);
-        let cut = self.faults.is_worker_cut(index, &worker);
-        let lost = self.faults.loses_orders(&mut self.random);
-        if cut || lost {
-            self.fail_worker_call(process, call, &worker, &worker_call);
-        }
-        if !cut {
-            let late_ms = if lost {
-                self.random.random_range(0..12_000)
-            } else {
-                0
-            };
-            let life = self.life_of(&worker);
-            let later = Later::Worker {
-                process: process.clone(),
-                call,
-                worker,
-                life,
-                worker_call,
-                answered: !lost,
-            };
-            self.post(delay_ms + late_ms, later);
-        }
-    }
-
-    /// Lets a call to a worker fail without an answer.
-    fn fail_worker_call(
-        &mut self,
-        process: &ProcessId,
-        call: CallId,
-        worker: &InstanceName,
-        worker_call: &WorkerCall,
-    ) {
-        let failed = || PlatformError::unknown("no answer");
-        let result = match worker_call {
-            WorkerCall::Start(_) => WorkerResult::Start(Err(failed())),
-            WorkerCall::Stop(_) => WorkerResult::Stop(Err(failed())),
-            WorkerCall::Pace(_) => WorkerResult::Pace(Err(failed())),
-            WorkerCall::Look(_) => WorkerResult::Look(Err(failed())),
-        };
-        let event = Event::Worker {
-            worker: worker.clone(),
-            call,
-            result,
-        };
-        let process = process.clone();
-        self.post(TIMEOUT_MS, Later::Node { process, event });
-    }
-
-    fn send_peer(
-        &mut self,
-        index: usize,
-        process: &ProcessId,
-        to: &ProcessId,
-        messages: Vec<PeerMessage>,
-    ) {
-        let delay_ms = self.random.random_range(1..8);
-        let receiver = self.nodes.iter().position(|running| {
-            running
-                .as_ref()
-                .is_some_and(|running| running.process == *to)
-        });
-        let arrives = receiver.is_some_and(|receiver| !self.faults.is_peer_cut(index, receiver));
-        let (receiver, event) = if arrives {
-            let from = process.clone();
-            (to.clone(), Event::Peer { from, messages })
-        } else {
-            let to = to.clone();
-            (process.clone(), Event::Undelivered { to })
-        };
-        let process = receiver;
-        self.post(delay_ms, Later::Node { process, event });
-    }
-
-    /// Tells a node what has changed in the store and among the workers.
-    fn watch(&mut self, index: usize) {
-        if self.faults.is_store_cut(index) || self.faults.refuses_store(index) {
-            return;
-        }
-        let Some(running) = self.nodes[index].as_mut() else {
-            return;
-        };
-        if !running.told_workers {
-            running.told_workers = true;
-            let entries = self.entries.values().cloned().collect();
-            self.give(index, Event::WorkersReloaded(entries));
-        }
-        let Some(watched) = self.nodes[index].as_ref().map(|running| running.watched) else {
-            return;
-        };
-        let (event, version) = match watched.map(|after| self.changes_after(after)) {
-            Some(Some((changes, version))) => (Event::Changed(changes), version),
-            _ => {
-                let (keys, version) = self.all_keys();
-                (Event::Reloaded { keys, version }, version)
-            }
-        };
-        if let Some(running) = self.nodes[index].as_mut() {
-            running.watched = Some(version);
-        }
-        self.give(index, event);
-    }
-
-    fn changes_after(
-        &mut self,
-        after: StoreVersion,
-    ) -> Option<(Vec<turmericfold_platform::KeyChange>, StoreVersion)> {
-        let call = StoreCall::Watch {
-            prefix: keys::FLEET.into(),
-            after,
-            wait_ms: 0,
-        };
-        match self.store.call(self.now, call) {
-            Ok(StoreReply::Changes { changes, version }) => Some((changes, version)),
-            _ => None,
-        }
-    }
-
-    fn all_keys(&mut self) -> (Vec<turmericfold_platform::StoredKey>, StoreVersion) {
-        let call = StoreCall::Range {
-            prefix: keys::FLEET.into(),
-            after: None,
-            limit: u32::MAX,
-        };
-        match self.store.call(self.now, call) {
-            Ok(StoreReply::Page { keys, version, .. }) => (keys, version),
-            other => panic!("unexpected reply to a range: {other:?}"),
-        }
-    }
-
     fn post(&mut self, delay_ms: u64, what: Later) {
         self.sequence += 1;
         self.later.push(Due {
--- /dev/null
+++ b/tests/src/fleet_world/network.rs
@@ -0,0 +1,142 @@
+//! Carries calls and messages, with the faults that are in force.
+
+use rand::Rng;
+use turmericfold_fleet::{CallId, Event, PeerMessage, WorkerCall, WorkerResult};
+use turmericfold_platform::{PlatformError, StoreCall};
+use turmericfold_types::{InstanceName, ProcessId};
+
+use super::{FleetWorld, Later, TIMEOUT_MS};
+
+impl FleetWorld {
+    pub(super) fn send_store(
+        &mut self,
+        index: usize,
+        process: &ProcessId,
+        call: CallId,
+        store_call: StoreCall,
+    ) {
+        let process = process.clone();
+        let delay_ms = self.random.random_range(1..6);
+        if self.faults.refuses_store(index) {
+            let event = Event::Store {
+                call,
+                result: Err(PlatformError::no_effect("the store refuses")),
+            };
+            self.post(delay_ms, Later::Node { process, event });
+            return;
+        }
+        let cut = self.faults.is_store_cut(index);
+        let lost = self.faults.loses(&mut self.random);
+        if cut || lost {
+            let event = Event::Store {
+                call,
+                result: Err(PlatformError::unknown("no answer")),
+            };
+            let failed = process.clone();
+            self.post(
+                TIMEOUT_MS,
+                Later::Node {
+                    process: failed,
+                    event,
+                },
+            );
+        }
+        if !cut {
+            // A call whose answer is lost may also be carried out late.
+            let late_ms = if lost {
+                self.random.random_range(0..4_000)
+            } else {
+                0
+            };
+            let later = Later::Store {
+                process,
+                call,
+                store_call,
+                answered: !lost,
+            };
+            self.post(delay_ms + late_ms, later);
+        }
+    }
+
+    pub(super) fn send_worker(
+        &mut self,
+        index: usize,
+        process: &ProcessId,
+        call: CallId,
+        worker: InstanceName,
+        worker_call: WorkerCall,
+    ) {
+        let delay_ms = self.random.random_range(1..6);
+        let cut = self.faults.is_worker_cut(index, &worker);
+        let lost = self.faults.loses_orders(&mut self.random);
+        if cut || lost {
+            self.fail_worker_call(process, call, &worker, &worker_call);
+        }
+        if !cut {
+            let late_ms = if lost {
+                self.random.random_range(0..12_000)
+            } else {
+                0
+            };
+            let life = self.life_of(&worker);
+            let later = Later::Worker {
+                process: process.clone(),
+                call,
+                worker,
+                life,
+                worker_call,
+                answered: !lost,
+            };
+            self.post(delay_ms + late_ms, later);
+        }
+    }
+
+    /// Lets a call to a worker fail without an answer.
+    pub(super) fn fail_worker_call(
+        &mut self,
+        process: &ProcessId,
+        call: CallId,
+        worker: &InstanceName,
+        worker_call: &WorkerCall,
+    ) {
+        let failed = || PlatformError::unknown("no answer");
+        let result = match worker_call {
+            WorkerCall::Start(_) => WorkerResult::Start(Err(failed())),
+            WorkerCall::Stop(_) => WorkerResult::Stop(Err(failed())),
+            WorkerCall::Pace(_) => WorkerResult::Pace(Err(failed())),
+            WorkerCall::Look(_) => WorkerResult::Look(Err(failed())),
+        };
+        let event = Event::Worker {
+            worker: worker.clone(),
+            call,
+            result,
+        };
+        let process = process.clone();
+        self.post(TIMEOUT_MS, Later::Node { process, event });
+    }
+
+    pub(super) fn send_peer(
+        &mut self,
+        index: usize,
+        process: &ProcessId,
+        to: &ProcessId,
+        messages: Vec<PeerMessage>,
+    ) {
+        let delay_ms = self.random.random_range(1..8);
+        let receiver = self.nodes.iter().position(|running| {
+            running
+                .as_ref()
+                .is_some_and(|running| running.process == *to)
+        });
+        let arrives = receiver.is_some_and(|receiver| !self.faults.is_peer_cut(index, receiver));
+        let (receiver, event) = if arrives {
+            let from = process.clone();
+            (to.clone(), Event::Peer { from, messages })
+        } else {
+            let to = to.clone();
+            (process.clone(), Event::Undelivered { to })
+        };
+        let process = receiver;
+        self.post(delay_ms, Later::Node { process, event });
+    }
+}
--- /dev/null
+++ b/tests/src/fleet_world/watches.rs
@@ -0,0 +1,64 @@
+//! Tells nodes what has changed in the store and among the workers.
+
+use turmericfold_fleet::{Event, keys};
+use turmericfold_platform::{KeyChange, StoreCall, StoreReply, StoreVersion, StoredKey};
+
+use super::FleetWorld;
+
+impl FleetWorld {
+    /// Tells a node what has changed in the store and among the workers.
+    pub(super) fn watch(&mut self, index: usize) {
+        if self.faults.is_store_cut(index) || self.faults.refuses_store(index) {
+            return;
+        }
+        let Some(running) = self.nodes[index].as_mut() else {
+            return;
+        };
+        if !running.told_workers {
+            running.told_workers = true;
+            let entries = self.entries.values().cloned().collect();
+            self.give(index, Event::WorkersReloaded(entries));
+        }
+        let Some(watched) = self.nodes[index].as_ref().map(|running| running.watched) else {
+            return;
+        };
+        let (event, version) = match watched.map(|after| self.changes_after(after)) {
+            Some(Some((changes, version))) => (Event::Changed(changes), version),
+            _ => {
+                let (keys, version) = self.all_keys();
+                (Event::Reloaded { keys, version }, version)
+            }
+        };
+        if let Some(running) = self.nodes[index].as_mut() {
+            running.watched = Some(version);
+        }
+        self.give(index, event);
+    }
+
+    pub(super) fn changes_after(
+        &mut self,
+        after: StoreVersion,
+    ) -> Option<(Vec<KeyChange>, StoreVersion)> {
+        let call = StoreCall::Watch {
+            prefix: keys::FLEET.into(),
+            after,
+            wait_ms: 0,
+        };
+        match self.store.call(self.now, call) {
+            Ok(StoreReply::Changes { changes, version }) => Some((changes, version)),
+            _ => None,
+        }
+    }
+
+    pub(super) fn all_keys(&mut self) -> (Vec<StoredKey>, StoreVersion) {
+        let call = StoreCall::Range {
+            prefix: keys::FLEET.into(),
+            after: None,
+            limit: u32::MAX,
+        };
+        match self.store.call(self.now, call) {
+            Ok(StoreReply::Page { keys, version, .. }) => (keys, version),
+            other => panic!("unexpected reply to a range: {other:?}"),
+        }
+    }
+}
