--- a/crates/turmericfold-fleet/src/configuration.rs
+++ b/crates/turmericfold-fleet/src/configuration.rs
@@ -70,6 +70,12 @@
             .find(|route| route.host == host && path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the service of a queue, also if the queue is not configured any more.
+    pub fn service_of<'own>(&'own self, queue: &'own QueueSettings) -> &'own ServiceName {
+        let present = self.queues.get(&queue.name);
+        present.map_or(&queue.service, |present| &present.service)
+    }
+
     /// Returns whether some queue uses the service.
     pub fn uses(&self, service: &ServiceName) -> bool {
         self.queues.values().any(|queue| queue.service == *service)
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -68,12 +68,7 @@
         let Some(entry) = self.jobs.get(&id) else {
             return;
         };
-        let queue = &entry.job.record.queue;
-        let service = configuration
-            .queues
-            .get(&queue.name)
-            .map_or(&queue.service, |queue| &queue.service)
-            .clone();
+        let service = configuration.service_of(&entry.job.record.queue).clone();
         if !configuration.uses(&service) {
             return;
         }
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -105,11 +105,6 @@
         self.jobs.can_answer(job)
     }
 
-    /// Returns how many runs may be in progress on the workers owned here.
-    pub fn run_count(&self) -> usize {
-        self.workers.run_count()
-    }
-
     /// Ends the registration, as the last thing before the process ends.
     pub fn leave(&mut self, moment: Moment, out: &mut Outbox) {
         self.membership.leave(moment, out);
@@ -155,7 +150,7 @@
         self.settle(moment, out);
     }
 
-    /// Does what follows from an event, until nothing more does.
+    /// Does what is due, and what follows from the event.
     fn settle(&mut self, moment: Moment, out: &mut Outbox) {
         self.membership.tick(moment, out);
         let registered = self.registered.names();
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -48,6 +48,7 @@
 }
 
 impl FleetNode {
+    /// Answers a request, or hands it on.
     pub(super) fn on_request(
         &mut self,
         moment: Moment,
@@ -123,6 +124,8 @@
         self.doubted.insert(call, Doubted { caller, job });
     }
 
+    /// Takes the owner of a shard as the store has it; returns false if the call is
+    /// another's.
     pub(super) fn on_owner_read(
         &mut self,
         call: CallId,
@@ -182,6 +185,7 @@
         }
     }
 
+    /// Tries the requests again that wait for an owner, and refuses the oldest.
     pub(super) fn retry_parked(&mut self, moment: Moment, out: &mut Outbox) {
         for parked in std::mem::take(&mut self.parked) {
             let Parked {
@@ -201,6 +205,7 @@
         }
     }
 
+    /// Gives up the requests that were handed on and had no answer in time.
     pub(super) fn expire_forwarded(&mut self, moment: Moment, out: &mut Outbox) {
         let expired: Vec<u64> = self
             .forwarded
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -23,6 +23,7 @@
 }
 
 impl FleetNode {
+    /// Takes a peer's summary.
     pub(super) fn on_summary(
         &mut self,
         moment: Moment,
@@ -44,6 +45,7 @@
         self.peer_pending.insert(from.clone(), pending);
     }
 
+    /// Returns how many jobs of a queue wait for their first start in the whole fleet.
     pub(super) fn pending(&self, moment: Moment, queue: &QueueName) -> u64 {
         let own = self.jobs.pending();
         let theirs = self
@@ -58,6 +60,7 @@
             .sum()
     }
 
+    /// Tells all peers what is free here, when it is due.
     pub(super) fn tell_summary(&mut self, moment: Moment, out: &mut Outbox) {
         if !moment.has_reached(self.next_summary_at) {
             return;
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -283,12 +283,6 @@
         let sent_at = moment.now;
         self.authorities_call = Some(AuthoritiesCall { id, sent_at });
     }
-
-    /// Returns the runs that fill on every worker; for figures.
-    pub(crate) fn run_count(&self) -> usize {
-        let count = |worker: &Worker| worker.runs.len();
-        self.workers.values().map(count).sum()
-    }
 }
 
 /// Moves on up to which number ends are noted, and drops those.
