Take the outcome of a write only under the ownership it was sent under

Cause, found by reading: a transaction sent under an earlier ownership of a shard and refused later made this process give the shard up, though it had regained it; nobody served it from then on. Callers of a cancel in such a write were never answered.

Change: every item bears its epoch; outdated ones only answer who waits. The test old_outcome_loses_nothing fails without it ('the shard was given up').

Also, without change of behaviour: one function each for answering a start, for stopping an unwanted run and for a filler's processor time, which stood twice.

--- a/crates/turmericfold-fleet/src/jobs/journal.rs
+++ b/crates/turmericfold-fleet/src/jobs/journal.rs
@@ -61,6 +61,8 @@
 #[derive(Debug)]
 struct Item {
     job: JobId,
+    /// The epoch of the job's shard under which it is stored.
+    epoch: StoreVersion,
     change: Change,
 }
 
@@ -143,6 +145,11 @@
         }
     }
 
+    fn add(&mut self, job: JobId, authority: Authority, change: Change) {
+        let epoch = authority.epoch;
+        self.items.push(Item { job, epoch, change });
+    }
+
     fn write(&mut self, key: ecow::EcoString, version: Option<StoreVersion>, value: String) {
         self.bytes += value.len();
         self.transaction.expect_version(key.clone(), version);
@@ -181,6 +188,12 @@
             return false;
         };
         self.journal.note_outcome(moment, result.is_err());
+        let (items, outdated): (Vec<Item>, Vec<Item>) =
+            items.into_iter().partition(|item| self.is_current(item));
+        let committed = matches!(result, Ok(StoreReply::Committed { .. }));
+        for item in outdated {
+            finish_outdated(committed, item, out);
+        }
         match result {
             Ok(StoreReply::Committed { version }) => {
                 for item in items {
@@ -205,6 +218,12 @@
         true
     }
 
+    /// Returns whether the shard is still owned as it was when the item was sent.
+    fn is_current(&self, item: &Item) -> bool {
+        let shard = self.shards.get(&JobShard::of(item.job));
+        shard.is_some_and(|shard| shard.authority.epoch == item.epoch)
+    }
+
     fn draft_accepts(&mut self, draft: &mut Draft) {
         while draft.has_room()
             && let Some(id) = self.journal.accepts.pop_front()
@@ -223,8 +242,7 @@
             draft.expect_owner(shard.authority);
             draft.write(keys::job_record(id), None, value);
             entry.writing = true;
-            let change = Change::Accept;
-            draft.items.push(Item { job: id, change });
+            draft.add(id, shard.authority, Change::Accept);
         }
     }
 
@@ -268,7 +286,7 @@
                 ends: std::mem::take(&mut entry.open_ends),
                 cancelling: std::mem::take(&mut entry.cancelling),
             };
-            draft.items.push(Item { job: id, change });
+            draft.add(id, shard.authority, change);
         }
     }
 
@@ -295,8 +313,7 @@
             draft.expect_owner(shard.authority);
             draft.transaction.remove.push(keys::job_record(id));
             draft.transaction.remove.push(keys::job_progress(id));
-            let change = Change::Remove;
-            draft.items.push(Item { job: id, change });
+            draft.add(id, shard.authority, Change::Remove);
         }
     }
 
@@ -419,6 +436,27 @@
     }
 }
 
+/// Takes the outcome of a change that was sent under an earlier ownership. What the
+/// store holds of the job was read anew since; only those who wait are told.
+fn finish_outdated(committed: bool, item: Item, out: &mut Outbox) {
+    let Change::Progress {
+        ends, cancelling, ..
+    } = item.change
+    else {
+        return;
+    };
+    for caller in cancelling {
+        let answer = match committed {
+            true => ClientAnswer::Cancelled,
+            false => ClientAnswer::Unknown,
+        };
+        caller.answer(answer, out);
+    }
+    if committed {
+        tell_noted(ends, out);
+    }
+}
+
 fn is_writable(entry: &Entry) -> bool {
     entry.stored && !entry.writing && entry.dirty_since.is_some()
 }
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -363,10 +363,9 @@
     ) {
         for run in runs {
             let shard = self.shards.get(&JobShard::of(run.task.job));
-            let Some(shard) = shard.filter(|shard| shard.is_loaded()) else {
+            if !shard.is_some_and(Shard::is_loaded) {
                 continue;
-            };
-            let authority = shard.authority;
+            }
             if let Some(details) = self.adopt(context, worker, *run) {
                 let message = PeerMessage::Details {
                     worker: worker.clone(),
@@ -376,12 +375,7 @@
                 out.send(from, message);
             } else {
                 log::info!(job:% = run.task.job, run:% = run, worker:% = worker; "stops a run that is not wanted");
-                let message = PeerMessage::Stop {
-                    authority,
-                    worker: worker.clone(),
-                    run: *run,
-                };
-                out.send(from, message);
+                self.stop_unwanted(from, worker, *run, out);
             }
         }
     }
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -290,11 +290,7 @@
                 worker: worker.clone(),
                 worker_epoch: epoch,
                 room: details.room,
-                filler_millicores: if details.filler {
-                    details.wanted_millicores
-                } else {
-                    0
-                },
+                filler_millicores: details.filler_millicores(),
                 since: context.moment.now,
                 answered: true,
                 stopping: false,
@@ -346,7 +342,8 @@
         }
     }
 
-    fn stop_unwanted(
+    /// Stops a run that was found and is not wanted.
+    pub(super) fn stop_unwanted(
         &self,
         from: &ProcessId,
         worker: &InstanceName,
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -139,10 +139,7 @@
             return;
         };
         let details = details_of(&entry.job, step);
-        let filler_millicores = match details.filler {
-            true => details.wanted_millicores,
-            false => 0,
-        };
+        let filler_millicores = details.filler_millicores();
         let number = entry.job.next_number(task, floor);
         let run = RunKey { task, number };
         let checkpoint = entry
--- a/crates/turmericfold-fleet/src/membership.rs
+++ b/crates/turmericfold-fleet/src/membership.rs
@@ -238,7 +238,7 @@
             self.remove(moment, &name);
         }
         for (member, version) in read.into_values() {
-            self.insert(moment, member, version);
+            self.insert(member, version);
         }
         self.loaded = true;
         self.check_own_key(version);
@@ -256,7 +256,7 @@
         match &change.value {
             Some(value) => {
                 if let Some(member) = parse(&change.key, value) {
-                    self.insert(moment, member, change.version);
+                    self.insert(member, change.version);
                 }
             }
             None => self.remove(moment, &name),
@@ -264,7 +264,7 @@
         self.check_own_key(change.version);
     }
 
-    fn insert(&mut self, moment: Moment, member: Member, version: StoreVersion) {
+    fn insert(&mut self, member: Member, version: StoreVersion) {
         let name = member.process.instance.clone();
         let known = self.members.get(&name);
         if known.is_some_and(|known| known.version >= version) {
@@ -277,7 +277,6 @@
                 self.vanished.pop();
             }
         }
-        let _ = moment;
         self.members.insert(name, Registered { member, version });
     }
 
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -150,6 +150,17 @@
     pub due_ms: u64,
 }
 
+impl RunDetails {
+    /// Returns the processor time that it would use as a filler, in millicores.
+    pub fn filler_millicores(&self) -> u64 {
+        if self.filler {
+            self.wanted_millicores
+        } else {
+            0
+        }
+    }
+}
+
 /// What became of an order to start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
--- a/crates/turmericfold-fleet/src/workers/look.rs
+++ b/crates/turmericfold-fleet/src/workers/look.rs
@@ -11,7 +11,7 @@
 use super::run::{Run, RunPhase};
 use super::worker::{Look, Worker};
 use crate::context::Context;
-use crate::{CallId, Outbox, PeerMessage, StartOutcome, WorkerCall};
+use crate::{CallId, Outbox, StartOutcome, WorkerCall};
 
 /// How long a look waits for an end, in milliseconds; a fifth of the lease, so
 /// that several renewals fit into it.
@@ -152,7 +152,7 @@
         let started = listed.started;
         let ended: Vec<RunKey> = reading.finished.iter().map(|row| row.run).collect();
         for run in started {
-            self.answer_started(context, name, run, out);
+            self.answer_start(context, name, run, StartOutcome::Started, out);
         }
         let complete = reading.finished.len() < LIST_LIMIT;
         self.take_finished(context, name, reading.finished, out);
@@ -168,23 +168,6 @@
         }
     }
 
-    fn answer_started(
-        &self,
-        context: Context<'_>,
-        name: &InstanceName,
-        run: RunKey,
-        out: &mut Outbox,
-    ) {
-        if let Some(owner) = context.job_owner(&run) {
-            let message = PeerMessage::StartAnswer {
-                worker: name.clone(),
-                run,
-                outcome: StartOutcome::Started,
-            };
-            out.send(&owner, message);
-        }
-    }
-
     fn take_finished(
         &mut self,
         context: Context<'_>,
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -329,7 +329,8 @@
         run.next_call_at = context.moment.now;
     }
 
-    fn answer_start(
+    /// Tells the owner of a run's job what became of its order.
+    pub(super) fn answer_start(
         &self,
         context: Context<'_>,
         name: &InstanceName,
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -16,6 +16,7 @@
 mod endpoint_health;
 mod faulty_files;
 mod fleet_jobs;
+mod fleet_ownership;
 mod fleet_policy;
 mod floods;
 mod forwarding;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -447,7 +447,8 @@
     InstanceName::new(format!("worker-{number:02}"))
 }
 
-fn configuration() -> Configuration {
+/// Returns a configuration with one queue.
+pub fn configuration() -> Configuration {
     let queue = QueueSettings {
         name: QueueName(QUEUE.into()),
         service: ServiceName::new(SERVICE),
