Place fillers by speed less what they take, serving tasks by job

Fits of the looks (tail against use, sine of 10 or 20 s) give about a third of all pairs of images an effect of 6 to 13 slack a whole worker, the others 1; fillers of heavy pairs were placed beside tasks that they disturb and took all slack there. Tasks of up to seven jobs with swings of different phase shared a worker, as six processes placed at once.

Change: a filler's place is valued by its expected speed over the swing of the tails beside it, less 0.9 for each unit of slack it takes, less 0.2 for a worker that serves nobody; below 0.5 it waits. Tasks with a latency target go to tasks of their own step, then where the rest of the step fits, then to workers of this process.

--- a/crates/turmericfold-fleet/src/jobs/evacuate.rs
+++ b/crates/turmericfold-fleet/src/jobs/evacuate.rs
@@ -7,7 +7,7 @@
 use crate::Outbox;
 use crate::context::Context;
 use crate::policy::evacuation::{LeavingRun, is_stopped_now};
-use crate::policy::placement::Offer;
+use crate::policy::offer::Offer;
 use crate::workers::WorkerOwner;
 
 impl JobOwner {
--- a/crates/turmericfold-fleet/src/jobs/rooms.rs
+++ b/crates/turmericfold-fleet/src/jobs/rooms.rs
@@ -7,7 +7,7 @@
 
 use super::orders::Orders;
 use crate::context::Context;
-use crate::policy::placement::Offer;
+use crate::policy::offer::Offer;
 use crate::workers::WorkerOwner;
 use crate::{Moment, Summary, Unit, WorkerSummary};
 
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -13,8 +13,9 @@
 use super::shard::Shard;
 use crate::context::Context;
 use crate::policy::disturbance::Disturbance;
+use crate::policy::offer::Offer;
 use crate::policy::order::{Urgency, urgency};
-use crate::policy::placement::{Demand, Offer, choose};
+use crate::policy::placement::{Demand, choose};
 use crate::workers::WorkerOwner;
 use crate::{Configuration, JobShard, Outbox, PeerMessage, StartOrder, Unit};
 
@@ -102,9 +103,10 @@
     ) -> Option<usize> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step_spec(task)?;
-        let beside = match step.max_per_worker {
-            Some(_) => count_beside(entry, task),
-            None => BTreeMap::new(),
+        let siblings_count = step.max_per_worker.is_some() || step.latency_target_ms.is_some();
+        let beside = match siblings_count {
+            true => count_beside(entry, task),
+            false => BTreeMap::new(),
         };
         let avoided = entry.failed_on.get(&task).map_or(&[][..], Vec::as_slice);
         let demand = Demand {
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -249,8 +249,10 @@
 pub struct ServingRoom {
     /// The image.
     pub image: EcoString,
-    /// The slack, in thousandths.
-    pub slack_permille: u64,
+    /// The mean slack, in thousandths; negative where fillers already want more.
+    pub slack_permille: i64,
+    /// How far the slack usually is from its mean, in thousandths.
+    pub swing_permille: i64,
 }
 
 /// What a worker has to offer.
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod disturbance;
 pub mod evacuation;
+pub mod offer;
 pub mod order;
 pub mod pacing;
 pub mod placement;
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -1,85 +1,35 @@
 //! On which worker a task is started.
 //!
 //! Answers a fleet that is three quarters full of tasks that last, with short
-//! tasks and fillers beside them: tasks that are counted go where they fit
-//! tightest, and tasks with a latency target to others of their kind, so that
-//! whole workers are left on which fillers disturb nobody. A filler goes where it
-//! will be fastest, and waits while that would be slow.
+//! tasks and fillers beside them. Tasks that are counted go where they fit tightest.
+//! The tasks of one job with a latency target go together: their load swings alike,
+//! and whole workers are left on which fillers disturb nobody. A filler goes where it
+//! is fast and takes little slack, and waits where there is no such place.
 
 use std::collections::BTreeMap;
 
 use turmericfold_jobs::StepSpec;
-use turmericfold_types::{InstanceName, Resources, ServiceName};
-use xxhash_rust::xxh3::xxh3_64;
+use turmericfold_types::{InstanceName, ServiceName};
 
 use crate::policy::disturbance::Disturbance;
-use crate::{RunDetails, WorkerSummary};
+use crate::policy::offer::Offer;
 
-/// The least share of its full speed at which a filler is started, in thousandths.
-const LEAST_SPEED_PERMILLE: u64 = 700;
+/// What one unit of slack that a filler takes counts for against its speed, in
+/// thousandths of its full speed: a filler that takes all that a task usually has to
+/// spare is no better than one that does not run.
+const SLACK_COST_PERMILLE: i64 = 900;
 
-/// The share of its full speed from which a filler is fast, in thousandths.
-const FAST_PERMILLE: u64 = 900;
+/// What a worker without tasks that have a latency target counts for against the
+/// speed of a filler, in thousandths of its full speed: such workers are left to the
+/// fillers that disturb most, unless the others would be clearly slower.
+const CALM_COST_PERMILLE: i64 = 200;
 
-/// The differences of speed that count, in thousandths.
-const SPEED_STEP_PERMILLE: u64 = 100;
+/// The least speed, less what it costs, at which a filler is started, in thousandths
+/// of its full speed.
+const LEAST_VALUE_PERMILLE: i64 = 500;
 
-/// The range of the ranks of workers for an image.
-const AFFINITY_RANGE: u64 = 1 << 32;
-
-/// What a worker has to offer, as it is used up by one pass over the tasks.
-#[derive(Debug, Clone)]
-pub struct Offer {
-    /// The worker.
-    pub worker: WorkerSummary,
-    /// Whether it is owned by this process.
-    pub own: bool,
-}
-
-impl Offer {
-    /// Creates the offer of a worker.
-    pub fn new(worker: WorkerSummary, own: bool) -> Self {
-        Self { worker, own }
-    }
-
-    /// Takes room for a run.
-    pub fn take(&mut self, room: &Resources, filler_millicores: u64) {
-        let worker = &mut self.worker;
-        worker.free = worker.free.minus(room);
-        let used = room.cpu_millicores + filler_millicores;
-        worker.spare_millicores = worker.spare_millicores.saturating_sub(used);
-    }
-
-    /// Takes the slack that a filler will take.
-    pub fn disturb(&mut self, disturbance: &Disturbance, filler: &RunDetails) {
-        if !filler.filler {
-            return;
-        }
-        let share = self.share(filler.wanted_millicores);
-        for room in &mut self.worker.serving {
-            let taken = disturbance.effect(&room.image, &filler.image) * share;
-            let taken_permille = (taken * 1_000.0) as u64;
-            room.slack_permille = room.slack_permille.saturating_sub(taken_permille);
-        }
-    }
-
-    /// Returns the share of its full speed that a filler of the step would reach, in
-    /// thousandths.
-    fn speed_permille(&self, disturbance: &Disturbance, step: &StepSpec) -> u64 {
-        let wanted = step.room.cpu_millicores.max(1);
-        let by_room = self.worker.spare_millicores * 1_000 / wanted;
-        let share = self.share(wanted);
-        let by_tails = self.worker.serving.iter().map(|room| {
-            let taken = disturbance.effect(&room.image, &step.image) * share;
-            (room.slack_permille as f64 / taken.max(0.001)) as u64
-        });
-        by_tails.fold(by_room.min(1_000), u64::min)
-    }
-
-    fn share(&self, millicores: u64) -> f64 {
-        millicores as f64 / self.worker.capacity.cpu_millicores.max(1) as f64
-    }
-}
+/// The differences of value that count, in thousandths.
+const VALUE_STEP_PERMILLE: i64 = 50;
 
 /// What a task asks of its worker.
 #[derive(Debug, Clone, Copy)]
@@ -94,6 +44,17 @@
     pub avoided: &'job [InstanceName],
 }
 
+impl Demand<'_> {
+    /// Returns the processor time of the tasks of the step that are not placed yet and
+    /// may share a worker, in millicores.
+    fn together_millicores(&self) -> u64 {
+        let placed: u32 = self.beside.values().sum();
+        let left = self.step.task_count.saturating_sub(placed);
+        let left = left.min(self.step.max_per_worker.unwrap_or(left));
+        u64::from(left) * self.step.room.cpu_millicores
+    }
+}
+
 /// How good a place is for a task; compared field by field, more is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Merit {
@@ -101,13 +62,45 @@
     sound: bool,
     /// Whether its data is there.
     near: bool,
-    /// What counts most for its kind: the speed of a filler; the company of its image
-    /// for a task with a latency target; else whether this process owns the worker.
-    rank: u64,
+    /// What counts most for its kind of task.
+    fitness: Fitness,
     /// How well it fits: tightly, or for a filler with much to spare.
     fit: u64,
 }
 
+/// What counts most for a kind of task; all places of a task are of one kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Fitness {
+    /// Of a task that is counted: whether this process owns the worker.
+    Counted {
+        /// Whether it does.
+        own: bool,
+    },
+    /// Of a filler: its speed less what it costs, in steps.
+    Filler {
+        /// The value.
+        value: i64,
+    },
+    /// Of a task with a latency target.
+    Serving(Company),
+}
+
+/// The company that a task with a latency target would have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Company {
+    /// Whether tasks of its own step are there.
+    siblings: bool,
+    /// Whether all that is left of its step would fit.
+    holds_rest: bool,
+    /// Whether this process owns the worker; processes that place at the same time
+    /// then fill different workers.
+    own: bool,
+    /// Whether any task with a latency target is there.
+    serving: bool,
+    /// Whether no task of another image is there; images differ in what disturbs them.
+    same_image: bool,
+}
+
 /// Returns the index of the offer on which the task is started, if any is good
 /// enough.
 pub fn choose(disturbance: &Disturbance, demand: Demand<'_>, offers: &[Offer]) -> Option<usize> {
@@ -135,7 +128,7 @@
     labelled && apart
 }
 
-/// Returns how good a place is, or `None` if a filler would be too slow there.
+/// Returns how good a place is, or `None` if a filler is not to be started there.
 fn merit(disturbance: &Disturbance, demand: Demand<'_>, offer: &Offer) -> Option<Merit> {
     let worker = &offer.worker;
     let step = demand.step;
@@ -143,19 +136,13 @@
         .data_rack
         .as_ref()
         .is_none_or(|rack| worker.labels.contains(rack));
-    let own = u64::from(offer.own);
-    let rank = if step.filler {
-        let speed_permille = offer.speed_permille(disturbance, step);
-        if speed_permille < LEAST_SPEED_PERMILLE {
-            return None;
-        }
-        // Where nobody is disturbed is left to those that disturb most.
-        let speed = speed_permille.min(FAST_PERMILLE) / SPEED_STEP_PERMILLE;
-        2 * speed + u64::from(!worker.serving.is_empty())
+    let fitness = if step.filler {
+        let value = filler_value(disturbance, step, offer)?;
+        Fitness::Filler { value }
     } else if step.latency_target_ms.is_some() {
-        own_kind(step, offer) + affinity(step, offer)
+        Fitness::Serving(company(demand, offer))
     } else {
-        own
+        Fitness::Counted { own: offer.own }
     };
     let fit = match step.filler {
         true => worker.spare_millicores,
@@ -164,27 +151,33 @@
     Some(Merit {
         sound: !demand.avoided.contains(&worker.worker),
         near,
-        rank,
+        fitness,
         fit,
     })
 }
 
-/// Returns whether a worker has only tasks of the step's image, or no task with a
-/// latency target yet.
-///
-/// Images differ in what disturbs them. Workers with one image each leave a place
-/// for every kind of filler.
-fn own_kind(step: &StepSpec, offer: &Offer) -> u64 {
-    let mut serving = offer.worker.serving.iter();
-    match serving.all(|room| room.image == step.image) {
-        true => AFFINITY_RANGE,
+/// Returns the speed of a filler less what it costs others, in steps, or `None` if
+/// that is too little.
+fn filler_value(disturbance: &Disturbance, step: &StepSpec, offer: &Offer) -> Option<i64> {
+    let speed_permille = offer.speed_permille(disturbance, step);
+    let taken_permille = offer.taken_permille(disturbance, step);
+    let calm_cost_permille = match offer.worker.serving.is_empty() {
+        true => CALM_COST_PERMILLE,
         false => 0,
-    }
+    };
+    let slack_cost_permille = SLACK_COST_PERMILLE * taken_permille / 1_000;
+    let value_permille = speed_permille - slack_cost_permille - calm_cost_permille;
+    (value_permille >= LEAST_VALUE_PERMILLE).then_some(value_permille / VALUE_STEP_PERMILLE)
 }
 
-/// Ranks workers for an image, below [`AFFINITY_RANGE`]; all processes rank alike, so
-/// that tasks of an image meet without an agreement.
-fn affinity(step: &StepSpec, offer: &Offer) -> u64 {
-    let text = format!("{}/{}", step.image, offer.worker.worker);
-    xxh3_64(text.as_bytes()) % AFFINITY_RANGE
+fn company(demand: Demand<'_>, offer: &Offer) -> Company {
+    let worker = &offer.worker;
+    let mut serving = worker.serving.iter();
+    Company {
+        siblings: demand.beside.contains_key(&worker.worker),
+        holds_rest: demand.together_millicores() <= worker.free.cpu_millicores,
+        own: offer.own,
+        serving: !worker.serving.is_empty(),
+        same_image: serving.all(|room| room.image == demand.step.image),
+    }
 }
--- a/crates/turmericfold-fleet/src/workers/tail.rs
+++ b/crates/turmericfold-fleet/src/workers/tail.rs
@@ -103,9 +103,14 @@
         Some(last.slack + disturbance_taken + change)
     }
 
-    /// Returns the slack without fillers that the task has most of the time.
-    pub(crate) fn usual_slack(&self) -> f64 {
-        self.mean_base - self.spread
+    /// Returns the mean slack without fillers.
+    pub(crate) fn mean_slack(&self) -> f64 {
+        self.mean_base
+    }
+
+    /// Returns how far the slack without fillers usually is from its mean.
+    pub(crate) fn swing(&self) -> f64 {
+        self.spread
     }
 
     /// Returns what fillers took at the last look, by what is known now.
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -9,6 +9,7 @@
 use super::clock::WorkerClock;
 use super::run::Run;
 use crate::policy::disturbance::Disturbance;
+use crate::policy::pacing::KEPT_SLACK;
 use crate::{Account, CallId, Moment, ReportedEnd, ServingRoom, WorkerSummary};
 use ecow::EcoString;
 
@@ -20,10 +21,6 @@
 /// second and a look.
 const FIGURE_LAG_MS: u64 = 900;
 
-/// The slack that new fillers leave to tasks with a latency target; more than pacing
-/// keeps, so that fillers seldom have to be slowed down.
-const PLACED_SLACK: f64 = 1.3;
-
 /// What share of their reservation tasks with a latency target are assumed to use,
 /// in thousandths.
 const SERVING_USE_PERMILLE: u64 = 550;
@@ -184,15 +181,18 @@
             let Some((image, _)) = run.serving() else {
                 continue;
             };
-            let slack =
-                run.tail.usual_slack() - PLACED_SLACK - self.wanted_slack(disturbance, image);
-            let slack_permille = (slack * 1_000.0).max(0.0) as u64;
-            match rooms.iter_mut().find(|room| room.image == *image) {
-                Some(room) => room.slack_permille = room.slack_permille.min(slack_permille),
-                None => rooms.push(ServingRoom {
-                    image: image.clone(),
-                    slack_permille,
-                }),
+            let slack = run.tail.mean_slack() - KEPT_SLACK - self.wanted_slack(disturbance, image);
+            let room = ServingRoom {
+                image: image.clone(),
+                slack_permille: permille(slack),
+                swing_permille: permille(run.tail.swing()),
+            };
+            match rooms.iter_mut().find(|known| known.image == room.image) {
+                Some(known) => {
+                    known.slack_permille = known.slack_permille.min(room.slack_permille);
+                    known.swing_permille = known.swing_permille.max(room.swing_permille);
+                }
+                None => rooms.push(room),
             }
         }
         rooms
@@ -274,3 +274,7 @@
         })
     }
 }
+
+fn permille(slack: f64) -> i64 {
+    (slack * 1_000.0) as i64
+}
--- /dev/null
+++ b/tests/features/filler_placement.rs
@@ -0,0 +1,150 @@
+//! Where fillers and tasks with a latency target are placed, without a network.
+
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+use turmericfold_fleet::WorkerSummary;
+use turmericfold_fleet::policy::disturbance::Disturbance;
+use turmericfold_fleet::policy::offer::Offer;
+use turmericfold_fleet::policy::placement::{Demand, choose};
+use turmericfold_fleet::{RunDetails, ServingRoom};
+use turmericfold_jobs::StepSpec;
+use turmericfold_tests::shared_workers::{Placement, SharedWorkers};
+use turmericfold_types::{InstanceName, Resources, ServiceName};
+
+/// Five workers for each of two images.
+fn workers() -> Vec<Option<&'static str>> {
+    [[Some("desk"); 5], [Some("watch"); 5]].concat()
+}
+
+/// `scan` disturbs desks, `index` watches, and `plain` nobody much.
+fn effects() -> BTreeMap<(&'static str, &'static str), f64> {
+    BTreeMap::from([
+        (("desk", "scan"), 12.0),
+        (("desk", "index"), 1.0),
+        (("desk", "plain"), 1.0),
+        (("watch", "scan"), 1.0),
+        (("watch", "index"), 12.0),
+        (("watch", "plain"), 1.0),
+    ])
+}
+
+/// The load wants three quarters of the 80 cores that the tasks with a latency target
+/// leave, and each filler has a place where it hardly disturbs.
+#[test]
+fn fillers_are_matched() {
+    let play = |placement| {
+        let shared = SharedWorkers::new(&workers(), effects());
+        shared.play(&["scan", "index", "plain"], 200, 40_000, placement)
+    };
+    let chosen = play(Placement::Chosen);
+    let first_fit = play(Placement::FirstFit);
+    assert!(
+        chosen.in_time_share >= 0.9,
+        "{chosen:?}, first fit {first_fit:?}"
+    );
+    assert!(chosen.over_target_share <= 0.01, "{chosen:?}");
+    assert!(
+        first_fit.in_time_share < 0.8,
+        "the baseline is {first_fit:?}"
+    );
+}
+
+fn offer(name: &str, free_millicores: u64, serving: &[&str]) -> Offer {
+    let room = |image: &&str| ServingRoom {
+        image: (*image).into(),
+        slack_permille: 1_800,
+        swing_permille: 900,
+    };
+    let cores = |cpu_millicores| Resources {
+        cpu_millicores,
+        ..Resources::default()
+    };
+    let summary = WorkerSummary {
+        worker: name.into(),
+        service: "rounds".into(),
+        capacity: cores(16_000),
+        free: cores(free_millicores),
+        spare_millicores: 8_000,
+        serving: serving.iter().map(room).collect(),
+        usable: true,
+        ..WorkerSummary::default()
+    };
+    Offer::new(summary, true)
+}
+
+fn desk_step() -> StepSpec {
+    StepSpec {
+        task_count: 4,
+        room: Resources {
+            cpu_millicores: 3_000,
+            ..Resources::default()
+        },
+        estimate_ms: 1_000,
+        after: Vec::new(),
+        checkpointing: false,
+        gang: false,
+        single_rack: false,
+        required_label: None,
+        data_rack: None,
+        max_per_worker: None,
+        copies_allowed: false,
+        long_running: true,
+        image: "desk".into(),
+        latency_target_ms: Some(24),
+        filler: false,
+        max_unavailable: None,
+    }
+}
+
+#[rstest]
+#[case("with its own job", &[("w-1", 1)], "w-1")]
+#[case("where the whole job fits, beside its image", &[], "w-2")]
+#[case("where the rest fits, not one that is full", &[("w-0", 3)], "w-0")]
+fn jobs_stay_together(#[case] what: &str, #[case] placed: &[(&str, u32)], #[case] expected: &str) {
+    let offers = [
+        offer("w-0", 3_000, &["desk"]),
+        offer("w-1", 9_000, &["watch"]),
+        offer("w-2", 13_000, &["desk"]),
+        offer("w-3", 16_000, &[]),
+        offer("w-4", 13_000, &["watch"]),
+    ];
+    let step = desk_step();
+    let service = ServiceName::from("rounds");
+    let placed = placed.iter().map(|(name, count)| ((*name).into(), *count));
+    let beside: BTreeMap<InstanceName, u32> = placed.collect();
+    let demand = Demand {
+        step: &step,
+        service: &service,
+        beside: &beside,
+        avoided: &[],
+    };
+    let chosen = choose(&Disturbance::default(), demand, &offers).map(|index| &offers[index]);
+    let chosen = chosen.map(|offer| offer.worker.worker.clone());
+    assert_eq!(chosen, Some(expected.into()), "{what}");
+}
+
+#[test]
+fn slack_is_used_up() {
+    let filler = StepSpec {
+        filler: true,
+        latency_target_ms: None,
+        long_running: false,
+        image: "scan".into(),
+        ..desk_step()
+    };
+    let mut offer = offer("w-0", 16_000, &["desk"]);
+    let disturbance = Disturbance::default();
+    let before = offer.speed_permille(&disturbance, &filler);
+    let details = RunDetails {
+        room: Resources::default(),
+        wanted_millicores: 9_000,
+        filler: true,
+        latency_target_ms: None,
+        image: "scan".into(),
+        due_ms: 0,
+    };
+    offer.disturb(&disturbance, &details);
+    let after = offer.speed_permille(&disturbance, &filler);
+    assert!(before > after, "{before} and then {after}");
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -15,6 +15,7 @@
 mod endpoint_faults;
 mod endpoint_health;
 mod faulty_files;
+mod filler_placement;
 mod fleet_jobs;
 mod fleet_ownership;
 mod fleet_policy;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod fleet_world;
 pub mod fuzz;
+pub mod shared_workers;
 pub mod site_store;
 pub mod world;
 
