Start gangs whole; keep doubtful starts that a later owner fenced

Now all members of a step get a place in one pass or none starts; they share one run number and one checkpoint, and start again only when no member of the last run is left. Where a member is refused the others are stopped at once. Where members on several racks are slower, a rack that holds all goes first.

A start without an answer may have begun; if a later owner of the worker had raised the token meanwhile, the second call was answered as fenced and the run reported as refused, so its job ordered another. start_doubts::fenced_after_doubt fails without the mend.

--- a/crates/turmericfold-fleet/src/client.rs
+++ b/crates/turmericfold-fleet/src/client.rs
@@ -56,8 +56,6 @@
     StoreUnavailable,
     /// The owner of the job is not known or not ready yet.
     OwnerUnavailable,
-    /// The job needs what this version does not offer.
-    Unsupported,
 }
 
 impl RefusalReason {
@@ -67,7 +65,6 @@
             Self::Overloaded => "overloaded",
             Self::StoreUnavailable => "store_unavailable",
             Self::OwnerUnavailable => "owner_unavailable",
-            Self::Unsupported => "unsupported",
         }
     }
 }
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod entry;
 mod evacuate;
+mod gang;
 mod journal;
 mod orders;
 mod owner;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -156,7 +156,7 @@
                 worker,
                 run,
                 outcome,
-            } => self.on_start_answer(context, &worker, run, outcome),
+            } => self.on_start_answer(context, &worker, run, outcome, out),
             PeerMessage::Ended {
                 worker,
                 worker_epoch,
@@ -327,6 +327,7 @@
         worker: &InstanceName,
         run: RunKey,
         outcome: StartOutcome,
+        out: &mut Outbox,
     ) {
         let known = self.orders.get_mut(&run);
         let Some(order) = known.filter(|order| order.worker == *worker) else {
@@ -347,6 +348,7 @@
                 if let Some(entry) = self.jobs.get_mut(&run.task.job) {
                     entry.job.refuse_run(run);
                 }
+                self.stop_gang(context, run, out);
                 self.may_start = true;
             }
         }
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -10,7 +10,6 @@
 use super::orders::Order;
 use super::owner::JobOwner;
 use super::recovery::details_of;
-use super::shard::Shard;
 use crate::context::Context;
 use crate::policy::disturbance::Disturbance;
 use crate::policy::offer::Offer;
@@ -73,27 +72,38 @@
         if !configuration.uses(&service) {
             return;
         }
-        let mut full_step = None;
-        for task in entry.job.startable() {
-            // The tasks of a step are alike: once one finds no room, none does.
-            if full_step == Some((task.occurrence, task.step)) {
+        let tasks = entry.job.startable();
+        let mut settled_step = None;
+        for task in tasks {
+            let step = Some((task.occurrence, task.step));
+            if settled_step == step {
                 continue;
             }
-            let chosen = self.choose_offer(workers.disturbance(), &service, task, offers);
-            let Some(chosen) = chosen else {
-                full_step = Some((task.occurrence, task.step));
+            let disturbance = workers.disturbance();
+            if self.is_gang(task) {
+                settled_step = step;
+                self.start_gang(context, disturbance, &service, task, offers, out);
+                continue;
+            }
+            let Some(chosen) = self.choose_offer(disturbance, &service, task, offers) else {
+                // The tasks of a step are alike: once one finds no room, none does.
+                settled_step = step;
                 continue;
             };
-            self.order(
-                context,
-                workers.disturbance(),
-                task,
-                &mut offers[chosen],
-                out,
-            );
+            if let Some(run) = self.next_run(task) {
+                self.order(context, disturbance, run, &mut offers[chosen], out);
+            }
         }
     }
 
+    /// Returns the next run of a task; the members of a gang share its number.
+    pub(super) fn next_run(&self, task: TaskKey) -> Option<RunKey> {
+        let shard = self.shards.get(&JobShard::of(task.job))?;
+        let entry = self.jobs.get(&task.job)?;
+        let number = entry.job.next_number(task, shard.number_floor());
+        Some(RunKey { task, number })
+    }
+
     fn choose_offer(
         &self,
         disturbance: &Disturbance,
@@ -118,14 +128,16 @@
         choose(disturbance, demand, offers)
     }
 
-    fn order(
+    /// Orders a run on an offered worker.
+    pub(super) fn order(
         &mut self,
         context: Context<'_>,
         disturbance: &Disturbance,
-        task: TaskKey,
+        run: RunKey,
         offer: &mut Offer,
         out: &mut Outbox,
     ) {
+        let task = run.task;
         let worker = offer.worker.worker.clone();
         let shard = self.shards.get(&JobShard::of(task.job));
         let unit = Unit::Worker(worker.clone());
@@ -133,7 +145,7 @@
         let (Some(shard), Some(owned)) = (shard, owned) else {
             return;
         };
-        let (authority, floor) = (shard.authority, Shard::number_floor(shard));
+        let authority = shard.authority;
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -142,12 +154,7 @@
         };
         let details = details_of(&entry.job, step);
         let filler_millicores = details.filler_millicores();
-        let number = entry.job.next_number(task, floor);
-        let run = RunKey { task, number };
-        let checkpoint = entry
-            .job
-            .task(task)
-            .and_then(|task| task.checkpoint.clone());
+        let checkpoint = entry.job.checkpoint(task);
         log::info!(
             job:% = task.job,
             run:% = run,
@@ -158,8 +165,7 @@
             resumes = checkpoint.is_some();
             "orders a run"
         );
-        offer.take(&details.room, filler_millicores);
-        offer.disturb(disturbance, &details);
+        offer.take_step(disturbance, step);
         entry.job.add_run(run, worker.clone());
         let order = Order {
             worker: worker.clone(),
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -279,3 +279,10 @@
     /// Whether it takes new runs.
     pub usable: bool,
 }
+
+impl WorkerSummary {
+    /// Returns the rack, if the worker names one; labels are its kind and its rack.
+    pub fn rack(&self) -> Option<&EcoString> {
+        self.labels.get(1)
+    }
+}
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -7,7 +7,6 @@
 use super::FleetNode;
 use crate::context::Context;
 use crate::jobs::Caller;
-use crate::policy::admission;
 use crate::{
     CallId, ClientAnswer, ClientRequest, JobShard, Moment, Outbox, PeerMessage, RefusalReason,
     Unit, keys,
@@ -79,15 +78,6 @@
         };
         match request {
             ClientRequest::Submit { queue, job, spec } => {
-                if let Some(reason) = admission::unsupported(&spec) {
-                    let retry_after_ms = OWNER_RETRY_AFTER_MS;
-                    let answer = ClientAnswer::Refused {
-                        reason,
-                        retry_after_ms,
-                    };
-                    caller.answer(answer, out);
-                    return;
-                }
                 let configuration = self.configuration.as_ref();
                 let settings = configuration
                     .and_then(|known| known.queues.get(&queue))
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -1,8 +1,8 @@
 //! Decisions of their own: order, placement, pacing and admission.
 
-pub mod admission;
 pub mod disturbance;
 pub mod evacuation;
+pub mod gang;
 pub mod offer;
 pub mod order;
 pub mod pacing;
--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -4,7 +4,7 @@
 use turmericfold_types::Resources;
 
 use crate::policy::disturbance::Disturbance;
-use crate::{RunDetails, ServingRoom, WorkerSummary};
+use crate::{ServingRoom, WorkerSummary};
 
 /// Where in its swing the slack of a task is looked at, as multiples of its mean
 /// deviation: five even steps through a sine.
@@ -36,14 +36,17 @@
         worker.spare_millicores = worker.spare_millicores.saturating_sub(used);
     }
 
-    /// Takes the slack that a filler will take.
-    pub fn disturb(&mut self, disturbance: &Disturbance, filler: &RunDetails) {
-        if !filler.filler {
+    /// Takes what a run of a step will take: room, or for a filler spare processor
+    /// time and slack.
+    pub fn take_step(&mut self, disturbance: &Disturbance, step: &StepSpec) {
+        if !step.filler {
+            self.take(&step.counted_room(), 0);
             return;
         }
-        let share = self.share(filler.wanted_millicores);
+        self.take(&step.counted_room(), step.room.cpu_millicores);
+        let share = self.share(step.room.cpu_millicores);
         for room in &mut self.worker.serving {
-            let taken = disturbance.effect(&room.image, &filler.image) * share;
+            let taken = disturbance.effect(&room.image, &step.image) * share;
             room.slack_permille -= (taken * 1_000.0) as i64;
         }
     }
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -191,9 +191,12 @@
                     self.set_paces(context, name, out);
                 }
             }
-            // An earlier call may have started it, and it has ended since.
-            (Ok(StartReply::Superseded), true) => run.phase = RunPhase::Running { since: now },
-            (Ok(StartReply::Fenced | StartReply::Superseded), _) | (Ok(_), false) => {
+            // An earlier call may have started it: it has ended since, or a later owner of
+            // the worker will list it.
+            (Ok(StartReply::Superseded | StartReply::Fenced), true) => {
+                run.phase = RunPhase::Running { since: now };
+            }
+            (Ok(_), false) => {
                 let refusal = refusal_of(&result);
                 log::info!(run:% = key, worker:% = name, reply:? = result; "the worker refused a run");
                 worker.runs.remove(&key);
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use ecow::EcoString;
 use serde::{Deserialize, Serialize};
 use turmericfold_types::InstanceName;
 
@@ -154,6 +155,38 @@
         step.tasks.get(usize::try_from(key.index).ok()?)
     }
 
+    /// Returns the checkpoint from which the next run of a task resumes, if there is
+    /// one; that of any member holds for a gang.
+    pub fn checkpoint(&self, key: TaskKey) -> Option<EcoString> {
+        let gang = self.step_spec(key).is_some_and(|spec| spec.gang);
+        if !gang {
+            return self.task(key)?.checkpoint.clone();
+        }
+        let step = self.step(key.occurrence, key.step)?;
+        step.tasks.iter().find_map(|task| task.checkpoint.clone())
+    }
+
+    /// Returns the other runs in progress of the gang that a run belongs to.
+    pub fn gang_runs(&self, run: RunKey) -> Vec<RunKey> {
+        let gang = self.step_spec(run.task).is_some_and(|spec| spec.gang);
+        let step = self.step(run.task.occurrence, run.task.step);
+        let Some(step) = step.filter(|_| gang) else {
+            return Vec::new();
+        };
+        let members = (0..).zip(&step.tasks).filter(|(_, task)| {
+            let mut active = task.active.iter();
+            active.any(|active| active.number == run.number)
+        });
+        let member = |(index, _): (u32, &Task)| RunKey {
+            task: TaskKey { index, ..run.task },
+            number: run.number,
+        };
+        members
+            .map(member)
+            .filter(|member| *member != run)
+            .collect()
+    }
+
     /// Returns a step of an occurrence, if it is open.
     pub fn step(&self, occurrence: u32, step: u32) -> Option<&Step> {
         let occurrence = self.occurrences.get(&occurrence)?;
@@ -201,7 +234,7 @@
         }
         for (number, occurrence) in &self.occurrences {
             for (step_number, step) in (0..).zip(&occurrence.steps) {
-                if step.waiting_count == 0 || !self.is_unlocked(occurrence, step_number) {
+                if !self.is_step_startable(occurrence, step_number, step) {
                     continue;
                 }
                 let waiting = (0..).zip(&step.tasks).filter(|(_, task)| task.is_waiting());
@@ -220,9 +253,7 @@
     pub fn has_startable(&self) -> bool {
         let startable = |occurrence: &Occurrence| {
             let mut steps = (0..).zip(&occurrence.steps);
-            steps.any(|(number, step)| {
-                step.waiting_count > 0 && self.is_unlocked(occurrence, number)
-            })
+            steps.any(|(number, step)| self.is_step_startable(occurrence, number, step))
         };
         !self.state().is_final() && self.occurrences.values().any(startable)
     }
@@ -338,6 +369,17 @@
             && self.occurrences.values().all(Occurrence::is_done)
     }
 
+    /// Returns whether tasks of a step may be started now; a gang starts as a whole.
+    fn is_step_startable(&self, occurrence: &Occurrence, number: u32, step: &Step) -> bool {
+        let index = usize::try_from(number).unwrap_or(usize::MAX);
+        let gang = self.record.spec.steps.get(index).is_some_and(|it| it.gang);
+        let waiting = match gang {
+            true => step.is_all_waiting(),
+            false => step.waiting_count > 0,
+        };
+        waiting && self.is_unlocked(occurrence, number)
+    }
+
     fn is_unlocked(&self, occurrence: &Occurrence, step: u32) -> bool {
         let step = usize::try_from(step).unwrap_or(usize::MAX);
         occurrence.is_unlocked(&self.record.spec, step)
--- a/crates/turmericfold-jobs/src/step.rs
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -28,6 +28,11 @@
         usize::try_from(self.done_count).is_ok_and(|done| done == self.tasks.len())
     }
 
+    /// Returns whether no task has a run, and none is done.
+    pub fn is_all_waiting(&self) -> bool {
+        usize::try_from(self.waiting_count).is_ok_and(|waiting| waiting == self.tasks.len())
+    }
+
     /// Counts the tasks anew after they were changed.
     pub(crate) fn recount(&mut self) {
         let count = |which: fn(&Task) -> bool, tasks: &[Task]| {
--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -112,6 +112,21 @@
         self.events = events;
     }
 
+    /// Ends the members here of a gang of which a member ended elsewhere.
+    pub fn break_gang(&mut self, member: RunKey) {
+        let of_gang = |run: &&RunKey| {
+            let task = TaskKey {
+                index: member.task.index,
+                ..run.task
+            };
+            task == member.task && run.number == member.number
+        };
+        let broken: Vec<RunKey> = self.running.keys().filter(of_gang).copied().collect();
+        for run in broken {
+            self.end(run, RunEnd::Broken);
+        }
+    }
+
     /// Lets time pass: work is done, and leases lapse.
     pub fn advance(&mut self, now: MonotonicMs) {
         let done: Vec<RunKey> = self
--- a/tests/features/filler_placement.rs
+++ b/tests/features/filler_placement.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 
 use rstest::rstest;
+use turmericfold_fleet::ServingRoom;
 use turmericfold_fleet::WorkerSummary;
 use turmericfold_fleet::policy::disturbance::Disturbance;
 use turmericfold_fleet::policy::offer::Offer;
 use turmericfold_fleet::policy::placement::{Demand, choose};
-use turmericfold_fleet::{RunDetails, ServingRoom};
 use turmericfold_jobs::StepSpec;
 use turmericfold_tests::shared_workers::{Placement, SharedWorkers};
 use turmericfold_types::{InstanceName, Resources, ServiceName};
@@ -136,15 +136,8 @@
     let mut offer = offer("w-0", 16_000, &["desk"]);
     let disturbance = Disturbance::default();
     let before = offer.speed_permille(&disturbance, &filler);
-    let details = RunDetails {
-        room: Resources::default(),
-        wanted_millicores: 9_000,
-        filler: true,
-        latency_target_ms: None,
-        image: "scan".into(),
-        due_ms: 0,
-    };
-    offer.disturb(&disturbance, &details);
+    offer.take_step(&disturbance, &filler);
+    offer.take_step(&disturbance, &filler);
     let after = offer.speed_permille(&disturbance, &filler);
     assert!(before > after, "{before} and then {after}");
 }
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -18,9 +18,9 @@
     CallId, CallerLimits, Configuration, Event, FleetNode, FleetSettings, Member, Moment, Outbox,
     ServiceSettings, WorkerCall, WorkerResult,
 };
-use turmericfold_jobs::{JobId, JobSpec, QueueName, QueueSettings};
+use turmericfold_jobs::{JobId, JobSpec, QueueName, QueueSettings, RunEnd, RunKey};
 use turmericfold_platform::{PlatformError, StoreCall, StoreVersion, WorkerEntry};
-use turmericfold_standin::{StoreModel, TaskTruth, TaskWorkerModel};
+use turmericfold_standin::{StoreModel, TaskTruth, TaskWorkerModel, WorkerEvent};
 use turmericfold_types::{
     FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
 };
@@ -393,6 +393,21 @@
         let events = worker.take_events();
         let full = !worker.used().fits_in(&worker.capacity());
         self.oracle.judge(self.now, name, &events, full);
+        for event in events {
+            if let WorkerEvent::Ended { run, end } = event
+                && end != RunEnd::Done
+                && self.oracle.is_gang(run)
+            {
+                self.break_gang(run);
+            }
+        }
+    }
+
+    /// Ends the other members of a gang; each worker tells the oracle at its next step.
+    fn break_gang(&mut self, member: RunKey) {
+        for worker in self.workers.values_mut() {
+            worker.break_gang(member);
+        }
     }
 
     /// Gives a node an event, and takes what it wants done.
--- a/tests/src/fleet_world/oracle.rs
+++ b/tests/src/fleet_world/oracle.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use turmericfold_jobs::{JobId, JobSpec, JobState, RunEnd, RunKey, TaskKey};
+use turmericfold_jobs::{JobId, JobSpec, JobState, RunEnd, RunKey, StepSpec, TaskKey};
 use turmericfold_standin::WorkerEvent;
 use turmericfold_types::{InstanceName, MonotonicMs};
 
@@ -10,6 +10,9 @@
 /// milliseconds.
 const CANCEL_MS: u64 = 3_000;
 
+/// How long the members of a gang wait for each other, in milliseconds.
+const GANG_TIMEOUT_MS: u64 = 3_000;
+
 /// How many runs of a task may fail.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -24,6 +27,8 @@
     TooEarly(RunKey),
     /// A run after the task had failed too often.
     TooManyFailures(RunKey),
+    /// A member of a gang waited in vain for the others, or worked without them.
+    GangApart(RunKey),
     /// A run of what nobody submitted.
     Unasked(RunKey),
     /// A run long after the cancellation was acknowledged.
@@ -49,11 +54,20 @@
     noted_failed: BTreeSet<RunKey>,
 }
 
+/// The members of a gang that have begun so far.
+#[derive(Debug)]
+struct GangStart {
+    since: MonotonicMs,
+    members: BTreeSet<u32>,
+}
+
 /// Judges what workers and callers see.
 #[derive(Debug, Default)]
 pub struct Oracle {
     specs: BTreeMap<JobId, JobSpec>,
     tasks: BTreeMap<TaskKey, TaskHistory>,
+    /// The gangs of which not all members have begun, by the run of the first.
+    gangs: BTreeMap<RunKey, GangStart>,
     cancelled: BTreeMap<JobId, MonotonicMs>,
     shown: BTreeMap<JobId, JobState>,
     violations: Vec<Violation>,
@@ -114,6 +128,7 @@
             self.violations
                 .push(Violation::OverCapacity(worker.clone()));
         }
+        self.judge_gangs(now);
         for event in events {
             match event {
                 WorkerEvent::Began { run } => self.begin(now, worker, *run),
@@ -129,8 +144,38 @@
         }
     }
 
+    /// Finds the gangs that have waited too long for a member.
+    fn judge_gangs(&mut self, now: MonotonicMs) {
+        let apart: Vec<RunKey> = self
+            .gangs
+            .iter()
+            .filter(|(_, start)| now.since_ms(start.since) > GANG_TIMEOUT_MS)
+            .map(|(run, _)| *run)
+            .collect();
+        for run in apart {
+            self.gangs.remove(&run);
+            self.violations.push(Violation::GangApart(run));
+        }
+    }
+
+    fn begin_member(&mut self, now: MonotonicMs, run: RunKey) {
+        let Some(step) = self.gang_step(run.task) else {
+            return;
+        };
+        let task_count = step.task_count;
+        let start = self.gangs.entry(first_member(run)).or_insert(GangStart {
+            since: now,
+            members: BTreeSet::new(),
+        });
+        start.members.insert(run.task.index);
+        if u32::try_from(start.members.len()) == Ok(task_count) {
+            self.gangs.remove(&first_member(run));
+        }
+    }
+
     fn begin(&mut self, now: MonotonicMs, worker: &InstanceName, run: RunKey) {
         self.runs_begun += 1;
+        self.begin_member(now, run);
         if !self.is_unlocked(run.task) {
             self.violations.push(Violation::TooEarly(run));
         }
@@ -154,6 +199,10 @@
     fn end(&mut self, run: RunKey, end: RunEnd) {
         let history = self.tasks.entry(run.task).or_default();
         history.running.remove(&run);
+        let alone = self.gangs.remove(&first_member(run)).is_some();
+        if alone && end == RunEnd::Done {
+            self.violations.push(Violation::GangApart(run));
+        }
         match end {
             RunEnd::Done => {
                 history.done.insert(run);
@@ -182,9 +231,28 @@
         })
     }
 
+    /// Returns whether a task is done; the end of one member stands for its gang.
     fn is_task_done(&self, task: TaskKey) -> bool {
-        let history = self.tasks.get(&task);
-        history.is_some_and(|history| !history.done.is_empty())
+        let members = self.gang_step(task).map_or(1, |step| step.task_count);
+        let first = match members {
+            1 => task.index,
+            _ => 0,
+        };
+        (first..first + members).any(|index| {
+            let history = self.tasks.get(&TaskKey { index, ..task });
+            history.is_some_and(|history| !history.done.is_empty())
+        })
+    }
+
+    fn gang_step(&self, task: TaskKey) -> Option<&StepSpec> {
+        let step = usize::try_from(task.step).ok()?;
+        let step = self.specs.get(&task.job)?.steps.get(step)?;
+        step.gang.then_some(step)
+    }
+
+    /// Returns whether a run is one of a gang's.
+    pub(super) fn is_gang(&self, run: RunKey) -> bool {
+        self.gang_step(run.task).is_some()
     }
 
     fn is_unlocked(&self, task: TaskKey) -> bool {
@@ -210,3 +278,12 @@
         })
     }
 }
+
+/// Returns the run of a gang's first member.
+fn first_member(run: RunKey) -> RunKey {
+    let task = TaskKey {
+        index: 0,
+        ..run.task
+    };
+    RunKey { task, ..run }
+}
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -10,7 +10,7 @@
 use turmericfold_fleet::policy::offer::Offer;
 use turmericfold_fleet::policy::pacing::{FillerTask, KEPT_SLACK, ServingTask, paces};
 use turmericfold_fleet::policy::placement::{Demand, choose};
-use turmericfold_fleet::{RunDetails, ServingRoom, WorkerSummary};
+use turmericfold_fleet::{ServingRoom, WorkerSummary};
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::{InstanceName, Resources, ServiceName};
 
@@ -162,8 +162,7 @@
                 self.waiting.push(filler);
                 continue;
             };
-            offers[chosen].take(&Resources::default(), FILLER_MILLICORES);
-            offers[chosen].disturb(&self.disturbance, &details(filler.image));
+            offers[chosen].take_step(&self.disturbance, &step(filler.image));
             self.workers[chosen].fillers.push(filler);
         }
     }
@@ -318,17 +317,6 @@
     choose(disturbance, demand, offers)
 }
 
-fn details(image: &str) -> RunDetails {
-    RunDetails {
-        room: Resources::default(),
-        wanted_millicores: FILLER_MILLICORES,
-        filler: true,
-        latency_target_ms: None,
-        image: image.into(),
-        due_ms: 0,
-    }
-}
-
 fn filler_task(filler: &Filler) -> FillerTask {
     FillerTask {
         image: filler.image.into(),
