--- a/crates/turmericfold-fleet/src/jobs/gang.rs
+++ b/crates/turmericfold-fleet/src/jobs/gang.rs
@@ -1,5 +1,7 @@
 //! Starts gangs: all tasks of a step at once, or none.
 
+use std::collections::BTreeMap;
+
 use turmericfold_jobs::{RunKey, TaskKey};
 use turmericfold_types::ServiceName;
 
@@ -75,7 +77,7 @@
         let demand = Demand {
             step,
             service,
-            beside: &std::collections::BTreeMap::new(),
+            beside: &BTreeMap::new(),
             avoided: &avoided,
         };
         place_gang(disturbance, demand, offers)
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -95,7 +95,7 @@
             self.open_occurrence(*number);
             for (step, kept) in &kept.steps {
                 if let Some(step) = self.step_mut(*number, *step) {
-                    restore_step(step, kept);
+                    step.restore(kept);
                 }
             }
         }
@@ -107,7 +107,7 @@
         let kept = |occurrence: &Occurrence| OccurrenceProgress {
             steps: (0..)
                 .zip(&occurrence.steps)
-                .map(|(number, step)| (number, kept_of_step(step)))
+                .map(|(number, step)| (number, step.progress()))
                 .filter(|(_, kept)| *kept != StepProgress::default())
                 .collect(),
         };
@@ -467,35 +467,3 @@
         number: active.number,
     }
 }
-
-fn kept_of_step(step: &Step) -> StepProgress {
-    if step.is_done() {
-        return StepProgress {
-            complete: true,
-            ..StepProgress::default()
-        };
-    }
-    let mut kept = StepProgress::default();
-    for (index, task) in (0..).zip(&step.tasks) {
-        if task.done {
-            kept.done.push(index);
-            continue;
-        }
-        if !task.failed_runs.is_empty() {
-            kept.failed_runs.insert(index, task.failed_runs.clone());
-        }
-        if let Some(checkpoint) = &task.checkpoint {
-            kept.checkpoints.insert(index, checkpoint.clone());
-        }
-    }
-    kept
-}
-
-fn restore_step(step: &mut Step, kept: &StepProgress) {
-    for (index, task) in (0..).zip(&mut step.tasks) {
-        task.done = kept.complete || kept.done.contains(&index);
-        task.failed_runs = kept.failed_runs.get(&index).cloned().unwrap_or_default();
-        task.checkpoint = kept.checkpoints.get(&index).cloned();
-    }
-    step.recount();
-}
--- a/crates/turmericfold-jobs/src/spec.rs
+++ b/crates/turmericfold-jobs/src/spec.rs
@@ -137,6 +137,28 @@
 }
 
 impl StepSpec {
+    /// Creates a step of tasks that end, without further demands.
+    pub fn new(task_count: u32, room: Resources, estimate_ms: u64) -> Self {
+        Self {
+            task_count,
+            room,
+            estimate_ms,
+            after: Vec::new(),
+            checkpointing: false,
+            gang: false,
+            single_rack: false,
+            required_label: None,
+            data_rack: None,
+            max_per_worker: None,
+            copies_allowed: false,
+            long_running: false,
+            image: EcoString::new(),
+            latency_target_ms: None,
+            filler: false,
+            max_unavailable: None,
+        }
+    }
+
     /// Returns what a task is counted with against its worker's capacity.
     ///
     /// A filler takes memory but only spare processor time.
--- a/crates/turmericfold-jobs/src/step.rs
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -1,6 +1,6 @@
 //! The state of one step of one occurrence.
 
-use crate::Task;
+use crate::{StepProgress, Task};
 
 /// The state of one step of one occurrence.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -33,6 +33,38 @@
         usize::try_from(self.waiting_count).is_ok_and(|waiting| waiting == self.tasks.len())
     }
 
+    /// Returns the progress to be kept.
+    pub(crate) fn progress(&self) -> StepProgress {
+        let mut kept = StepProgress::default();
+        if self.is_done() {
+            kept.complete = true;
+            return kept;
+        }
+        for (index, task) in (0..).zip(&self.tasks) {
+            if task.done {
+                kept.done.push(index);
+                continue;
+            }
+            if !task.failed_runs.is_empty() {
+                kept.failed_runs.insert(index, task.failed_runs.clone());
+            }
+            if let Some(checkpoint) = &task.checkpoint {
+                kept.checkpoints.insert(index, checkpoint.clone());
+            }
+        }
+        kept
+    }
+
+    /// Sets the progress that was kept.
+    pub(crate) fn restore(&mut self, kept: &StepProgress) {
+        for (index, task) in (0..).zip(&mut self.tasks) {
+            task.done = kept.complete || kept.done.contains(&index);
+            task.failed_runs = kept.failed_runs.get(&index).cloned().unwrap_or_default();
+            task.checkpoint = kept.checkpoints.get(&index).cloned();
+        }
+        self.recount();
+    }
+
     /// Counts the tasks anew after they were changed.
     pub(crate) fn recount(&mut self) {
         let count = |which: fn(&Task) -> bool, tasks: &[Task]| {
--- a/tests/features/filler_placement.rs
+++ b/tests/features/filler_placement.rs
@@ -75,25 +75,17 @@
 
 fn desk_step() -> StepSpec {
     StepSpec {
-        task_count: 4,
-        room: Resources {
-            cpu_millicores: 3_000,
-            ..Resources::default()
-        },
-        estimate_ms: 1_000,
-        after: Vec::new(),
-        checkpointing: false,
-        gang: false,
-        single_rack: false,
-        required_label: None,
-        data_rack: None,
-        max_per_worker: None,
-        copies_allowed: false,
         long_running: true,
         image: "desk".into(),
         latency_target_ms: Some(24),
-        filler: false,
-        max_unavailable: None,
+        ..StepSpec::new(
+            4,
+            Resources {
+                cpu_millicores: 3_000,
+                ..Resources::default()
+            },
+            1_000,
+        )
     }
 }
 
--- a/tests/features/fleet_jobs.rs
+++ b/tests/features/fleet_jobs.rs
@@ -20,22 +20,9 @@
 
 fn step(task_count: u32, after: Vec<u32>) -> StepSpec {
     StepSpec {
-        task_count,
-        room: Resources::new(1_500, 1 << 30),
-        estimate_ms: 600,
         after,
-        checkpointing: false,
-        gang: false,
-        single_rack: false,
-        required_label: None,
-        data_rack: None,
-        max_per_worker: None,
-        copies_allowed: false,
-        long_running: false,
         image: "report".into(),
-        latency_target_ms: None,
-        filler: false,
-        max_unavailable: None,
+        ..StepSpec::new(task_count, Resources::new(1_500, 1 << 30), 600)
     }
 }
 
--- a/tests/features/fleet_takeover.rs
+++ b/tests/features/fleet_takeover.rs
@@ -28,22 +28,8 @@
     JobSpec {
         payload: "visit".into(),
         steps: vec![StepSpec {
-            task_count: 1,
-            room: Resources::new(1_000, 1 << 30),
-            estimate_ms: 300,
-            after: Vec::new(),
-            checkpointing: false,
-            gang: false,
-            single_rack: false,
-            required_label: None,
-            data_rack: None,
-            max_per_worker: None,
-            copies_allowed: false,
-            long_running: false,
             image: "report".into(),
-            latency_target_ms: None,
-            filler: false,
-            max_unavailable: None,
+            ..StepSpec::new(1, Resources::new(1_000, 1 << 30), 300)
         }],
         recurrence: None,
     }
--- a/tests/features/gangs.rs
+++ b/tests/features/gangs.rs
@@ -26,22 +26,10 @@
 
 fn gang(task_count: u32) -> StepSpec {
     StepSpec {
-        task_count,
-        room: member_room(),
-        estimate_ms: 600,
-        after: Vec::new(),
-        checkpointing: false,
         gang: true,
         single_rack: true,
-        required_label: None,
-        data_rack: None,
-        max_per_worker: None,
-        copies_allowed: false,
-        long_running: false,
         image: "report".into(),
-        latency_target_ms: None,
-        filler: false,
-        max_unavailable: None,
+        ..StepSpec::new(task_count, member_room(), 600)
     }
 }
 
--- a/tests/features/recurring_jobs.rs
+++ b/tests/features/recurring_jobs.rs
@@ -12,22 +12,9 @@
 
 fn step(after: Vec<u32>) -> StepSpec {
     StepSpec {
-        task_count: TASKS,
-        room: Resources::new(1_000, 1 << 30),
-        estimate_ms: 900,
         after,
-        checkpointing: false,
-        gang: false,
-        single_rack: false,
-        required_label: None,
-        data_rack: None,
-        max_per_worker: None,
-        copies_allowed: false,
-        long_running: false,
         image: "report".into(),
-        latency_target_ms: None,
-        filler: false,
-        max_unavailable: None,
+        ..StepSpec::new(TASKS, Resources::new(1_000, 1 << 30), 900)
     }
 }
 
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -282,25 +282,16 @@
 
 fn step(image: &str) -> StepSpec {
     StepSpec {
-        task_count: 1,
-        room: Resources {
-            cpu_millicores: FILLER_MILLICORES,
-            ..Resources::default()
-        },
-        estimate_ms: FILLER_MS,
-        after: Vec::new(),
-        checkpointing: false,
-        gang: false,
-        single_rack: false,
-        required_label: None,
-        data_rack: None,
-        max_per_worker: None,
-        copies_allowed: false,
-        long_running: false,
         image: image.into(),
-        latency_target_ms: None,
         filler: true,
-        max_unavailable: None,
+        ..StepSpec::new(
+            1,
+            Resources {
+                cpu_millicores: FILLER_MILLICORES,
+                ..Resources::default()
+            },
+            FILLER_MS,
+        )
     }
 }
 
