Read the change once more: a wrong module line, a misleading name, a dead count

Cause: the policy module still named admission, which is gone; siblings_count held a flag, not a count; the model of shared workers counted finished fillers and never read it.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -113,8 +113,8 @@
     ) -> Option<usize> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step_spec(task)?;
-        let siblings_count = step.max_per_worker.is_some() || step.latency_target_ms.is_some();
-        let beside = match siblings_count {
+        let counts_siblings = step.max_per_worker.is_some() || step.latency_target_ms.is_some();
+        let beside = match counts_siblings {
             true => count_beside(entry, task),
             false => BTreeMap::new(),
         };
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -1,4 +1,4 @@
-//! Decisions of their own: order, placement, pacing and admission.
+//! Decisions of their own: order, placement, gangs, pacing and evacuation.
 
 pub mod disturbance;
 pub mod evacuation;
--- a/tests/features/filler_placement.rs
+++ b/tests/features/filler_placement.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeMap;
 
 use rstest::rstest;
-use turmericfold_fleet::ServingRoom;
-use turmericfold_fleet::WorkerSummary;
 use turmericfold_fleet::policy::disturbance::Disturbance;
 use turmericfold_fleet::policy::offer::Offer;
 use turmericfold_fleet::policy::placement::{Demand, choose};
+use turmericfold_fleet::{ServingRoom, WorkerSummary};
 use turmericfold_jobs::StepSpec;
 use turmericfold_tests::shared_workers::{Placement, SharedWorkers};
 use turmericfold_types::{InstanceName, Resources, ServiceName};
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -77,7 +77,6 @@
     workers: Vec<SharedWorker>,
     waiting: Vec<Filler>,
     now_ms: u64,
-    done: usize,
     in_time: usize,
     looks: usize,
     over_target: usize,
@@ -102,7 +101,6 @@
             workers: serving.iter().enumerate().map(worker).collect(),
             waiting: Vec::new(),
             now_ms: 0,
-            done: 0,
             in_time: 0,
             looks: 0,
             over_target: 0,
@@ -241,7 +239,6 @@
                 .into_iter()
                 .partition(|filler| filler.left_ms <= 0.0);
             worker.fillers = left;
-            self.done += done.len();
             let in_time = |filler: &&Filler| end_ms - filler.arrived_ms <= 2 * FILLER_MS;
             self.in_time += done.iter().filter(in_time).count();
         }
