Log on what evidence a run counts as over

Cause: the logs of the incident show that a task was started again after an end as Lapsed, but not what showed the owner of the worker that the run was over (an expired lease, a list without the run, a worker that left or was replaced), nor that a job owner ended a run because a report lacked it or its worker had no owner. The three hypotheses could be told apart only by lines near it. Change: an end has a typed evidence, which its log line names with the epoch and the time since the worker's last answer. The two inferences of a job owner have a line each. A worker that lists another end than was reported, and a run that completes its task after a later run was ordered, are warnings; the last is the line to search for a task that ran twice.

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -267,6 +267,7 @@
                 run:% = run,
                 worker:% = worker,
                 end:? = end.ended.end,
+                listed = end.listed,
                 ran_ms = end.ran_ms,
                 ordered_ago_ms = context.moment.since_ms(tracked.tracked_since);
                 "job owner received the end of a run"
@@ -276,6 +277,14 @@
             let failed_on = entry.failed_on.entry(run.task).or_default();
             failed_on.push(worker.clone());
         }
+        if entry.job.is_late_completion(&end.ended) {
+            log::warn!(
+                job:% = run.task.job,
+                run:% = run,
+                worker:% = worker;
+                "run has completed its task, but a later run was ordered already; the task may run twice"
+            );
+        }
         let change = entry.job.end_run(&end.ended);
         // A repeated end may belong to a change that is still being written.
         let is_unrecorded = change.must_persist || entry.is_writing || entry.dirty_since.is_some();
@@ -412,6 +421,7 @@
             self.send_stop(context, &worker, run, out);
         }
         for (run, worker) in without_owner {
+            log::info!(run:% = run, worker:% = worker; "worker of a run has no owner any more; the run counts as lapsed");
             self.end_as_expired(context, &worker, run, out);
         }
     }
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -339,6 +339,12 @@
             }
         }
         for run in unknown {
+            log::info!(
+                run:% = run,
+                worker:% = report.worker,
+                epoch = report.worker_epoch.0;
+                "run is missing in the report of its worker's new owner; it counts as lapsed"
+            );
             self.end_as_expired(context, &report.worker, run, out);
         }
     }
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -3,6 +3,7 @@
 use turmericfold_jobs::{EndedRun, RunEnd, RunKey};
 use turmericfold_types::InstanceName;
 
+use super::evidence::EndEvidence;
 use super::owner::WorkerOwner;
 use super::worker::{TrackedEnd, Worker};
 use crate::context::Context;
@@ -23,14 +24,12 @@
 impl WorkerOwner {
     /// Moves a run of a worker to the worker's ends, and reports the end to the owner of the
     /// run's job.
-    ///
-    /// `end_number` is its number in the worker's list, if the worker has listed it.
     pub(super) fn end_run(
         &mut self,
         context: Context<'_>,
         name: &InstanceName,
         ended: EndedRun,
-        end_number: Option<u64>,
+        evidence: EndEvidence,
         out: &mut Outbox,
     ) {
         let Some(worker) = self.worker_mut(name) else {
@@ -39,17 +38,31 @@
         let key = ended.run;
         let worker_epoch = worker.epoch;
         let run = worker.runs.remove(&key);
+        let end_number = evidence.end_number();
         if let Some(tracked) = worker.ends.get_mut(&key) {
+            if end_number.is_some() && ended.end != tracked.end.ended.end {
+                log::warn!(
+                    run:% = key,
+                    worker:% = name,
+                    reported:? = tracked.end.ended.end,
+                    listed:? = ended.end;
+                    "worker lists another end than its owner has reported; the reported end stands"
+                );
+            }
             tracked.end_number = tracked.end_number.or(end_number);
             tracked.end.listed |= end_number.is_some();
             return;
         }
         let ran_ms = run.map_or(0, |run| context.moment.since_ms(run.known_since));
+        let last_answer_at = worker.last_answer_at;
         log::info!(
             run:% = key,
             worker:% = name,
+            epoch = worker_epoch.0,
             end:? = ended.end,
+            evidence:? = evidence,
             ran_ms = ran_ms,
+            silent_ms = last_answer_at.map_or(0, |at| context.moment.since_ms(at)),
             listed = end_number.is_some();
             "run has ended; reporting the end to the owner of its job"
         );
@@ -86,7 +99,7 @@
     ) {
         let worker = self.worker(name).filter(|worker| has_left(worker));
         if worker.is_some_and(|worker| !worker.runs.is_empty()) && context.has_valid_registration {
-            self.end_all(context, name, out);
+            self.end_all(context, name, EndEvidence::WorkerLeft, out);
         }
     }
 
@@ -110,15 +123,23 @@
         }
         log::warn!(
             worker:% = name,
+            epoch = worker.epoch.0,
+            registered = worker.registered,
             runs = worker.runs.len(),
             silent_ms = worker.last_answer_at.map_or(0, |at| context.moment.since_ms(at));
             "lease of an unresponsive worker has expired; ending its runs"
         );
-        self.end_all(context, name, out);
+        self.end_all(context, name, EndEvidence::LeaseExpired, out);
     }
 
     /// Ends all runs of a worker that certainly has none in progress any more.
-    pub(super) fn end_all(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
+    pub(super) fn end_all(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        evidence: EndEvidence,
+        out: &mut Outbox,
+    ) {
         let Some(worker) = self.worker(name) else {
             return;
         };
@@ -133,7 +154,7 @@
             .collect();
         for ended in ended {
             self.bar(context, name, ended.run);
-            self.end_run(context, name, ended, None, out);
+            self.end_run(context, name, ended, evidence, out);
         }
     }
 
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod ends;
+mod evidence;
 mod order;
 mod owner;
 mod pace;
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -7,6 +7,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs};
 
 use super::clock::WorkerClock;
+use super::evidence::EndEvidence;
 use super::owner::{WorkerOwner, advance_acknowledged, keys_where};
 use super::run::{Run, RunPhase};
 use super::worker::{Poll, Worker};
@@ -108,7 +109,7 @@
             Ok(PollReply::OtherWorker) => {
                 worker.next_poll_at = context.moment + FENCED_RETRY_MS;
                 log::warn!(worker:% = name, address = worker.entry.address.as_str(); "another worker answers at this address; ending all runs of the expected worker");
-                self.end_all(context, name, out);
+                self.end_all(context, name, EndEvidence::WorkerReplaced, out);
             }
             Err(error) => {
                 worker.unanswered_polls += 1;
@@ -193,7 +194,10 @@
                 end: listed.end,
                 checkpoint: listed.checkpoint,
             };
-            self.end_run(context, name, ended, Some(listed.end_number), out);
+            let evidence = EndEvidence::Listed {
+                end_number: listed.end_number,
+            };
+            self.end_run(context, name, ended, evidence, out);
         }
     }
 
@@ -231,7 +235,7 @@
                 end,
                 checkpoint: known.and_then(|run| run.checkpoint.clone()),
             };
-            self.end_run(context, name, ended, None, out);
+            self.end_run(context, name, ended, EndEvidence::Unlisted, out);
         }
     }
 }
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -333,6 +333,14 @@
         self.update_task(run.task, |task| task.remove_run(run.number));
     }
 
+    /// Returns whether a run has completed its task after a later run of the task was
+    /// ordered.
+    pub fn is_late_completion(&self, ended: &EndedRun) -> bool {
+        let task = self.task(ended.run.task);
+        let is_superseded = task.is_some_and(|task| task.last_number > ended.run.number);
+        ended.end == RunEnd::Done && is_superseded
+    }
+
     /// Records the end of a run.
     ///
     /// A run whose end is recorded more than once counts once.
