Add the test of a silent worker whose run has ended as done, which fails

What callers saw: a task that must run once ran twice. Evidence: silent_workers::done_runs_once fails in all 8 cases with AgainAfterDone. No node reaches the worker for 7 or 9 s, beyond the lease of 5 s; a run ends as done meanwhile, and the task starts again on another worker. Why it was not seen: the oracle counted a completion only once the end was acknowledged to the worker, so a second run that started before passed. It now counts each completion that the worker still lists or that was acknowledged; only a restart of the worker loses one.

--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -46,6 +46,11 @@
         /// The run.
         run: RunKey,
     },
+    /// The end of a run was lost in a restart before it was acknowledged.
+    EndLost {
+        /// The run.
+        run: RunKey,
+    },
 }
 
 /// A worker that runs tasks of jobs under one lease.
@@ -110,6 +115,9 @@
             let (run, end) = (*run, RunEnd::Lapsed);
             self.events.push(WorkerEvent::Ended { run, end });
         }
+        for ended in &self.finished {
+            self.events.push(WorkerEvent::EndLost { run: ended.run });
+        }
         let events = self.take_events();
         *self = Self::new(self.capacity, now);
         self.events = events;
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -33,6 +33,7 @@
 mod retries;
 mod rollout_changes;
 mod scheduling;
+mod silent_workers;
 mod site_adapter;
 mod start_doubts;
 mod whole_path;
