Let an end that the worker lists replace one that its owner inferred

What callers saw: a task that must run once could run twice. Cause: the owner of a worker that had inferred the end Lapsed kept it when the worker later listed the run as done, marked it as listed, and acknowledged the worker's end once the inferred one was recorded. The completion was lost for ever, and the task ran again. The owner of the job, too, passed over a listed end while an inferred one of the same run was being written. Change: a listed end replaces an inferred one on both sides. Inferred ends are confirmed by a message of their own, so that a confirmation in transit is not taken for that of the listed end.

--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -7,18 +7,33 @@
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::caller::Caller;
+use crate::ReportedEnd;
 
-/// An end of a run that is not recorded in the store yet.
+/// An end of a run that was reported to the owner of its job.
 ///
-/// Once it is recorded, the process that reported it is notified.
+/// Once it is recorded in the store, the process that reported it is notified.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct UnrecordedEnd {
+pub(crate) struct ReceivedEnd {
     /// The process that reported the end.
     pub(crate) from: ProcessId,
     /// The worker.
     pub(crate) worker: InstanceName,
     /// The run.
     pub(crate) run: RunKey,
+    /// Whether the worker listed the end; otherwise its owner inferred it.
+    pub(crate) listed: bool,
+}
+
+impl ReceivedEnd {
+    /// Creates the entry of an end on `worker` that `from` reported.
+    pub(crate) fn new(from: &ProcessId, worker: &InstanceName, end: &ReportedEnd) -> Self {
+        Self {
+            from: from.clone(),
+            worker: worker.clone(),
+            run: end.ended.run,
+            listed: end.listed,
+        }
+    }
 }
 
 /// A job with the state that its owner keeps about it.
@@ -48,7 +63,7 @@
     /// The workers on which runs have failed, by task.
     pub(crate) failed_on: BTreeMap<TaskKey, Vec<InstanceName>>,
     /// The ends that will be recorded with the next write of the progress.
-    pub(crate) unrecorded_ends: Vec<UnrecordedEnd>,
+    pub(crate) unrecorded_ends: Vec<ReceivedEnd>,
     /// The callers that wait for the job to be stored.
     pub(crate) submit_callers: Vec<Caller>,
     /// The callers that wait for the cancellation to be stored.
@@ -93,6 +108,15 @@
         }
     }
 
+    /// Returns whether an end is being recorded already; one that the worker listed still
+    /// counts after one that was inferred.
+    pub(crate) fn is_repeated(&self, end: &ReportedEnd) -> bool {
+        let is_same = |received: &ReceivedEnd| {
+            received.run == end.ended.run && (received.listed || !end.listed)
+        };
+        self.unrecorded_ends.iter().any(is_same)
+    }
+
     /// Marks the progress as different from the stored progress.
     pub(crate) fn mark_dirty(&mut self, now: MonotonicMs) {
         self.dirty_since.get_or_insert(now);
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -8,10 +8,10 @@
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::fleet_resources::FleetResources;
-use super::job_entry::{JobEntry, UnrecordedEnd};
+use super::job_entry::{JobEntry, ReceivedEnd};
 use super::shard::Shard;
 use super::tracked_runs::TrackedRuns;
-use super::write_queue::WriteQueue;
+use super::write_queue::{WriteQueue, send_ends_recorded};
 use crate::context::Context;
 use crate::ownership::Owned;
 use crate::workers::WorkerOwner;
@@ -227,16 +227,10 @@
         let mut recorded = Vec::new();
         for end in ends {
             if self.record_end(context, from, worker, end, out) {
-                recorded.push(end.ended.run);
+                recorded.push(ReceivedEnd::new(from, worker, end));
             }
         }
-        if !recorded.is_empty() {
-            let message = PeerMessage::EndsRecorded {
-                worker: worker.clone(),
-                runs: recorded,
-            };
-            out.send(from, message);
-        }
+        send_ends_recorded(recorded, out);
     }
 
     /// Handles the end of a run.
@@ -263,7 +257,7 @@
         let Some(entry) = self.jobs.get_mut(&run.task.job) else {
             return true;
         };
-        if entry.unrecorded_ends.iter().any(|open| open.run == run) {
+        if entry.is_repeated(end) {
             return false;
         }
         if let Some(tracked) = tracked {
@@ -295,11 +289,9 @@
         let is_unrecorded = change.must_persist || entry.is_writing || entry.dirty_since.is_some();
         if is_unrecorded {
             self.write_queue.enqueue_progress(run.task.job);
-            entry.unrecorded_ends.push(UnrecordedEnd {
-                from: from.clone(),
-                worker: worker.clone(),
-                run,
-            });
+            entry
+                .unrecorded_ends
+                .push(ReceivedEnd::new(from, worker, end));
             entry.mark_dirty(context.moment.now);
         }
         self.stop_runs(context, &change.stop, out);
--- a/crates/turmericfold-fleet/src/jobs/write_queue.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_queue.rs
@@ -12,7 +12,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::caller::Caller;
-use super::job_entry::{JobEntry, UnrecordedEnd};
+use super::job_entry::{JobEntry, ReceivedEnd};
 use super::owner::JobOwner;
 use crate::{Authority, CallId, CallerAnswer, JobShard, Moment, Outbox, PeerMessage, Unit, keys};
 
@@ -59,7 +59,7 @@
     /// Once it is stored, the ends are recorded and the callers get their answers.
     Progress {
         state: JobState,
-        ends: Vec<UnrecordedEnd>,
+        ends: Vec<ReceivedEnd>,
         cancel_callers: Vec<Caller>,
     },
     /// Removes a job whose retention has ended.
@@ -504,13 +504,18 @@
     Some(found.stored.as_ref().map(|stored| stored.version))
 }
 
-fn send_ends_recorded(ends: Vec<UnrecordedEnd>, out: &mut Outbox) {
-    let mut by_worker: BTreeMap<(ProcessId, InstanceName), Vec<RunKey>> = BTreeMap::new();
+/// Confirms recorded ends to the processes that reported them.
+pub(super) fn send_ends_recorded(ends: Vec<ReceivedEnd>, out: &mut Outbox) {
+    let mut by_worker: BTreeMap<(ProcessId, InstanceName, bool), Vec<RunKey>> = BTreeMap::new();
     for end in ends {
-        let runs = by_worker.entry((end.from, end.worker)).or_default();
-        runs.push(end.run);
+        let key = (end.from, end.worker, end.listed);
+        by_worker.entry(key).or_default().push(end.run);
     }
-    for ((process, worker), runs) in by_worker {
-        out.send(&process, PeerMessage::EndsRecorded { worker, runs });
+    for ((process, worker, listed), runs) in by_worker {
+        let message = match listed {
+            true => PeerMessage::EndsRecorded { worker, runs },
+            false => PeerMessage::InferredEndsRecorded { worker, runs },
+        };
+        out.send(&process, message);
     }
 }
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -47,7 +47,8 @@
         /// The ends.
         ends: Vec<ReportedEnd>,
     },
-    /// Reports that ends are recorded in the store and need not be reported again.
+    /// Reports that ends that the worker listed are recorded in the store and need not be
+    /// reported again.
     #[serde(rename = "Noted")]
     EndsRecorded {
         /// The worker.
@@ -123,6 +124,14 @@
         /// The ends to assume for the runs whose outcome does not matter.
         ends: Vec<ReportedEnd>,
     },
+    /// Reports that ends that were only inferred are recorded; an end that the worker lists
+    /// must still be reported.
+    InferredEndsRecorded {
+        /// The worker.
+        worker: InstanceName,
+        /// The runs whose inferred ends are recorded.
+        runs: Vec<RunKey>,
+    },
 }
 
 /// The proof that the sender of a message owns the jobs of a shard.
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -4,7 +4,7 @@
 use turmericfold_types::InstanceName;
 
 use super::evidence::EndEvidence;
-use super::owner::WorkerOwner;
+use super::owner::{WorkerOwner, advance_acknowledged};
 use super::worker::{TrackedEnd, Worker};
 use crate::context::Context;
 use crate::{Moment, Outbox, PeerMessage, ReportedEnd};
@@ -35,21 +35,23 @@
         let worker_epoch = worker.epoch;
         let run = worker.runs.remove(&key);
         let end_number = evidence.end_number();
+        let mut ran_ms = run.map_or(0, |run| context.moment.since_ms(run.known_since));
         if let Some(tracked) = worker.ends.get_mut(&key) {
-            if end_number.is_some() && ended.end != tracked.end.ended.end {
+            if end_number.is_none() || tracked.end.listed {
+                tracked.end_number = tracked.end_number.or(end_number);
+                return;
+            }
+            if tracked.end.ended.end != ended.end {
                 log::warn!(
                     run:% = key,
                     worker:% = name,
-                    reported:? = tracked.end.ended.end,
+                    inferred:? = tracked.end.ended.end,
                     listed:? = ended.end;
-                    "worker lists another end than its owner has reported; the reported end stands"
+                    "worker lists another end than its owner inferred; reporting the listed end"
                 );
             }
-            tracked.end_number = tracked.end_number.or(end_number);
-            tracked.end.listed |= end_number.is_some();
-            return;
+            ran_ms = tracked.end.ran_ms;
         }
-        let ran_ms = run.map_or(0, |run| context.moment.since_ms(run.known_since));
         let last_answer_at = worker.last_answer_at;
         log::info!(
             run:% = key,
@@ -86,6 +88,45 @@
         }
     }
 
+    /// Handles that the owner of jobs has recorded ends that the worker listed.
+    pub(super) fn on_ends_recorded(&mut self, name: &InstanceName, runs: &[RunKey]) {
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        for run in runs {
+            if let Some(tracked) = worker.ends.get_mut(run) {
+                tracked.is_recorded = true;
+            }
+        }
+        advance_acknowledged(worker);
+    }
+
+    /// Handles that the owner of jobs has recorded inferred ends, also those of runs of which
+    /// it was told only that their lease has expired.
+    pub(super) fn on_inferred_ends_recorded(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        runs: &[RunKey],
+    ) {
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let mut expired = Vec::new();
+        for run in runs {
+            if let Some(tracked) = worker.ends.get_mut(run) {
+                tracked.is_recorded |= !tracked.end.listed;
+            }
+            if worker.expiry_reported_at.is_some() && worker.runs.remove(run).is_some() {
+                expired.push(*run);
+            }
+        }
+        advance_acknowledged(worker);
+        for run in expired {
+            self.bar(context, name, run);
+        }
+    }
+
     /// Ends the runs of a worker that has left as announced.
     pub(super) fn end_departed(
         &mut self,
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -145,7 +145,10 @@
                 run,
             } => self.on_stop(context, from, authority, &worker, run, out),
             PeerMessage::EndsRecorded { worker, runs } => {
-                self.on_ends_recorded(context, &worker, &runs);
+                self.on_ends_recorded(&worker, &runs);
+            }
+            PeerMessage::InferredEndsRecorded { worker, runs } => {
+                self.on_inferred_ends_recorded(context, &worker, &runs);
             }
             PeerMessage::RunDetails {
                 worker,
@@ -237,25 +240,6 @@
         *known = (*known).max(authority.epoch);
     }
 
-    fn on_ends_recorded(&mut self, context: Context<'_>, name: &InstanceName, runs: &[RunKey]) {
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        let mut expired = Vec::new();
-        for run in runs {
-            if let Some(tracked) = worker.ends.get_mut(run) {
-                tracked.is_recorded = true;
-            }
-            if worker.expiry_reported_at.is_some() && worker.runs.remove(run).is_some() {
-                expired.push(*run);
-            }
-        }
-        advance_acknowledged(worker);
-        for run in expired {
-            self.bar(context, name, run);
-        }
-    }
-
     fn on_run_details(&mut self, name: &InstanceName, run: RunKey, details: RunDetails) {
         let run = self
             .workers
--- a/tests/features/silent_workers.rs
+++ b/tests/features/silent_workers.rs
@@ -72,6 +72,17 @@
     plan
 }
 
+/// Adds to a plan that no node reaches another for a while.
+fn with_cut_peers(mut plan: FaultPlan, at_ms: u64, for_ms: u64) -> FaultPlan {
+    for one in 0..NODES {
+        for other in 0..one {
+            let cut = FaultKind::CutPeers { one, other, for_ms };
+            plan = plan.with_fault(at_ms, cut);
+        }
+    }
+    plan
+}
+
 /// Creates a fleet that has started its jobs when the workers become silent.
 fn silent_fleet(seed: u64, plan: FaultPlan, spec: &JobSpec, work_ms: Option<u64>) -> FleetWorld {
     let mut world = FleetWorld::new(seed, NODES, WORKERS).with_plan(plan);
@@ -112,6 +123,17 @@
     assert_all_completed(&mut world);
 }
 
+/// Guards against a done run that counts as lapsed as its owner has inferred that before.
+#[rstest]
+fn done_replaces_lapse(#[values(1, 2, 3)] seed: u64) {
+    let silent_ms = LEASE_MS + MAX_OUTCOME_WAIT_MS + 2_000;
+    let cut_at_ms = SILENT_AT_MS + silent_ms - 3_000;
+    let plan = with_cut_peers(silence(WORKERS, silent_ms), cut_at_ms, 5_000);
+    let mut world = silent_fleet(seed, plan, &finite_job(), Some(WORK_MS));
+    world.run_for(silent_ms + FINISH_MS);
+    assert_all_completed(&mut world);
+}
+
 /// Guards against a task that waits for ever for the outcome of a run on a lost worker.
 #[rstest]
 fn lost_worker_frees_tasks(#[values(1, 2)] seed: u64, #[values(false, true)] unregistered: bool) {
