Split the write queue of jobs into queue, drafts and outcomes

Change: write_queue.rs keeps the queue, write_draft.rs builds transactions, write_outcome.rs handles their outcomes. Code is moved, not changed.

--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -12,6 +12,8 @@
 mod schedule;
 mod shard;
 mod tracked_runs;
+mod write_draft;
+mod write_outcome;
 mod write_queue;
 
 pub(crate) use caller::Caller;
