--- a/crates/turmericfold-fleet/src/jobs/write_draft.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_draft.rs
@@ -7,17 +7,13 @@
 
 use ecow::EcoString;
 use turmericfold_jobs::{JobId, JobRecord};
-use turmericfold_platform::{StoreCall, StoreVersion, Transaction};
+use turmericfold_platform::{MAX_TRANSACTION_ENTRIES, StoreCall, StoreVersion, Transaction};
 
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
 use super::write_queue::{Change, PendingWrite};
 use crate::{Authority, JobShard, Moment, Outbox, Unit, keys};
 
-/// The maximum number of expectations and changes in one transaction; a limit of the
-/// store.
-const MAX_TRANSACTION_ENTRIES: usize = 32;
-
 /// The maximum number of entries that one job adds to a transaction: the expected owner
 /// of its shard, the expected version and the write.
 const MAX_ENTRIES_PER_JOB: usize = 3;
