Report on a worker only after it has listed all its ends

What callers saw: tasks that must run once ran twice after a change of owner, with a worker that had more than 500 ends to report. Cause: a worker lists at most 500 ends in an answer. The new owner of a worker made its recovery reports from the first answer, whether or not it was cut off. A done run whose end did not fit was in no report, so the new owner of its job started the task again; a job's owner that already tracked the run would count it as lapsed. The same owner answered a stop of such a run as if the worker had never had it. The simulated worker listed all ends in one answer; it now lists 500, as real workers do, which makes all tests stricter. Change: a worker's owner makes recovery reports, and denies a run that is to be stopped, only after an answer of the worker with fewer than 500 ends. Ends are reported and acknowledged meanwhile, so the list becomes shorter.

--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -97,10 +97,7 @@
         if !self.admits(context.ownership, authority) {
             return;
         }
-        let Some(worker) = self
-            .worker(name)
-            .filter(|worker| worker.last_answer_at.is_some())
-        else {
+        let Some(worker) = self.worker(name) else {
             return;
         };
         if let Some(tracked) = worker.ends.get(&run) {
@@ -109,8 +106,9 @@
         }
         let epoch = worker.epoch;
         if !worker.runs.contains_key(&run) {
-            // Only the current owner of the worker can be sure that it does not have the run.
-            if worker.fenced || !context.has_valid_registration {
+            // Only the current owner of the worker can be sure that it does not have the run,
+            // and only once no end is left to be listed.
+            if worker.fenced || !context.has_valid_registration || !worker.has_listed_all {
                 return;
             }
             self.bar(context, name, run);
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -164,6 +164,7 @@
         }
         self.pace_fillers(context, name, out);
         if let Some(worker) = self.worker_mut(name) {
+            worker.has_listed_all |= is_complete;
             advance_acknowledged(worker);
             let is_recording_ends = worker.ends.values().any(|tracked| !tracked.is_recorded);
             let interval_ms = if is_recording_ends {
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -87,6 +87,9 @@
     pub(crate) unanswered_polls: u32,
     /// When it last answered a poll.
     pub(crate) last_answer_at: Option<MonotonicMs>,
+    /// Whether it has listed all its unacknowledged ends in one answer, so that each run
+    /// on it is known here or its end is recorded.
+    pub(crate) has_listed_all: bool,
     /// When the owners of its runs' jobs were last told that its lease has expired, if it
     /// has not answered since.
     pub(crate) expiry_reported_at: Option<MonotonicMs>,
@@ -125,6 +128,7 @@
             connection_refused: false,
             unanswered_polls: 0,
             last_answer_at: None,
+            has_listed_all: false,
             expiry_reported_at: None,
             fenced: false,
             runs: BTreeMap::new(),
@@ -275,7 +279,7 @@
     /// Returns the runs that may be in progress and the ends not recorded yet, once both are
     /// known.
     pub(crate) fn recovery_report(&self, query_id: Option<u64>) -> Option<RecoveryReport> {
-        let is_known = self.last_answer_at.is_some() && self.authorities_known;
+        let is_known = self.has_listed_all && self.authorities_known;
         is_known.then(|| RecoveryReport {
             worker: self.id.clone(),
             worker_epoch: self.epoch,
--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -8,6 +8,9 @@
 };
 use turmericfold_types::{MonotonicMs, Resources};
 
+/// The most ends that a worker lists in one answer.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// The actual behaviour of a task: its resources, its duration and how it ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TaskBehaviour {
@@ -257,7 +260,12 @@
                 .iter()
                 .map(|(key, run)| listed_run(*key, run, now))
                 .collect(),
-            finished: self.finished.clone(),
+            finished: self
+                .finished
+                .iter()
+                .take(MAX_LISTED_ENDS)
+                .cloned()
+                .collect(),
         }
     }
 
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -25,6 +25,7 @@
 mod gangs;
 mod graceful_shutdown;
 mod journal_ring;
+mod long_lists;
 mod ownership_fuzz;
 mod peer_ports;
 mod promises;
