Acknowledge no ends to a worker that may have restarted

What callers saw: a task that must run once ran twice after its worker had restarted under the same name. Cause: a worker counts its ends from 1 after each restart. A poll repeats the number up to which ends are acknowledged; the first poll after a restart carried the number of the time before it. If runs had started and ended since, the worker dropped their ends as acknowledged, and listed them neither as running nor as ended. Its owner took the absence of an entry for an outcome, reported the runs as lapsed, and their tasks started again. Evidence: restarted_workers::new_ends_survive failed in 1 of 8 cases (restart at 4,005 ms, while a poll was in progress) with AgainAfterDone for three tasks: the poll in progress gets no answer, so the owner learns of the restart 0.9 s later, and orders runs meanwhile. Change: a poll after one without an answer acknowledges nothing. Once the worker answers, its start time shows whether the numbers still hold. Ends that it lists again meanwhile are known as recorded. Result: the test passes in all 8 cases.

--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -266,10 +266,15 @@
             .max(clock.estimated_ms(now) + lease_ms)
     });
     let may_wait = worker.clock.is_some() && may_renew;
+    // A worker that did not answer may have restarted and now counts other ends from 1.
+    let acknowledged_up_to = match may_renew {
+        true => worker.acknowledged_up_to,
+        false => 0,
+    };
     PollCall {
         token: worker.epoch.0,
         lease_until_ms,
-        acknowledged_up_to: worker.acknowledged_up_to,
+        acknowledged_up_to,
         wait_ms: if may_wait { POLL_WAIT_MS } else { 0 },
     }
 }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -31,6 +31,7 @@
 mod promises;
 mod rebalancing;
 mod recurring_jobs;
+mod restarted_workers;
 mod retries;
 mod rollout_changes;
 mod scheduling;
--- /dev/null
+++ b/tests/features/restarted_workers.rs
@@ -0,0 +1,58 @@
+//! Ends of runs on workers that have restarted under the same name.
+
+use rstest::rstest;
+use turmericfold_jobs::{JobId, JobSpec, StepSpec};
+use turmericfold_standin::TaskBehaviour;
+use turmericfold_tests::fleet_world::{FaultKind, FaultPlan, FleetWorld};
+use turmericfold_types::Resources;
+
+const NODES: usize = 2;
+const WORKERS: usize = 2;
+
+/// The time that a fleet needs to become ready after its start, in milliseconds.
+const SETTLE_MS: u64 = 2_000;
+
+/// The time of the world at which the worker restarts, in milliseconds.
+const RESTART_AT_MS: u64 = 4_000;
+
+/// How long the runs work, in milliseconds: less than an unanswered poll takes.
+const WORK_MS: u64 = 200;
+
+/// The interval between submissions, in milliseconds.
+const SUBMIT_INTERVAL_MS: u64 = 50;
+
+fn spec() -> JobSpec {
+    JobSpec {
+        payload: "visit".into(),
+        steps: vec![StepSpec::new(1, resources(), WORK_MS)],
+        recurrence: None,
+    }
+}
+
+fn resources() -> Resources {
+    Resources::new(1_000, 1 << 30)
+}
+
+fn behaviour() -> TaskBehaviour {
+    TaskBehaviour {
+        resources: resources(),
+        work_ms: Some(WORK_MS),
+        always_fails: false,
+    }
+}
+
+/// Guards against the acknowledgement of ends that were listed before the restart, which
+/// discards the ends that the worker has counted anew.
+#[rstest]
+fn new_ends_survive(#[values(0, 5, 10, 15, 20, 25, 30, 35)] delay_ms: u64) {
+    let restart = FaultKind::RestartWorker { worker: 0 };
+    let plan = FaultPlan::new().with_fault(RESTART_AT_MS + delay_ms, restart);
+    let mut world = FleetWorld::new(1, NODES, WORKERS).with_plan(plan);
+    world.run_for(SETTLE_MS);
+    for number in 1..=100 {
+        world.submit(0, JobId(number), spec(), vec![behaviour()]);
+        world.run_for(SUBMIT_INTERVAL_MS);
+    }
+    world.run_for(5_000);
+    assert_eq!(world.violations(), [], "promises were broken");
+}
