Give up a worker that never answers its new owner

What callers saw: tasks waited for ever when the owner of a silent worker was killed or handed the worker over. If all processes were killed, all jobs taken over waited. Cause: the new owner of a worker makes a recovery report only once the worker has answered it, and, as it does not know the worker's clock, it never found the lease expired. The owners of jobs keep the runs that the earlier owner knew until that report, and a shard is not ready before it has one on each worker. Since owners of jobs wait for the outcome of a run whose lease has expired, nothing else ends such a run while the worker is registered. Change: a worker that has not answered its new owner for one lease and 10 s counts as lost, the bound that holds for a worker that has answered; its reports are empty, so the runs on it count as lapsed. The wait begins anew with each summary of a former owner that still lists the worker, as that process may renew the lease: a process cut off from the store does not know what it has lost. The same holds for the deletion of the owner of an unregistered worker.

--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -35,6 +35,7 @@
         out: &mut Outbox,
     ) {
         self.jobs.on_summary(moment, &summary);
+        self.workers.on_summary(moment, &summary);
         self.workers
             .interference_mut()
             .merge(from, &summary.effects);
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -141,7 +141,7 @@
         let Some(unregistered_at) = worker.unregistered_at else {
             return false;
         };
-        let departed_since = unregistered_at.max(worker.owned_since);
+        let departed_since = unregistered_at.max(worker.earlier_renewal_at);
         let is_unresponsive = worker
             .last_answer_at
             .is_none_or(|last_answer_at| moment.since_ms(last_answer_at) > self.lease_ms);
--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -59,6 +59,31 @@
         }
     }
 
+    /// Gives up a worker that has not answered this process since its earlier owner may have
+    /// renewed its lease, so that the owners of jobs do not wait for ever for its report.
+    ///
+    /// This process does not know the worker's clock, but every owner grants leases of the
+    /// same length.
+    pub(super) fn check_first_answer(&mut self, context: Context<'_>, name: &InstanceName) {
+        let max_silence_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS;
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let is_unknown = worker.last_answer_at.is_none() && !worker.fenced && !worker.is_lost;
+        let waited_ms = context.moment.since_ms(worker.earlier_renewal_at);
+        if !is_unknown || !context.has_valid_registration || waited_ms < max_silence_ms {
+            return;
+        }
+        worker.is_lost = true;
+        log::warn!(
+            worker:% = name,
+            epoch = worker.epoch.0,
+            registered = worker.registered,
+            waited_ms = waited_ms;
+            "worker has never answered its new owner and counts as lost, as its lease has expired; reporting that it has no runs"
+        );
+    }
+
     /// Reports that the lease of a worker's runs has expired, again after a while.
     fn report_expired(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
         let Some(worker) = self.worker_mut(name) else {
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -13,8 +13,8 @@
 use crate::policy::interference::InterferenceModel;
 use crate::registrations::Registrations;
 use crate::{
-    Authority, CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, RunDetails, Unit,
-    WorkerResult, WorkerSummary, keys,
+    Authority, CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, RunDetails, Summary,
+    Unit, WorkerResult, WorkerSummary, keys,
 };
 
 /// The interval of progress reports to the owners of jobs, in milliseconds.
@@ -129,6 +129,20 @@
         }
     }
 
+    /// Handles a peer's summary.
+    ///
+    /// A former owner that has not learned of its loss may still renew the lease of a worker.
+    pub(crate) fn on_summary(&mut self, moment: Moment, summary: &Summary) {
+        for reported in &summary.workers {
+            if let Some(worker) = self.workers.get_mut(&reported.worker)
+                && reported.epoch < worker.epoch
+            {
+                worker.earlier_renewal_at = moment.now;
+                worker.is_lost = false;
+            }
+        }
+    }
+
     /// Handles a message about workers; returns any other message.
     pub(crate) fn on_message(
         &mut self,
@@ -211,6 +225,7 @@
         for name in &names {
             self.end_departed(context, name, out);
             self.check_lease(context, name, out);
+            self.check_first_answer(context, name);
             self.poll_if_due(context, name, out);
             self.retry_calls(context, name, out);
             self.resend_reports(context, name, out);
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -35,6 +35,7 @@
 mod retries;
 mod rollout_changes;
 mod scheduling;
+mod silent_takeovers;
 mod silent_workers;
 mod site_adapter;
 mod start_doubts;
