Keep an owner that was stored after a claim had been refused

What callers saw: nothing that is known to come from this; found by reading. It can start a task again whose run goes on, or is done, and can leave a shard unserved for a moment. Cause: the reply to a refused claim lists the keys that the claim expected. A key that did not exist was taken out of the view of owners, even if the watch had reported a later owner before the reply arrived. A process that does not see an owner of a worker counts the runs on it as lapsed at the next review, and a process whose own unit is taken out drops it. Evidence: fleet_ownership::old_refusal_removes_nothing failed: the process released the shard that it had acquired while the reply was under way. Change: a refusal removes only the owner with the epoch that the claim had expected. A deletion that it tells first still counts; an owner that was stored since stays. Result: the test passes.

--- a/crates/turmericfold-fleet/src/ownership.rs
+++ b/crates/turmericfold-fleet/src/ownership.rs
@@ -61,6 +61,8 @@
     owned_units: BTreeMap<Unit, StoreVersion>,
     changes: Vec<OwnershipChange>,
     claim_call: Option<CallId>,
+    /// The epochs of the owners that the last claim expected.
+    expected_epochs: BTreeMap<Unit, StoreVersion>,
     next_claim_at: MonotonicMs,
     next_balance_at: MonotonicMs,
     member_processes: BTreeSet<ProcessId>,
@@ -77,6 +79,7 @@
             owned_units: BTreeMap::new(),
             changes: Vec::new(),
             claim_call: None,
+            expected_epochs: BTreeMap::new(),
             next_claim_at: MonotonicMs::default(),
             next_balance_at: MonotonicMs::default(),
             member_processes: BTreeSet::new(),
@@ -230,6 +233,7 @@
         }
         let mut transaction = Transaction::default();
         let key = keys::owner(&unit);
+        self.expected_epochs = BTreeMap::from([(unit, epoch)]);
         transaction.expect_version(key.clone(), Some(epoch));
         transaction.remove.push(key);
         self.claim_call = Some(out.call_store(StoreCall::Transact(transaction)));
@@ -375,6 +379,7 @@
 
     fn send_transfers(&mut self, transfers: Vec<Transfer>, out: &mut Outbox) {
         let mut transaction = Transaction::default();
+        self.expected_epochs.clear();
         for transfer in transfers.into_iter().take(MAX_CLAIMS_PER_CALL) {
             let key = keys::owner(&transfer.unit);
             let Ok(value) = serde_json::to_string(&transfer.owner) else {
@@ -393,6 +398,9 @@
             );
             transaction.expect_version(key.clone(), transfer.expected);
             transaction.write_value(key, value, None);
+            if let Some(expected) = transfer.expected {
+                self.expected_epochs.insert(transfer.unit, expected);
+            }
         }
         self.claim_call = Some(out.call_store(StoreCall::Transact(transaction)));
     }
@@ -403,13 +411,22 @@
                 Some(stored) => self.apply(&key.key, Some(&stored.value), stored.version),
                 None => {
                     if let Some(unit) = keys::parse_owner(&key.key) {
-                        self.remove(&unit);
+                        self.remove_expected(&unit);
                     }
                 }
             }
         }
     }
 
+    /// Removes the owner that the last claim expected, as the store no longer has it; an owner
+    /// that was stored since stays.
+    fn remove_expected(&mut self, unit: &Unit) {
+        let known = self.owners.get(unit).map(|owned| owned.epoch);
+        if known == self.expected_epochs.get(unit).copied() {
+            self.remove(unit);
+        }
+    }
+
     fn apply(&mut self, key: &str, value: Option<&str>, version: StoreVersion) {
         let Some(unit) = keys::parse_owner(key) else {
             return;
--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -1,12 +1,13 @@
 //! How a process handles acquiring, losing and reacquiring a shard of jobs.
 
+use serde::Serialize;
 use turmericfold_fleet::{
     CallId, CallerRequest, Configuration, Event, FleetNode, FleetSettings, JobShard, Member,
     Moment, Outbox, Owner,
 };
 use turmericfold_jobs::{JobId, JobSpec, QueueName};
 use turmericfold_platform::{
-    ExpectedKey, KeyChange, StoreCall, StoreReply, StoreVersion, StoredValue,
+    ExpectedKey, KeyChange, LeaseId, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue,
 };
 use turmericfold_tests::fleet_world::{QUEUE, configuration};
 use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, ProcessId};
@@ -27,13 +28,7 @@
             instance: InstanceName::new("entry-0"),
             boot: 1,
         };
-        let member = Member {
-            process: process.clone(),
-            address: "10.0.0.1:7000".into(),
-            domain: FailureDomain::new("west"),
-            weight: 100,
-            stopping: false,
-        };
+        let member = member(process.clone());
         let configuration: Configuration = configuration();
         let mut harness = Self {
             node: FleetNode::new(&FleetSettings::new(member)),
@@ -84,6 +79,50 @@
         });
     }
 
+    /// Registers this process beside a peer that owns all shards but the job's.
+    fn register(&mut self) {
+        self.deliver(Event::WorkersReloaded(Vec::new()));
+        let grant = self.take_call(|call| matches!(call, StoreCall::GrantLease { .. }));
+        self.answer(grant.unwrap(), StoreReply::Lease { lease: LeaseId(1) });
+        let register = self.take_call(|call| matches!(call, StoreCall::Transact(_)));
+        let version = StoreVersion(2);
+        self.answer(register.unwrap(), StoreReply::Committed { version });
+        let peer = ProcessId {
+            instance: InstanceName::new("entry-1"),
+            boot: 1,
+        };
+        let members = [&self.process, &peer].map(|process| {
+            let key = format!("turmericfold/fleet/members/{}", process.instance);
+            stored(key, &member(process.clone()), version)
+        });
+        let owner = Owner {
+            process: peer,
+            term: 1,
+        };
+        let owners = JobShard::all()
+            .filter(|shard| *shard != JobShard::of(JOB))
+            .map(|shard| {
+                let key = format!("turmericfold/fleet/owners/jobs/{shard}");
+                stored(key, &owner, version)
+            });
+        let keys = members.into_iter().chain(owners).collect();
+        self.deliver(Event::KeysReloaded { keys, version });
+    }
+
+    /// Waits until this process claims the job's shard and returns the call.
+    fn take_claim(&mut self) -> CallId {
+        let claim = (0..10).find_map(|_| {
+            self.deliver(Event::Tick);
+            self.take_call(|call| matches!(call, StoreCall::Transact(_)))
+        });
+        claim.unwrap()
+    }
+
+    fn answer(&mut self, call: CallId, reply: StoreReply) {
+        let result = Ok(reply);
+        self.deliver(Event::Store { call, result });
+    }
+
     fn submit(&mut self, call: u64, job: JobId) {
         let spec = JobSpec {
             payload: "visit".into(),
@@ -118,6 +157,27 @@
     }
 }
 
+fn member(process: ProcessId) -> Member {
+    Member {
+        process,
+        address: "10.0.0.1:7000".into(),
+        domain: FailureDomain::new("west"),
+        weight: 100,
+        stopping: false,
+    }
+}
+
+fn stored<Value>(key: String, value: &Value, version: StoreVersion) -> StoredKey
+where
+    Value: Serialize,
+{
+    let value = serde_json::to_string(value).unwrap();
+    StoredKey {
+        key: key.into(),
+        stored: StoredValue { version, value },
+    }
+}
+
 /// The outcome of a write that was sent under an earlier ownership says nothing about the
 /// current one, so the process must keep serving the shard.
 #[test]
@@ -145,3 +205,21 @@
     assert!(harness.node.owns_job(JOB), "the shard was released");
     assert!(harness.take_accept().is_some(), "the job is not stored");
 }
+
+/// Guards against the removal of an owner that was stored after a claim had been refused.
+#[test]
+fn old_refusal_removes_nothing() {
+    let mut harness = NodeHarness::new();
+    harness.register();
+    let claim = harness.take_claim();
+    harness.acquire(9);
+    assert!(harness.node.owns_job(JOB), "the shard was not acquired");
+    let refused = StoreReply::Refused {
+        current: vec![ExpectedKey {
+            key: NodeHarness::key().into(),
+            stored: None,
+        }],
+    };
+    harness.answer(claim, refused);
+    assert!(harness.node.owns_job(JOB), "the shard was released");
+}
