--- a/crates/turmericfold-fleet/src/ownership/reads.rs
+++ b/crates/turmericfold-fleet/src/ownership/reads.rs
@@ -48,13 +48,22 @@
                 Some(stored) => self.apply(&key.key, Some(&stored.value), stored.version),
                 None => {
                     if let Some(unit) = keys::parse_owner(&key.key) {
-                        self.remove(&unit);
+                        self.remove_expected(&unit);
                     }
                 }
             }
         }
     }
 
+    /// Removes the owner that the last claim expected, as the store no longer has it; an owner
+    /// that was stored since stays.
+    fn remove_expected(&mut self, unit: &Unit) {
+        let known = self.owners.get(unit).map(|owned| owned.epoch);
+        if known == self.expected_epochs.get(unit).copied() {
+            self.remove(unit);
+        }
+    }
+
     fn apply(&mut self, key: &str, value: Option<&str>, version: StoreVersion) {
         let Some(unit) = keys::parse_owner(key) else {
             return;
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -26,6 +26,8 @@
     pub(super) owned_units: BTreeMap<Unit, StoreVersion>,
     pub(super) changes: Vec<OwnershipChange>,
     pub(super) claim_call: Option<CallId>,
+    /// The epochs of the owners that the last claim expected.
+    pub(super) expected_epochs: BTreeMap<Unit, StoreVersion>,
     next_claim_at: MonotonicMs,
     pub(super) next_balance_at: MonotonicMs,
     pub(super) member_processes: BTreeSet<ProcessId>,
@@ -42,6 +44,7 @@
             owned_units: BTreeMap::new(),
             changes: Vec::new(),
             claim_call: None,
+            expected_epochs: BTreeMap::new(),
             next_claim_at: MonotonicMs::default(),
             next_balance_at: MonotonicMs::default(),
             member_processes: BTreeSet::new(),
@@ -166,6 +169,7 @@
         }
         let mut transaction = Transaction::default();
         let key = keys::owner(&unit);
+        self.expected_epochs = BTreeMap::from([(unit, epoch)]);
         transaction.expect_version(key.clone(), Some(epoch));
         transaction.remove.push(key);
         self.claim_call = Some(out.call_store(StoreCall::Transact(transaction)));
--- a/crates/turmericfold-fleet/src/ownership/transfer.rs
+++ b/crates/turmericfold-fleet/src/ownership/transfer.rs
@@ -45,6 +45,7 @@
     /// it hands over.
     pub(super) fn send_transfers(&mut self, transfers: Vec<Transfer>, out: &mut Outbox) {
         let mut transaction = Transaction::default();
+        self.expected_epochs.clear();
         for transfer in transfers {
             let registration = transfer
                 .registration
@@ -71,6 +72,9 @@
             transaction.expect.extend(registration);
             transaction.expect_version(key.clone(), transfer.expected);
             transaction.write_value(key, value, None);
+            if let Some(expected) = transfer.expected {
+                self.expected_epochs.insert(transfer.unit, expected);
+            }
         }
         self.claim_call = Some(out.call_store(StoreCall::Transact(transaction)));
     }
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -151,6 +151,7 @@
         }
         worker.last_answer_at = Some(context.moment.now);
         worker.expiry_reported_at = None;
+        worker.is_lost = false;
         let listed = update_running(worker, context.moment.now, &listing.running);
         let started = listed.started;
         let ended: Vec<RunKey> = listing.finished.iter().map(|listed| listed.run).collect();
@@ -164,6 +165,7 @@
         }
         self.pace_fillers(context, name, out);
         if let Some(worker) = self.worker_mut(name) {
+            worker.has_listed_all |= is_complete;
             advance_acknowledged(worker);
             let is_recording_ends = worker.ends.values().any(|tracked| !tracked.is_recorded);
             let interval_ms = if is_recording_ends {
@@ -265,10 +267,15 @@
             .max(clock.estimated_ms(now) + lease_ms)
     });
     let may_wait = worker.clock.is_some() && may_renew;
+    // A worker that did not answer may have restarted and now counts other ends from 1.
+    let acknowledged_up_to = match may_renew {
+        true => worker.acknowledged_up_to,
+        false => 0,
+    };
     PollCall {
         token: worker.epoch.0,
         lease_until_ms,
-        acknowledged_up_to: worker.acknowledged_up_to,
+        acknowledged_up_to,
         wait_ms: if may_wait { POLL_WAIT_MS } else { 0 },
     }
 }
