Keep a deleted owner deleted when a late page still lists it

What callers saw: after all processes had been killed, jobs that were taken over never ran again (LOST), though their shards had an owner. Cause: a deleted owner of a unit left no version behind, so a page of owners that was read before the deletion and arrived after it put the former owner back. A shard is ready only once each owned worker has been reported on; nobody reports on a worker that has departed, so the shard waited for ever. That this was their cause is inferred from the code; no line proves it. fleet_ownership::late_page_restores_nothing failed: the process took the shard again. Change: the version of a deletion is kept until the unit has an owner again, and what was read before it is ignored.

--- a/crates/turmericfold-fleet/src/ownership/reads.rs
+++ b/crates/turmericfold-fleet/src/ownership/reads.rs
@@ -23,7 +23,7 @@
             .map(|(unit, _)| unit.clone())
             .collect();
         for unit in removed {
-            self.remove(&unit);
+            self.remove(unit, version);
         }
         self.on_page(keys);
         self.loaded = true;
@@ -59,8 +59,9 @@
     /// that was stored since stays.
     fn remove_expected(&mut self, unit: &Unit) {
         let known = self.owners.get(unit).map(|owned| owned.epoch);
-        if known == self.expected_epochs.get(unit).copied() {
-            self.remove(unit);
+        let expected = self.expected_epochs.get(unit).copied();
+        if let Some(epoch) = expected.filter(|_| known == expected) {
+            self.remove(unit.clone(), epoch);
         }
     }
 
@@ -68,12 +69,11 @@
         let Some(unit) = keys::parse_owner(key) else {
             return;
         };
-        let known = self.owners.get(&unit).map(|owned| owned.epoch);
-        if known.is_some_and(|known| known >= version) {
+        if self.known_version(&unit) >= Some(version) {
             return;
         }
         let Some(value) = value else {
-            self.remove(&unit);
+            self.remove(unit, version);
             return;
         };
         match serde_json::from_str::<Owner>(value) {
@@ -82,8 +82,15 @@
         }
     }
 
+    /// Returns the version up to which the key of a unit is known, also if it was deleted.
+    fn known_version(&self, unit: &Unit) -> Option<StoreVersion> {
+        let epoch = self.owners.get(unit).map(|owned| owned.epoch);
+        epoch.or_else(|| self.deletions.get(unit).copied())
+    }
+
     fn insert(&mut self, unit: Unit, owner: Owner, epoch: StoreVersion) {
         let owned = Owned { owner, epoch };
+        self.deletions.remove(&unit);
         self.owners.insert(unit.clone(), owned.clone());
         self.mark_lost(&unit);
         if owned.owner.process == self.me {
@@ -92,9 +99,12 @@
         }
     }
 
-    fn remove(&mut self, unit: &Unit) {
-        self.owners.remove(unit);
-        self.mark_lost(unit);
+    /// Removes the owner of a unit whose key was deleted by `version`; pages that were read
+    /// before do not restore it.
+    fn remove(&mut self, unit: Unit, version: StoreVersion) {
+        self.owners.remove(&unit);
+        self.mark_lost(&unit);
+        self.deletions.insert(unit, version);
     }
 
     /// Records that this process no longer owns a unit.
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Ownership {
     pub(super) me: ProcessId,
     pub(super) owners: BTreeMap<Unit, Owned>,
+    /// The versions up to which the keys of units without an owner are known as deleted.
+    pub(super) deletions: BTreeMap<Unit, StoreVersion>,
     pub(super) loaded: bool,
     pub(super) owned_units: BTreeMap<Unit, StoreVersion>,
     pub(super) changes: Vec<OwnershipChange>,
@@ -40,6 +42,7 @@
         Self {
             me,
             owners: BTreeMap::new(),
+            deletions: BTreeMap::new(),
             loaded: false,
             owned_units: BTreeMap::new(),
             changes: Vec::new(),
--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -53,21 +53,29 @@
         format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB))
     }
 
-    /// Reports that this process owns the job's shard under an epoch, and that the shard has
-    /// no jobs.
-    fn acquire(&mut self, epoch: u64) {
-        let owner = Owner {
+    fn owner(&self) -> Owner {
+        Owner {
             process: self.process.clone(),
             term: 1,
-        };
-        self.deliver(Event::KeysChanged(vec![KeyChange {
+        }
+    }
+
+    /// Reports a change of the owner of the job's shard, or its deletion.
+    fn report_owner(&mut self, version: u64, value: Option<String>) {
+        let change = KeyChange {
             key: Self::key().into(),
-            version: StoreVersion(epoch),
-            value: Some(serde_json::to_string(&owner).unwrap()),
-        }]));
-        let load = self.take_call(
-            |call| matches!(call, StoreCall::Range { prefix, .. } if prefix.contains("/jobs/")),
-        );
+            version: StoreVersion(version),
+            value,
+        };
+        self.deliver(Event::KeysChanged(vec![change]));
+    }
+
+    /// Reports that this process owns the job's shard under an epoch, and that the shard has
+    /// no jobs.
+    fn acquire(&mut self, epoch: u64) {
+        let value = serde_json::to_string(&self.owner()).unwrap();
+        self.report_owner(epoch, Some(value));
+        let load = self.take_range("/jobs/");
         let page = StoreReply::Page {
             keys: Vec::new(),
             more: false,
@@ -144,6 +152,13 @@
         found.map(|order| order.call)
     }
 
+    /// Takes all store calls and returns the read of the keys in a folder, if any.
+    fn take_range(&mut self, folder: &str) -> Option<CallId> {
+        self.take_call(
+            |call| matches!(call, StoreCall::Range { prefix, .. } if prefix.contains(folder)),
+        )
+    }
+
     /// Takes all store calls and returns the transaction that stores the job, if any.
     fn take_accept(&mut self) -> Option<CallId> {
         let name = format!("{JOB}/record");
@@ -223,3 +238,27 @@
     harness.answer(claim, refused);
     assert!(harness.node.owns_job(JOB), "the shard was released");
 }
+
+/// Guards against an owner that a late page restores after the deletion of its key.
+#[test]
+fn late_page_restores_nothing() {
+    let mut harness = NodeHarness::new();
+    harness.register();
+    let claim = harness.take_claim();
+    let version = StoreVersion(5);
+    harness.answer(claim, StoreReply::Committed { version });
+    let read = harness.take_range("/owners/");
+    harness.acquire(version.0);
+    assert!(harness.node.owns_job(JOB), "the shard was not acquired");
+    harness.report_owner(9, None);
+    assert!(!harness.node.owns_job(JOB), "the shard was not released");
+    let owner = stored(NodeHarness::key(), &harness.owner(), version);
+    let page = StoreReply::Page {
+        keys: vec![owner],
+        more: false,
+        version,
+    };
+    harness.answer(read.unwrap(), page);
+    let load = harness.take_range("/jobs/");
+    assert_eq!(load, None, "a deleted owner is back");
+}
