Request the configuration from one peer instead of sending it to all that lag

What callers saw: workers silent for seconds, tasks lost and started late, after a configuration of 1,885 routes on links of 2 Mbit/s. Cause: a process answered every summary of a peer with an older configuration with the whole configuration: each process sent a copy to each outdated one, every 300 ms, until the first copy had arrived. The more copies, the later it arrived. Change: a summary still tells the version of its sender. No process sends a configuration unasked. ConfigurationRequest is a new variant at the end. An older process drops the connection on which it arrives, so during an upgrade an outdated process may get it from the store only.

--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -111,7 +111,7 @@
         /// The answer.
         answer: CallerAnswer,
     },
-    /// Sends the configuration to a process that has an older version.
+    /// Sends the configuration to a process that has requested it.
     Configuration(Arc<Configuration>),
     /// Reports runs that have ended with the lease of their worker, though only the worker
     /// knows how. Sent by the owner of a worker to the owner of the jobs.
@@ -123,6 +123,11 @@
         /// The ends to assume for the runs whose outcome does not matter.
         ends: Vec<ReportedEnd>,
     },
+    /// Requests the configuration from a process that has a newer version.
+    ConfigurationRequest {
+        /// The version that the sender has; 0 if it has none.
+        version: u64,
+    },
 }
 
 /// The proof that the sender of a message owns the jobs of a shard.
--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use turmericfold_platform::{KeyChange, WorkerEntry};
-use turmericfold_types::InstanceName;
+use turmericfold_types::{InstanceName, ProcessId};
 
 use super::FleetNode;
 use crate::ownership::OwnershipChange;
-use crate::{Configuration, Moment, Outbox, Unit, WorkerChange};
+use crate::{Configuration, Moment, Outbox, PeerMessage, Unit, WorkerChange};
 
 impl FleetNode {
     pub(super) fn on_workers_reloaded(&mut self, moment: Moment, entries: Vec<WorkerEntry>) {
@@ -43,7 +43,7 @@
     }
 
     pub(super) fn on_configuration(&mut self, configuration: Arc<Configuration>) {
-        let current = self.configuration.as_ref().map_or(0, |known| known.version);
+        let current = self.configuration_version();
         if configuration.version <= current {
             return;
         }
@@ -54,9 +54,43 @@
             "configuration applied"
         );
         self.configuration = Some(configuration);
+        self.configuration_sync.on_applied();
         self.jobs.on_workers_changed();
     }
 
+    /// Sends the configuration to a peer that has requested it, unless this process has no
+    /// newer version than the peer.
+    pub(super) fn on_configuration_request(
+        &mut self,
+        from: &ProcessId,
+        version: u64,
+        out: &mut Outbox,
+    ) {
+        if let Some(own) = &self.configuration
+            && own.version > version
+        {
+            out.send(from, PeerMessage::Configuration(own.clone()));
+        }
+    }
+
+    /// Requests the configuration from a peer when that is due.
+    pub(super) fn request_configuration(&mut self, moment: Moment, out: &mut Outbox) {
+        let Some(peer) = self
+            .configuration_sync
+            .peer_to_ask(moment, &self.membership)
+        else {
+            return;
+        };
+        let version = self.configuration_version();
+        log::info!(peer:% = peer, version = version; "configuration is older than that of a peer; requesting the peer's");
+        out.send(&peer, PeerMessage::ConfigurationRequest { version });
+    }
+
+    /// Returns the version of the configuration; 0 if there is none.
+    pub(super) fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |known| known.version)
+    }
+
     pub(super) fn on_changes(&mut self, moment: Moment, changes: &[KeyChange]) {
         for change in changes {
             self.membership.on_change(moment, change);
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The state machine of one process of the fleet.
 
 mod changes;
+mod configuration_sync;
 mod requests;
 mod summary;
 
@@ -20,6 +21,7 @@
 use crate::{
     CallId, Configuration, Event, FleetSettings, JobShard, Moment, Outbox, PeerMessage, Unit,
 };
+use configuration_sync::ConfigurationSync;
 use requests::{ForwardedRequest, OwnershipCheck, WaitingRequest};
 use summary::PeerPending;
 
@@ -36,6 +38,7 @@
     registrations: Registrations,
     workers_loaded: bool,
     configuration: Option<Arc<Configuration>>,
+    configuration_sync: ConfigurationSync,
     waiting_requests: Vec<WaitingRequest>,
     forwarded_requests: BTreeMap<u64, ForwardedRequest>,
     last_forward_id: u64,
@@ -59,6 +62,7 @@
             registrations: Registrations::default(),
             workers_loaded: false,
             configuration: None,
+            configuration_sync: ConfigurationSync::new(me.clone()),
             waiting_requests: Vec::new(),
             forwarded_requests: BTreeMap::new(),
             last_forward_id: 0,
@@ -180,6 +184,7 @@
         }
         self.retry_waiting(moment, out);
         self.expire_forwarded(moment, out);
+        self.request_configuration(moment, out);
         self.send_summary(moment, out);
     }
 
@@ -229,8 +234,11 @@
             return;
         };
         match message {
-            PeerMessage::Summary(summary) => self.on_summary(moment, from, summary, out),
+            PeerMessage::Summary(summary) => self.on_summary(moment, from, summary),
             PeerMessage::Configuration(configuration) => self.on_configuration(configuration),
+            PeerMessage::ConfigurationRequest { version } => {
+                self.on_configuration_request(from, version, out);
+            }
             PeerMessage::Forward { call, request } => {
                 let process = from.clone();
                 self.on_request(moment, Caller::Peer { process, call }, request, out);
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -25,24 +25,14 @@
 
 impl FleetNode {
     /// Handles a peer's summary.
-    ///
-    /// A peer with an older configuration gets the current one.
-    pub(super) fn on_summary(
-        &mut self,
-        moment: Moment,
-        from: &ProcessId,
-        summary: Summary,
-        out: &mut Outbox,
-    ) {
+    pub(super) fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: Summary) {
         self.jobs.on_summary(moment, &summary);
         self.workers
             .interference_mut()
             .merge(from, &summary.effects);
-        if let Some(own) = &self.configuration
-            && own.version > summary.configuration
-        {
-            out.send(from, PeerMessage::Configuration(own.clone()));
-        }
+        let own_version = self.configuration_version();
+        self.configuration_sync
+            .on_peer_version(moment, from, summary.configuration, own_version);
         let pending = PeerPending {
             received_at: moment.now,
             pending: summary.pending,
@@ -80,7 +70,7 @@
         };
         let summary = Summary {
             process: self.me.clone(),
-            configuration: self.configuration.as_ref().map_or(0, |known| known.version),
+            configuration: self.configuration_version(),
             workers: self.workers.summaries(moment),
             pending: self.jobs.pending(),
             effects,
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -10,6 +10,7 @@
 mod broken_rules;
 mod caller_interface;
 mod cancellation;
+mod configuration_pull;
 mod control_figures;
 mod documents;
 mod endpoint_faults;
--- a/tests/src/fleet_world/faults.rs
+++ b/tests/src/fleet_world/faults.rs
@@ -28,6 +28,7 @@
         let duration_ms = match &kind {
             FaultKind::Freeze { for_ms, .. }
             | FaultKind::CutStore { for_ms, .. }
+            | FaultKind::CutWatch { for_ms, .. }
             | FaultKind::StoreDown { for_ms }
             | FaultKind::LoseAnswers { for_ms }
             | FaultKind::CutWorker { for_ms, .. }
@@ -62,6 +63,13 @@
         self.has_active(|kind| matches!(kind, FaultKind::CutStore { node, .. } if *node == index))
     }
 
+    /// Returns whether no changes in the store are reported to a node.
+    pub(super) fn is_watch_cut(&self, index: usize) -> bool {
+        let is_cut = self
+            .has_active(|kind| matches!(kind, FaultKind::CutWatch { node, .. } if *node == index));
+        is_cut || self.is_store_cut(index)
+    }
+
     pub(super) fn loses_answer(&self, random: &mut StdRng) -> bool {
         let is_losing = self.has_active(|kind| matches!(kind, FaultKind::LoseAnswers { .. }));
         is_losing && random.random_bool(LOSS_PROBABILITY)
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -2,6 +2,7 @@
 //! whose faults follow a seeded plan. The nodes run the production decision code.
 
 mod callers;
+mod configuration_copies;
 mod faults;
 mod network;
 mod oracle;
@@ -29,6 +30,7 @@
 pub use oracle::{Oracle, Violation};
 pub use schedule::{FaultKind, FaultPlan};
 
+use configuration_copies::ConfigurationCopies;
 use schedule::Scheduled;
 
 /// The time of day at the start of the world, in milliseconds since 1970.
@@ -80,6 +82,8 @@
     outbox: Outbox,
     process: ProcessId,
     reported_version: Option<StoreVersion>,
+    /// The version of the configuration that the store has last reported to the node.
+    reported_configuration: u64,
     has_worker_entries: bool,
 }
 
@@ -101,6 +105,10 @@
     now: MonotonicMs,
     random: StdRng,
     store: StoreModel,
+    configuration: Arc<Configuration>,
+    /// The time that a copy of the configuration takes between nodes, in milliseconds.
+    copy_duration_ms: u64,
+    configuration_copies: ConfigurationCopies,
     nodes: Vec<Option<RunningNode>>,
     boots: u64,
     workers: BTreeMap<InstanceName, TaskWorkerModel>,
@@ -123,6 +131,9 @@
             now: MonotonicMs(1_000),
             random: StdRng::seed_from_u64(seed),
             store: StoreModel::new(),
+            configuration: Arc::new(configuration()),
+            copy_duration_ms: 0,
+            configuration_copies: ConfigurationCopies::default(),
             nodes: (0..nodes).map(|_| None).collect(),
             boots: 0,
             workers: BTreeMap::new(),
@@ -153,6 +164,42 @@
         self
     }
 
+    /// Sets the time that a copy of the configuration takes from one node to another, in
+    /// milliseconds.
+    #[must_use]
+    pub fn with_copy_duration_ms(mut self, copy_duration_ms: u64) -> Self {
+        self.copy_duration_ms = copy_duration_ms;
+        self
+    }
+
+    /// Stores the next version of the configuration and returns it.
+    pub fn store_next_configuration(&mut self) -> u64 {
+        let version = self.configuration.version + 1;
+        self.configuration = Arc::new(Configuration {
+            version,
+            ..configuration()
+        });
+        version
+    }
+
+    /// Returns the version of a node's configuration; `None` if it has none.
+    pub fn configuration_version(&self, index: usize) -> Option<u64> {
+        let running = self.nodes[index].as_ref()?;
+        let configuration = running.node.configuration()?;
+        Some(configuration.version)
+    }
+
+    /// Returns the number of copies of the configuration that nodes have sent to each other.
+    pub fn configuration_copies(&self) -> usize {
+        self.configuration_copies.sent()
+    }
+
+    /// Returns the maximum number of copies of the configuration that were in flight to one
+    /// node at a time.
+    pub fn most_copies_in_flight(&self) -> usize {
+        self.configuration_copies.most_in_flight()
+    }
+
     /// Returns the submitted jobs by identifier.
     pub fn jobs(&self) -> &BTreeMap<JobId, Submitted> {
         &self.jobs
@@ -231,9 +278,10 @@
             outbox: Outbox::new(process.clone()),
             process: process.clone(),
             reported_version: None,
+            reported_configuration: self.configuration.version,
             has_worker_entries: false,
         });
-        let event = Event::Configuration(Arc::new(configuration()));
+        let event = Event::Configuration(self.configuration.clone());
         self.schedule(5, Delivery::Node { process, event });
     }
 
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -123,12 +123,40 @@
         messages: Vec<PeerMessage>,
     ) {
         let delay_ms = self.random.random_range(1..8);
+        let (copies, messages): (Vec<_>, Vec<_>) = messages
+            .into_iter()
+            .partition(|message| matches!(message, PeerMessage::Configuration(_)));
+        let arrives = self.reaches(index, to);
+        for copy in copies {
+            let delay_ms = delay_ms + self.copy_duration_ms;
+            if arrives {
+                let arrives_at = self.now + delay_ms;
+                self.configuration_copies.record(self.now, to, arrives_at);
+            }
+            self.deliver_peer(process, to, arrives, delay_ms, vec![copy]);
+        }
+        if !messages.is_empty() {
+            self.deliver_peer(process, to, arrives, delay_ms, messages);
+        }
+    }
+
+    fn reaches(&self, index: usize, to: &ProcessId) -> bool {
         let receiver = self.nodes.iter().position(|running| {
             running
                 .as_ref()
                 .is_some_and(|running| running.process == *to)
         });
-        let arrives = receiver.is_some_and(|receiver| !self.faults.is_peer_cut(index, receiver));
+        receiver.is_some_and(|receiver| !self.faults.is_peer_cut(index, receiver))
+    }
+
+    fn deliver_peer(
+        &mut self,
+        process: &ProcessId,
+        to: &ProcessId,
+        arrives: bool,
+        delay_ms: u64,
+        messages: Vec<PeerMessage>,
+    ) {
         let (receiver, event) = if arrives {
             let from = process.clone();
             (to.clone(), Event::Peer { from, messages })
--- a/tests/src/fleet_world/schedule.rs
+++ b/tests/src/fleet_world/schedule.rs
@@ -64,6 +64,13 @@
         /// The duration, in milliseconds.
         for_ms: u64,
     },
+    /// A node is told of no changes in the store, though its other calls are answered.
+    CutWatch {
+        /// The node.
+        node: usize,
+        /// The duration, in milliseconds.
+        for_ms: u64,
+    },
     /// The store refuses all calls of all nodes, without effect.
     StoreDown {
         /// The duration, in milliseconds.
--- a/tests/src/fleet_world/watches.rs
+++ b/tests/src/fleet_world/watches.rs
@@ -8,9 +8,10 @@
 impl FleetWorld {
     /// Reports the store changes since the last report to a node. The first report holds
     /// all keys, and so does a report for which the store no longer has the changes. The
-    /// node also receives the list of workers, once after its start.
+    /// node also receives the list of workers, once after its start, and each new
+    /// configuration.
     pub(super) fn report_changes(&mut self, index: usize) {
-        if self.faults.is_store_cut(index) || self.faults.is_store_down(index) {
+        if self.faults.is_watch_cut(index) || self.faults.is_store_down(index) {
             return;
         }
         let Some(running) = self.nodes[index].as_mut() else {
@@ -38,6 +39,18 @@
             running.reported_version = Some(version);
         }
         self.handle_event(index, event);
+        self.report_configuration(index);
+    }
+
+    fn report_configuration(&mut self, index: usize) {
+        let configuration = self.configuration.clone();
+        let Some(running) = self.nodes[index].as_mut() else {
+            return;
+        };
+        if running.reported_configuration < configuration.version {
+            running.reported_configuration = configuration.version;
+            self.handle_event(index, Event::Configuration(configuration));
+        }
     }
 
     pub(super) fn changes_after(
