Deliver a large configuration apart from the other messages to a peer

What callers saw: leases not renewed, reports and summaries lost while a configuration was on its way to a peer. Cause: a delivery held all waiting messages of a peer, with a timeout of 900 ms for the whole batch. A configuration that took longer made the delivery count as failed, and all messages in it as lost; it was then sent again. Evidence: large_messages::small_pass_large failed: on a link of 2 Mbit/s a summary in the batch of a configuration of 5,000 routes took 1,738 ms instead of 900 ms at most.

--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -130,6 +130,13 @@
     },
 }
 
+impl PeerMessage {
+    /// Returns whether the message may be so large that messages sent with it would be late.
+    pub fn is_large(&self) -> bool {
+        matches!(self, Self::Configuration(_))
+    }
+}
+
 /// The proof that the sender of a message owns the jobs of a shard.
 ///
 /// Receivers refuse a message whose epoch is older than the latest one they know.
--- a/crates/turmericfold/src/fleet/mod.rs
+++ b/crates/turmericfold/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller_requests;
 mod driver;
+mod large_messages;
 mod listeners;
 mod peers;
 mod watch;
@@ -9,4 +10,5 @@
 pub use caller_requests::{CallerRequestSender, PendingCallerRequest};
 pub use driver::{Driver, DriverEnd, DriverInputs};
 pub use listeners::Listeners;
+pub use peers::Peers;
 pub use watch::{PlatformDecoder, Watches};
--- a/crates/turmericfold/src/fleet/peers.rs
+++ b/crates/turmericfold/src/fleet/peers.rs
@@ -1,4 +1,5 @@
-//! Sends messages to peers, with one delivery at a time for each peer.
+//! Sends messages to peers, with one delivery at a time for each peer, apart from large
+//! messages.
 
 use std::collections::HashMap;
 
@@ -9,6 +10,8 @@
 use turmericfold_peer::FleetClient;
 use turmericfold_types::ProcessId;
 
+use super::large_messages::LargeMessages;
+
 /// Timeout of a delivery, in milliseconds: some round trips between failure domains,
 /// and time for a busy receiver.
 const DELIVERY_TIMEOUT_MS: u64 = 900;
@@ -22,26 +25,40 @@
 
 /// Sends messages to peers.
 #[derive(Debug)]
-pub(crate) struct Peers {
+pub struct Peers {
     own_process: ProcessId,
     events: mpsc::Sender<Event>,
     senders: HashMap<ProcessId, mpsc::Sender<Vec<PeerMessage>>>,
+    large_messages: LargeMessages,
     tasks: JoinSet<()>,
 }
 
 impl Peers {
     /// Creates the senders of `own_process`; failed deliveries become events.
-    pub(crate) fn new(own_process: ProcessId, events: mpsc::Sender<Event>) -> Self {
+    pub fn new(own_process: ProcessId, events: mpsc::Sender<Event>) -> Self {
+        let mut tasks = JoinSet::new();
         Self {
+            large_messages: LargeMessages::new(own_process.clone(), &mut tasks),
             own_process,
             events,
             senders: HashMap::new(),
-            tasks: JoinSet::new(),
+            tasks,
         }
     }
 
     /// Sends messages to the peer at `address`.
-    pub(crate) fn send(&mut self, to: &ProcessId, address: &str, messages: Vec<PeerMessage>) {
+    pub fn send(&mut self, to: &ProcessId, address: &str, messages: Vec<PeerMessage>) {
+        let (large, messages): (Vec<_>, Vec<_>) =
+            messages.into_iter().partition(PeerMessage::is_large);
+        for message in large {
+            self.large_messages.send(to, address, message);
+        }
+        if !messages.is_empty() {
+            self.send_batch(to, address, messages);
+        }
+    }
+
+    fn send_batch(&mut self, to: &ProcessId, address: &str, messages: Vec<PeerMessage>) {
         let sender = self.senders.entry(to.clone()).or_insert_with(|| {
             let (sender, waiting) = mpsc::channel(MAX_WAITING_BATCHES);
             let peer = FleetClient::new(EcoString::from(address));
@@ -61,7 +78,7 @@
     }
 
     /// Closes the connections to processes that are no longer members.
-    pub(crate) fn retain<Keep>(&mut self, keep: Keep)
+    pub fn retain<Keep>(&mut self, keep: Keep)
     where
         Keep: Fn(&ProcessId) -> bool,
     {
@@ -70,9 +87,16 @@
     }
 
     /// Delivers the waiting messages and joins the senders.
-    pub(crate) async fn close(mut self) {
-        self.senders.clear();
-        while self.tasks.join_next().await.is_some() {}
+    pub async fn close(self) {
+        let Self {
+            senders,
+            large_messages,
+            mut tasks,
+            ..
+        } = self;
+        drop(senders);
+        drop(large_messages);
+        while tasks.join_next().await.is_some() {}
     }
 }
 
--- /dev/null
+++ b/tests/features/large_messages.rs
@@ -0,0 +1,82 @@
+//! Deliveries to a peer over a slow link.
+
+use std::time::{Duration, Instant};
+
+use ecow::eco_format;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use turmericfold::fleet::Peers;
+use turmericfold_fleet::{Configuration, PeerMessage, Route, Summary};
+use turmericfold_jobs::QueueName;
+use turmericfold_peer::{Delivery, serve_fleet};
+use turmericfold_tests::fleet_world::configuration;
+use turmericfold_tests::slow_link::SlowLink;
+use turmericfold_types::{InstanceName, ProcessId};
+
+/// The rate of the slow link, in bytes per millisecond: 2 Mbit/s.
+const LINK_BYTES_PER_MS: u64 = 250;
+
+/// The number of routes that take about 1.5 s on the slow link.
+const ROUTES: usize = 5_000;
+
+/// The longest time until a small message arrives, in milliseconds.
+const MAX_SMALL_MS: u128 = 900;
+
+/// The longest time until a large configuration arrives, in milliseconds.
+const MAX_LARGE_MS: u128 = 3_500;
+
+fn process(name: &str) -> ProcessId {
+    ProcessId {
+        instance: InstanceName::new(name),
+        boot: 1,
+    }
+}
+
+fn large_configuration() -> Configuration {
+    let route = |number| Route {
+        host: eco_format!("host-{number}.example"),
+        prefix: eco_format!("/prefix-{number}/long-enough-to-be-realistic/"),
+        queue: QueueName(eco_format!("queue-{number}")),
+    };
+    Configuration {
+        routes: (0..ROUTES).map(route).collect(),
+        ..configuration()
+    }
+}
+
+/// Guards against small messages that are lost with a large one.
+#[tokio::test]
+async fn small_pass_large() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = eco_format!("{}", listener.local_addr().unwrap());
+    let (delivery_sender, mut deliveries) = mpsc::channel::<Delivery>(16);
+    let mut server = JoinSet::new();
+    server.spawn(serve_fleet(listener, delivery_sender));
+    let link = SlowLink::start(address, LINK_BYTES_PER_MS).await;
+    let (event_sender, mut events) = mpsc::channel(16);
+    let mut peers = Peers::new(process("entry-0"), event_sender);
+    let large = PeerMessage::Configuration(large_configuration().into());
+    let small = PeerMessage::Summary(Summary::default());
+    let sent_at = Instant::now();
+    peers.send(&process("entry-1"), link.address(), vec![large, small]);
+    let (mut small_ms, mut large_ms) = (None, None);
+    while small_ms.is_none() || large_ms.is_none() {
+        let limit = Duration::from_millis(5_000);
+        let delivery = tokio::time::timeout(limit, deliveries.recv()).await;
+        let delivery = delivery.expect("messages were lost").unwrap();
+        for message in delivery.messages {
+            let taken_ms = sent_at.elapsed().as_millis();
+            match message {
+                PeerMessage::Configuration(_) => large_ms = Some(taken_ms),
+                _ => small_ms = Some(taken_ms),
+            }
+        }
+    }
+    assert!(small_ms <= Some(MAX_SMALL_MS), "{small_ms:?} ms");
+    assert!(large_ms <= Some(MAX_LARGE_MS), "{large_ms:?} ms");
+    assert!(events.try_recv().is_err(), "a delivery failed");
+    peers.close().await;
+    link.stop().await;
+    server.shutdown().await;
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -26,6 +26,7 @@
 mod gangs;
 mod graceful_shutdown;
 mod journal_ring;
+mod large_messages;
 mod ownership_fuzz;
 mod peer_ports;
 mod promises;
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -123,9 +123,8 @@
         messages: Vec<PeerMessage>,
     ) {
         let delay_ms = self.random.random_range(1..8);
-        let (copies, messages): (Vec<_>, Vec<_>) = messages
-            .into_iter()
-            .partition(|message| matches!(message, PeerMessage::Configuration(_)));
+        let (copies, messages): (Vec<_>, Vec<_>) =
+            messages.into_iter().partition(PeerMessage::is_large);
         let arrives = self.reaches(index, to);
         for copy in copies {
             let delay_ms = delay_ms + self.copy_duration_ms;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fuzz;
 pub mod shared_workers;
 pub mod site_store;
+pub mod slow_link;
 pub mod world;
 
 use std::path::{Path, PathBuf};
