--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -37,6 +37,7 @@
 mod scheduling;
 mod silent_workers;
 mod site_adapter;
+mod slow_reads;
 mod start_doubts;
 mod whole_path;
 mod world_fuzz;
