Read only the newest configuration while several follow each other

Cause: a watch returns every version in full. Where versions come faster than the link carries them, each watch had more of them to return than the last one, and the process fell further behind; the links carried nothing else. Change: once a watch has returned more than one version, the process reads the value instead, each 250 ms, until it no longer changes; then it watches on. A single change is still read once.

--- a/crates/turmericfold/src/fleet/watch.rs
+++ b/crates/turmericfold/src/fleet/watch.rs
@@ -23,6 +23,10 @@
 /// each worker keeps rewriting its registration.
 const WORKER_BATCH_DELAY_MS: u64 = 250;
 
+/// Delay before the configuration is read again while several versions follow each other,
+/// in milliseconds.
+const SERIES_DELAY_MS: u64 = 250;
+
 /// Maximum number of keys read by one call.
 const PAGE_LIMIT: u32 = 500;
 
@@ -205,6 +209,12 @@
         }
     }
 
+    /// Makes the next update a read of all keys, after a delay.
+    async fn read_again(&mut self) {
+        tokio::time::sleep(Duration::from_millis(SERIES_DELAY_MS)).await;
+        self.version = None;
+    }
+
     fn on_success(&mut self) {
         if self.failures >= MAX_WATCH_FAILURES {
             log::info!(prefix = self.prefix.as_str(); "store answers again");
@@ -236,6 +246,10 @@
     }
 }
 
+/// Watches the configuration.
+///
+/// A watch returns every version in full. While several versions follow each other, the
+/// newest one is read instead, so that this process does not fall behind.
 async fn watch_configuration<StoreClient, Decoder>(
     mut watch: Watch<StoreClient>,
     decoder: Decoder,
@@ -245,6 +259,8 @@
     Decoder: PlatformDecoder,
 {
     let key = decoder.configuration_key();
+    let mut newest = None;
+    let mut is_in_series = false;
     loop {
         let values: Vec<String> = match watch.next().await {
             WatchUpdate::All { keys, .. } => keys
@@ -258,14 +274,23 @@
                 .filter_map(|change| change.value)
                 .collect(),
         };
+        let is_new = values.last() != newest.as_ref();
+        is_in_series = values.len() > 1 || (is_in_series && is_new);
+        newest = values.into_iter().next_back();
         // Only the last value is in force.
-        let configuration = values.last().and_then(|value| decoder.configuration(value));
+        let configuration = newest
+            .as_ref()
+            .filter(|_| is_new)
+            .and_then(|value| decoder.configuration(value));
         if let Some(configuration) = configuration {
             let event = Event::Configuration(Arc::new(configuration));
             if events.send(event).await.is_err() {
                 return;
             }
         }
+        if is_in_series {
+            watch.read_again().await;
+        }
     }
 }
 
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -11,6 +11,7 @@
 mod caller_interface;
 mod cancellation;
 mod configuration_pull;
+mod configuration_series;
 mod control_figures;
 mod documents;
 mod endpoint_faults;
