--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -112,7 +112,7 @@
         /// The answer.
         answer: CallerAnswer,
     },
-    /// Sends the configuration to a process that has an older version.
+    /// Sends the configuration to a process that has requested it.
     Configuration(Arc<Configuration>),
     /// Reports runs that have ended with the lease of their worker, though only the worker
     /// knows how. Sent by the owner of a worker to the owner of the jobs.
@@ -132,6 +132,18 @@
         /// The runs whose inferred ends are recorded.
         runs: Vec<RunKey>,
     },
+    /// Requests the configuration from a process that has a newer version.
+    ConfigurationRequest {
+        /// The version that the sender has; 0 if it has none.
+        version: u64,
+    },
+}
+
+impl PeerMessage {
+    /// Returns whether the message may be so large that messages sent with it would be late.
+    pub fn is_large(&self) -> bool {
+        matches!(self, Self::Configuration(_))
+    }
 }
 
 /// The proof that the sender of a message owns the jobs of a shard.
--- a/tests/features/late_watches.rs
+++ b/tests/features/late_watches.rs
@@ -87,7 +87,7 @@
 }
 
 fn late_watch(node: usize, for_ms: u64) -> FaultKind {
-    FaultKind::LateWatch { node, for_ms }
+    FaultKind::CutWatch { node, for_ms }
 }
 
 /// Returns a plan in which the former owner reaches no worker.
--- a/tests/src/fleet_world/faults.rs
+++ b/tests/src/fleet_world/faults.rs
@@ -29,11 +29,11 @@
             FaultKind::Freeze { for_ms, .. }
             | FaultKind::CutStore { for_ms, .. }
             | FaultKind::SlowStore { for_ms, .. }
+            | FaultKind::CutWatch { for_ms, .. }
             | FaultKind::StoreDown { for_ms }
             | FaultKind::LoseAnswers { for_ms }
             | FaultKind::CutWorker { for_ms, .. }
             | FaultKind::LateOrders { for_ms }
-            | FaultKind::LateWatch { for_ms, .. }
             | FaultKind::CutPeers { for_ms, .. } => *for_ms,
             _ => 0,
         };
@@ -73,8 +73,11 @@
         self.active.iter().filter_map(delay).max().unwrap_or(0)
     }
 
-    pub(super) fn is_watch_late(&self, index: usize) -> bool {
-        self.has_active(|kind| matches!(kind, FaultKind::LateWatch { node, .. } if *node == index))
+    /// Returns whether no changes in the store are reported to a node.
+    pub(super) fn is_watch_cut(&self, index: usize) -> bool {
+        let is_cut = self
+            .has_active(|kind| matches!(kind, FaultKind::CutWatch { node, .. } if *node == index));
+        is_cut || self.is_store_cut(index)
     }
 
     pub(super) fn loses_answer(&self, random: &mut StdRng) -> bool {
--- a/tests/src/fleet_world/schedule.rs
+++ b/tests/src/fleet_world/schedule.rs
@@ -78,6 +78,13 @@
         /// The node.
         node: usize,
     },
+    /// A node is told of no changes in the store, though its other calls are answered.
+    CutWatch {
+        /// The node.
+        node: usize,
+        /// The duration, in milliseconds.
+        for_ms: u64,
+    },
     /// The store refuses all calls of all nodes, without effect.
     StoreDown {
         /// The duration, in milliseconds.
@@ -102,13 +109,6 @@
         /// The duration, in milliseconds.
         for_ms: u64,
     },
-    /// A node learns of no changes in the store, though its other calls are answered.
-    LateWatch {
-        /// The node.
-        node: usize,
-        /// The duration, in milliseconds.
-        for_ms: u64,
-    },
     /// Two nodes can't reach each other.
     CutPeers {
         /// The first node.
