Play the tests of slow links with paused time

Cause: the tests of large messages and slow reads measured the time of day, so that a busy machine could fail them. Change: their time is paused and goes on only while nothing else can; bounds are unchanged.

--- a/tests/features/large_messages.rs
+++ b/tests/features/large_messages.rs
@@ -1,11 +1,12 @@
 //! Deliveries to a peer over a slow link.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ecow::eco_format;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use turmericfold::fleet::Peers;
 use turmericfold_fleet::{Configuration, PeerMessage, Route, Summary};
 use turmericfold_jobs::QueueName;
@@ -46,7 +47,7 @@
 }
 
 /// Guards against small messages that are lost with a large one.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn small_pass_large() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = eco_format!("{}", listener.local_addr().unwrap());
--- a/tests/features/slow_reads.rs
+++ b/tests/features/slow_reads.rs
@@ -44,7 +44,7 @@
 }
 
 /// Guards against reads that start again for ever, as the value takes longer than a timeout.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn large_value_arrives() {
     let (standin, link) = slow_store().await;
     let store = SiteStore::new(HttpPool::new(), link.address().into());
@@ -58,7 +58,7 @@
 }
 
 /// Guards against a read that waits for ever for the rest of a value.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn stalled_read_fails() {
     let (standin, link) = slow_store().await;
     let store = SiteStore::new(HttpPool::new(), link.address().into());
