--- a/tests/features/long_lists.rs
+++ b/tests/features/long_lists.rs
@@ -28,8 +28,7 @@
     Resources::new(2, 1 << 20)
 }
 
-/// Guards against a second run of a done task whose end did not fit into the first answer to
-/// the new owner of its worker.
+/// Guards against a second run of a done task whose end does not fit into the first answer.
 #[rstest]
 fn unlisted_ends_survive(#[values(1, 2)] seed: u64) {
     let plan = FaultPlan::new()
--- a/tests/features/restarted_workers.rs
+++ b/tests/features/restarted_workers.rs
@@ -41,8 +41,7 @@
     }
 }
 
-/// Guards against the acknowledgement of ends that were listed before the restart, which
-/// discards the ends that the worker has counted anew.
+/// Guards against a poll that acknowledges the ends of an earlier start of the worker.
 #[rstest]
 fn new_ends_survive(#[values(0, 5, 10, 15, 20, 25, 30, 35)] delay_ms: u64) {
     let restart = FaultKind::RestartWorker { worker: 0 };
@@ -50,8 +49,7 @@
     assert_runs_once(1, plan, 100);
 }
 
-/// Guards against the same by a poll that was sent before the restart was known and takes
-/// effect late.
+/// Guards against such a poll that takes effect after the worker has restarted.
 #[rstest]
 #[ignore = "KNOWN-RED: 5"]
 fn late_polls_discard_nothing(#[values(35, 51)] seed: u64) {
--- a/tests/features/silent_takeovers.rs
+++ b/tests/features/silent_takeovers.rs
@@ -119,8 +119,7 @@
     assert_all_completed(&mut world);
 }
 
-/// Guards against a second run of a task whose first run ended as done before the worker
-/// answered its new owner.
+/// Guards against a second run of a task that is done before its worker has a new owner.
 #[rstest]
 fn done_runs_once(
     #[values(1)] seed: u64,
@@ -134,8 +133,7 @@
     assert_all_completed(&mut world);
 }
 
-/// Guards against a second run beside one whose lease a former owner still renews, while it
-/// can't reach the store and the new owner can't reach the worker.
+/// Guards against a second run beside one whose lease a cut-off former owner still renews.
 #[rstest]
 fn former_owner_renews(#[values(1, 2)] seed: u64, #[values(0, 1, 2)] former: usize) {
     let for_ms = 30_000;
