Split the simulated fleet by nodes, workers and configurations

Change: nodes.rs, workers.rs and configurations.rs hold what belongs to each. Code is moved, not changed.

--- a/tests/src/fleet_world/faults.rs
+++ b/tests/src/fleet_world/faults.rs
@@ -5,7 +5,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs};
 
 use super::schedule::FaultKind;
-use super::worker_name;
+use super::workers::worker_name;
 
 /// The probability that a call loses its answer while a fault that loses the answers of
 /// the store or of workers is active.
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -3,29 +3,27 @@
 
 mod callers;
 mod configuration_copies;
+mod configurations;
 mod faults;
 mod network;
+mod nodes;
 mod oracle;
 mod schedule;
 mod watches;
+mod workers;
 
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 
-use ecow::{EcoString, eco_format};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use turmericfold_fleet::{
-    CallId, CallerLimits, Configuration, Event, FleetNode, FleetSettings, Member, Moment, Outbox,
-    ServiceSettings, WorkerCall, WorkerChange, WorkerResult, keys,
-};
-use turmericfold_jobs::{JobId, JobSpec, QueueName, QueueSettings, RunEnd, RunKey};
-use turmericfold_platform::{PlatformError, StoreCall, StoreVersion, Transaction, WorkerEntry};
-use turmericfold_standin::{StoreModel, TaskBehaviour, TaskWorkerModel, WorkerEvent};
-use turmericfold_types::{
-    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
-};
+use turmericfold_fleet::{CallId, Configuration, Event, FleetNode, Moment, Outbox, WorkerCall};
+use turmericfold_jobs::{JobId, JobSpec};
+use turmericfold_platform::{StoreCall, StoreVersion, WorkerEntry};
+use turmericfold_standin::{StoreModel, TaskBehaviour, TaskWorkerModel};
+use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
+pub use configurations::configuration;
 pub use faults::Faults;
 pub use oracle::{Oracle, Violation};
 pub use schedule::{FaultKind, FaultPlan};
@@ -164,42 +162,6 @@
         self
     }
 
-    /// Sets the time that a copy of the configuration takes from one node to another, in
-    /// milliseconds.
-    #[must_use]
-    pub fn with_copy_duration_ms(mut self, copy_duration_ms: u64) -> Self {
-        self.copy_duration_ms = copy_duration_ms;
-        self
-    }
-
-    /// Stores the next version of the configuration and returns it.
-    pub fn store_next_configuration(&mut self) -> u64 {
-        let version = self.configuration.version + 1;
-        self.configuration = Arc::new(Configuration {
-            version,
-            ..configuration()
-        });
-        version
-    }
-
-    /// Returns the version of a node's configuration; `None` if it has none.
-    pub fn configuration_version(&self, index: usize) -> Option<u64> {
-        let running = self.nodes[index].as_ref()?;
-        let configuration = running.node.configuration()?;
-        Some(configuration.version)
-    }
-
-    /// Returns the number of copies of the configuration that nodes have sent to each other.
-    pub fn configuration_copies(&self) -> usize {
-        self.configuration_copies.sent()
-    }
-
-    /// Returns the maximum number of copies of the configuration that were in flight to one
-    /// node at a time.
-    pub fn most_copies_in_flight(&self) -> usize {
-        self.configuration_copies.most_in_flight()
-    }
-
     /// Returns the submitted jobs by identifier.
     pub fn jobs(&self) -> &BTreeMap<JobId, Submitted> {
         &self.jobs
@@ -253,116 +215,6 @@
         }
     }
 
-    /// Kills a node's process immediately.
-    pub fn kill_node(&mut self, index: usize) {
-        self.nodes[index] = None;
-    }
-
-    /// Starts a new process of a node, without state from an earlier process.
-    pub fn start_node(&mut self, index: usize) {
-        self.boots += 1;
-        let process = ProcessId {
-            instance: InstanceName::new(format!("entry-{index}")),
-            boot: self.boots,
-        };
-        let member = Member {
-            process: process.clone(),
-            address: EcoString::from(format!("10.0.0.{index}:7000")),
-            domain: FailureDomain::new("west"),
-            weight: 100,
-            stopping: false,
-        };
-        let settings = FleetSettings::new(member).with_worker_lease_max_ms(6_000);
-        self.nodes[index] = Some(RunningNode {
-            node: FleetNode::new(&settings),
-            outbox: Outbox::new(process.clone()),
-            process: process.clone(),
-            reported_version: None,
-            reported_configuration: self.configuration.version,
-            has_worker_entries: false,
-        });
-        let event = Event::Configuration(self.configuration.clone());
-        self.schedule(5, Delivery::Node { process, event });
-    }
-
-    /// Starts the graceful shutdown of a node's process.
-    pub fn stop_node(&mut self, index: usize) {
-        if let Some(running) = &self.nodes[index] {
-            let process = running.process.clone();
-            let event = Event::Stop;
-            self.schedule(0, Delivery::Node { process, event });
-        }
-    }
-
-    /// Returns whether a stopping node has handed over all that it owned; true also for
-    /// a node without a process.
-    pub fn has_handed_over(&self, index: usize) -> bool {
-        let running = self.nodes[index].as_ref();
-        running.is_none_or(|running| running.node.has_handed_over())
-    }
-
-    /// Removes the registration of a node from the store, as an outage of the store may.
-    fn remove_registration(&mut self, index: usize) {
-        let Some(running) = &self.nodes[index] else {
-            return;
-        };
-        let instance = &running.process.instance;
-        let key = eco_format!("{}members/{instance}", keys::FLEET_PREFIX);
-        let transaction = Transaction {
-            remove: vec![key],
-            ..Transaction::default()
-        };
-        let removed = self.store.call(self.now, StoreCall::Transact(transaction));
-        assert!(
-            removed.is_ok(),
-            "the registration is not removed: {removed:?}"
-        );
-    }
-
-    /// Restarts a worker under the same name.
-    pub fn restart_worker(&mut self, number: usize) {
-        let name = worker_name(number);
-        let now = self.now;
-        if let Some(worker) = self.workers.get_mut(&name) {
-            worker.restart(now);
-        }
-        self.check_worker(&name);
-    }
-
-    /// Removes the registration of a worker, as all nodes learn at once.
-    pub fn unregister_worker(&mut self, number: usize) {
-        let name = worker_name(number);
-        self.entries.remove(&name);
-        for index in 0..self.nodes.len() {
-            let change = WorkerChange::Unregistered(name.clone());
-            self.handle_event(index, Event::WorkersChanged(vec![change]));
-        }
-    }
-
-    /// Returns the number of runs in progress on a worker.
-    pub fn runs_on(&self, number: usize) -> usize {
-        let worker = self.workers.get(&worker_name(number));
-        worker.map_or(0, TaskWorkerModel::run_count)
-    }
-
-    fn add_worker(&mut self, number: usize) {
-        let name = worker_name(number);
-        let capacity = Resources::new(8_000, 32 << 30);
-        let worker = TaskWorkerModel::new(capacity, self.now);
-        self.workers.insert(name.clone(), worker);
-        let entry = WorkerEntry {
-            id: name.clone(),
-            address: EcoString::from(format!("10.1.0.{number}:8000")),
-            service: ServiceName::new(SERVICE),
-            domain: FailureDomain::new("west"),
-            draining: false,
-            remaining_ms: None,
-            capacity,
-            labels: vec!["a".into(), "rack-1".into()],
-        };
-        self.entries.insert(name, entry);
-    }
-
     fn step(&mut self) {
         self.now = self.now + STEP_MS;
         self.store.expire_leases(self.now);
@@ -431,84 +283,6 @@
         }
     }
 
-    fn call_worker(
-        &mut self,
-        process: ProcessId,
-        call: CallId,
-        name: InstanceName,
-        worker_call: WorkerCall,
-        answered: bool,
-    ) {
-        let now = self.now;
-        let behaviours = &self.behaviours;
-        let Some(worker) = self.workers.get_mut(&name) else {
-            return;
-        };
-        let result = match worker_call {
-            WorkerCall::Start(start) => {
-                let task = start.run.task;
-                let step = usize::try_from(task.step).unwrap_or(usize::MAX);
-                let behaviour = behaviours.get(&task.job).and_then(|steps| steps.get(step));
-                match behaviour {
-                    Some(behaviour) => {
-                        WorkerResult::Start(Ok(worker.start(now, &start, *behaviour)))
-                    }
-                    None => {
-                        self.oracle.record_unknown_run(start.run);
-                        return;
-                    }
-                }
-            }
-            WorkerCall::Stop(stop) => WorkerResult::Stop(match worker.stop(now, &stop) {
-                true => Ok(()),
-                false => Err(PlatformError::unknown("fenced")),
-            }),
-            WorkerCall::Pace(_) => WorkerResult::Pace(Ok(())),
-            WorkerCall::Poll(poll) => WorkerResult::Poll(Ok(worker.poll(now, &poll))),
-        };
-        self.check_worker(&name);
-        if answered {
-            let event = Event::Worker {
-                worker: name,
-                call,
-                result,
-            };
-            self.schedule(2, Delivery::Node { process, event });
-        }
-    }
-
-    fn worker_started_ms(&self, name: &InstanceName) -> u64 {
-        let worker = self.workers.get(name);
-        worker.map_or(0, TaskWorkerModel::started_ms)
-    }
-
-    /// Passes the events of a worker to the oracle. If the run of a gang member did not end
-    /// as done, ends the other members of its gang.
-    fn check_worker(&mut self, name: &InstanceName) {
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        let events = worker.take_events();
-        let is_over_capacity = !worker.used().fits_in(&worker.capacity());
-        self.oracle
-            .check_worker(self.now, name, &events, is_over_capacity);
-        for event in events {
-            if let WorkerEvent::Ended { run, end } = event
-                && end != RunEnd::Done
-                && self.oracle.is_gang(run)
-            {
-                self.break_gang(run);
-            }
-        }
-    }
-
-    /// Ends the other members of a gang; the oracle sees these ends in the next step.
-    fn break_gang(&mut self, member: RunKey) {
-        for worker in self.workers.values_mut() {
-            worker.break_gang(member);
-        }
-    }
-
     /// Lets a node handle an event, and sends the resulting calls, messages and answers.
     fn handle_event(&mut self, index: usize, event: Event) {
         let moment = Moment {
@@ -561,35 +335,3 @@
 fn unix_ms(now: MonotonicMs) -> u64 {
     START_UNIX_MS + now.0
 }
-
-fn worker_name(number: usize) -> InstanceName {
-    InstanceName::new(format!("worker-{number:02}"))
-}
-
-/// Returns a configuration with one queue.
-pub fn configuration() -> Configuration {
-    let queue = QueueSettings {
-        name: QueueName(QUEUE.into()),
-        service: ServiceName::new(SERVICE),
-        priority: 0,
-        max_attempts: 3,
-        slack_factor: 2.0,
-        target_duration_ms: 1_000,
-    };
-    let service = ServiceSettings {
-        workers_check_resources: true,
-        standby: false,
-    };
-    Configuration {
-        version: 1,
-        routes: Vec::new(),
-        queues: BTreeMap::from([(queue.name.clone(), Arc::new(queue))]),
-        services: BTreeMap::from([(ServiceName::new(SERVICE), service)]),
-        limits: CallerLimits {
-            header_bytes: 16_384,
-            body_bytes: 262_144,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
-        },
-    }
-}
--- a/tests/src/fleet_world/watches.rs
+++ b/tests/src/fleet_world/watches.rs
@@ -42,17 +42,6 @@
         self.report_configuration(index);
     }
 
-    fn report_configuration(&mut self, index: usize) {
-        let configuration = self.configuration.clone();
-        let Some(running) = self.nodes[index].as_mut() else {
-            return;
-        };
-        if running.reported_configuration < configuration.version {
-            running.reported_configuration = configuration.version;
-            self.handle_event(index, Event::Configuration(configuration));
-        }
-    }
-
     pub(super) fn changes_after(
         &mut self,
         after: StoreVersion,
--- /dev/null
+++ b/tests/src/fleet_world/workers.rs
@@ -0,0 +1,139 @@
+//! The workers of the world and the calls that arrive at them.
+
+use ecow::EcoString;
+use turmericfold_fleet::{CallId, Event, WorkerCall, WorkerChange, WorkerResult};
+use turmericfold_jobs::{RunEnd, RunKey};
+use turmericfold_platform::{PlatformError, WorkerEntry};
+use turmericfold_standin::{TaskWorkerModel, WorkerEvent};
+use turmericfold_types::{FailureDomain, InstanceName, ProcessId, Resources, ServiceName};
+
+use super::{Delivery, FleetWorld, SERVICE};
+
+impl FleetWorld {
+    /// Restarts a worker under the same name.
+    pub fn restart_worker(&mut self, number: usize) {
+        let name = worker_name(number);
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.restart(now);
+        }
+        self.check_worker(&name);
+    }
+
+    /// Removes the registration of a worker, as all nodes learn at once.
+    pub fn unregister_worker(&mut self, number: usize) {
+        let name = worker_name(number);
+        self.entries.remove(&name);
+        for index in 0..self.nodes.len() {
+            let change = WorkerChange::Unregistered(name.clone());
+            self.handle_event(index, Event::WorkersChanged(vec![change]));
+        }
+    }
+
+    /// Returns the number of runs in progress on a worker.
+    pub fn runs_on(&self, number: usize) -> usize {
+        let worker = self.workers.get(&worker_name(number));
+        worker.map_or(0, TaskWorkerModel::run_count)
+    }
+
+    pub(super) fn add_worker(&mut self, number: usize) {
+        let name = worker_name(number);
+        let capacity = Resources::new(8_000, 32 << 30);
+        let worker = TaskWorkerModel::new(capacity, self.now);
+        self.workers.insert(name.clone(), worker);
+        let entry = WorkerEntry {
+            id: name.clone(),
+            address: EcoString::from(format!("10.1.0.{number}:8000")),
+            service: ServiceName::new(SERVICE),
+            domain: FailureDomain::new("west"),
+            draining: false,
+            remaining_ms: None,
+            capacity,
+            labels: vec!["a".into(), "rack-1".into()],
+        };
+        self.entries.insert(name, entry);
+    }
+
+    pub(super) fn call_worker(
+        &mut self,
+        process: ProcessId,
+        call: CallId,
+        name: InstanceName,
+        worker_call: WorkerCall,
+        answered: bool,
+    ) {
+        let now = self.now;
+        let behaviours = &self.behaviours;
+        let Some(worker) = self.workers.get_mut(&name) else {
+            return;
+        };
+        let result = match worker_call {
+            WorkerCall::Start(start) => {
+                let task = start.run.task;
+                let step = usize::try_from(task.step).unwrap_or(usize::MAX);
+                let behaviour = behaviours.get(&task.job).and_then(|steps| steps.get(step));
+                match behaviour {
+                    Some(behaviour) => {
+                        WorkerResult::Start(Ok(worker.start(now, &start, *behaviour)))
+                    }
+                    None => {
+                        self.oracle.record_unknown_run(start.run);
+                        return;
+                    }
+                }
+            }
+            WorkerCall::Stop(stop) => WorkerResult::Stop(match worker.stop(now, &stop) {
+                true => Ok(()),
+                false => Err(PlatformError::unknown("fenced")),
+            }),
+            WorkerCall::Pace(_) => WorkerResult::Pace(Ok(())),
+            WorkerCall::Poll(poll) => WorkerResult::Poll(Ok(worker.poll(now, &poll))),
+        };
+        self.check_worker(&name);
+        if answered {
+            let event = Event::Worker {
+                worker: name,
+                call,
+                result,
+            };
+            self.schedule(2, Delivery::Node { process, event });
+        }
+    }
+
+    pub(super) fn worker_started_ms(&self, name: &InstanceName) -> u64 {
+        let worker = self.workers.get(name);
+        worker.map_or(0, TaskWorkerModel::started_ms)
+    }
+
+    /// Passes the events of a worker to the oracle. If the run of a gang member did not end
+    /// as done, ends the other members of its gang.
+    pub(super) fn check_worker(&mut self, name: &InstanceName) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let events = worker.take_events();
+        let is_over_capacity = !worker.used().fits_in(&worker.capacity());
+        self.oracle
+            .check_worker(self.now, name, &events, is_over_capacity);
+        for event in events {
+            if let WorkerEvent::Ended { run, end } = event
+                && end != RunEnd::Done
+                && self.oracle.is_gang(run)
+            {
+                self.break_gang(run);
+            }
+        }
+    }
+
+    /// Ends the other members of a gang; the oracle sees these ends in the next step.
+    fn break_gang(&mut self, member: RunKey) {
+        for worker in self.workers.values_mut() {
+            worker.break_gang(member);
+        }
+    }
+}
+
+/// Returns the name of a worker by its number.
+pub(super) fn worker_name(number: usize) -> InstanceName {
+    InstanceName::new(format!("worker-{number:02}"))
+}
