Ignore a late report that an ended run is in progress

What callers saw: nothing that is known to come from this; found in the review of the fix. A task would wait for ever (LOST). Cause: a delivery that times out at its sender may still arrive, after later ones. A report that a run was found, or a recovery report, that arrived after the report of the run's end made the run active again at the owner of its job. The owner of the worker no longer knew it, so nothing ever ended it. Evidence: late_reports::ended_run_stays_ended failed for both kinds of report: the task did not start again in 30 s. Change: a run that is not active, though it or a later one of its task is known, has ended and is not taken up again; the worker is told to stop it. Copies of a former owner, which are found in any order, are taken up until the shard is ready. Result: the three cases pass, with the tests of the fleet, silent workers, gangs, recurring jobs and starts in doubt (124).

--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -9,7 +9,7 @@
 
 use super::job_entry::JobEntry;
 use super::owner::{JobOwner, WorkerQuery};
-use super::shard::{LoadedProgress, Loading, Phase, Recovering};
+use super::shard::{LoadedProgress, Loading, Phase, Recovering, Shard};
 use super::tracked_runs::TrackedRun;
 use crate::context::Context;
 use crate::keys::JobKey;
@@ -235,7 +235,7 @@
             let is_loaded = self
                 .shards
                 .get(&JobShard::of(run.task.job))
-                .is_some_and(super::shard::Shard::is_loaded);
+                .is_some_and(Shard::is_loaded);
             if is_loaded && self.adopt(context, &report.worker, *run).is_none() {
                 self.stop_unwanted(from, &report.worker, *run, out);
             }
@@ -251,27 +251,41 @@
         }
     }
 
+    /// Returns whether a run that was found on a worker is to go on: its job and task are
+    /// known and have not ended, nor has the run, and it is no copy that is not allowed.
+    fn is_wanted(&self, run: RunKey) -> bool {
+        let Some(entry) = self.jobs.get(&run.task.job) else {
+            return false;
+        };
+        let Some(step) = entry.job.step_spec(run.task) else {
+            return false;
+        };
+        let shard = self.shards.get(&JobShard::of(run.task.job));
+        let is_ready = shard.is_some_and(Shard::is_ready);
+        // Until a shard is ready, the copies of its former owner are found in any order.
+        let may_be_earlier_copy = step.copies_allowed && !is_ready;
+        if entry.job.state().is_final() || (entry.job.has_ended(run) && !may_be_earlier_copy) {
+            return false;
+        }
+        entry.job.task(run.task).is_none_or(|task| {
+            let elsewhere = task.active.iter().any(|active| active.number != run.number);
+            !task.done && (!elsewhere || step.copies_allowed)
+        })
+    }
+
     /// Tracks a run that was found on a worker and returns its details; `None` if the run is
-    /// unwanted: its job or task is unknown or has ended, or it is a copy and not allowed.
+    /// unwanted.
     pub(super) fn adopt(
         &mut self,
         context: Context<'_>,
         worker: &InstanceName,
         run: RunKey,
     ) -> Option<RunDetails> {
-        let entry = self.jobs.get_mut(&run.task.job)?;
-        let step = entry.job.step_spec(run.task)?;
-        let details = details_of(&entry.job, step);
-        let copies_allowed = step.copies_allowed;
-        if entry.job.state().is_final() {
+        if !self.is_wanted(run) {
             return None;
         }
-        if let Some(task) = entry.job.task(run.task) {
-            let elsewhere = task.active.iter().any(|active| active.number != run.number);
-            if task.done || (elsewhere && !copies_allowed) {
-                return None;
-            }
-        }
+        let entry = self.jobs.get_mut(&run.task.job)?;
+        let details = details_of(&entry.job, entry.job.step_spec(run.task)?);
         if !entry.job.add_run(run, worker.clone()) {
             return None;
         }
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -333,6 +333,15 @@
         self.update_task(run.task, |task| task.remove_run(run.number));
     }
 
+    /// Returns whether a run has ended or was refused, as it or a later one is known, and it is
+    /// not active.
+    pub fn has_ended(&self, run: RunKey) -> bool {
+        self.task(run.task).is_some_and(|task| {
+            let is_active = task.active.iter().any(|active| active.number == run.number);
+            run.number <= task.last_number && !is_active
+        })
+    }
+
     /// Returns whether a run can complete a task, so that the task must not run again after it.
     pub fn may_complete(&self, task: TaskKey) -> bool {
         let is_repeatable = self
--- /dev/null
+++ b/tests/features/late_reports.rs
@@ -0,0 +1,220 @@
+//! Reports on runs that reach the owner of their job after newer reports.
+
+use rstest::rstest;
+use turmericfold_fleet::{
+    CallId, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Member, Moment, Outbox,
+    Owner, PeerMessage, RecoveryReport, ReportedEnd, StartOutcome, Summary, WorkerSummary,
+};
+use turmericfold_jobs::{EndedRun, JobId, JobSpec, QueueName, RunEnd, RunKey, StepSpec};
+use turmericfold_platform::{KeyChange, StoreCall, StoreReply, StoreVersion};
+use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
+use turmericfold_types::{
+    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
+};
+
+const JOB: JobId = JobId(5);
+const WORKER: &str = "worker-00";
+const WORKER_EPOCH: StoreVersion = StoreVersion(5);
+const JOBS_EPOCH: StoreVersion = StoreVersion(6);
+
+/// A late report that says that a run is in progress.
+#[derive(Debug, Clone, Copy)]
+enum LateReport {
+    Found,
+    Recovery,
+}
+
+/// A node that owns a job. The test answers in place of the store and of the owner of the
+/// only worker.
+struct JobOwnerHarness {
+    node: FleetNode,
+    out: Outbox,
+    now_ms: u64,
+}
+
+impl JobOwnerHarness {
+    fn new() -> Self {
+        let member = Member {
+            process: process(0),
+            address: "10.0.0.1:7000".into(),
+            domain: FailureDomain::new("west"),
+            weight: 100,
+            stopping: false,
+        };
+        let mut harness = Self {
+            node: FleetNode::new(&FleetSettings::new(member)),
+            out: Outbox::new(process(0)),
+            now_ms: 1_000,
+        };
+        harness.deliver(Event::Configuration(configuration().into()));
+        let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
+        let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
+        harness.deliver(Event::KeysChanged(vec![
+            ownership_change(&worker_key, process(1), WORKER_EPOCH),
+            ownership_change(&jobs_key, process(0), JOBS_EPOCH),
+        ]));
+        harness.answer_store();
+        harness
+    }
+
+    fn deliver(&mut self, event: Event) {
+        self.now_ms += 10;
+        let moment = Moment {
+            now: MonotonicMs(self.now_ms),
+            unix_ms: self.now_ms,
+        };
+        self.node.handle(moment, event, &mut self.out);
+    }
+
+    /// Answers all reads as empty and all transactions as committed.
+    fn answer_store(&mut self) {
+        for request in std::mem::take(&mut self.out.store) {
+            let version = StoreVersion(self.now_ms);
+            let reply = match request.store_call {
+                StoreCall::Range { .. } => StoreReply::Page {
+                    keys: Vec::new(),
+                    more: false,
+                    version,
+                },
+                StoreCall::Transact(_) => StoreReply::Committed { version },
+                _ => continue,
+            };
+            self.deliver(Event::Store {
+                call: request.call,
+                result: Ok(reply),
+            });
+        }
+    }
+
+    fn receive(&mut self, message: PeerMessage) {
+        self.deliver(Event::Peer {
+            from: process(1),
+            messages: vec![message],
+        });
+    }
+
+    fn submit(&mut self) {
+        let request = CallerRequest::Submit {
+            queue: QueueName(QUEUE.into()),
+            job: JOB,
+            spec: JobSpec {
+                payload: "visit".into(),
+                steps: vec![StepSpec::new(1, resources(), 1_000)],
+                recurrence: None,
+            },
+        };
+        let call = CallId(1);
+        self.deliver(Event::CallerRequest { call, request });
+        self.answer_store();
+    }
+
+    fn report_usable(&mut self, usable: bool) {
+        let worker = WorkerSummary {
+            worker: InstanceName::new(WORKER),
+            epoch: WORKER_EPOCH,
+            service: ServiceName::new(SERVICE),
+            domain: FailureDomain::new("west"),
+            capacity: resources(),
+            free: resources(),
+            usable,
+            ..WorkerSummary::default()
+        };
+        self.receive(PeerMessage::Summary(Summary {
+            process: process(1),
+            configuration: 1,
+            workers: vec![worker],
+            ..Summary::default()
+        }));
+    }
+
+    fn report_end(&mut self, run: RunKey) {
+        let ended = EndedRun {
+            run,
+            end: RunEnd::Lapsed,
+            checkpoint: None,
+        };
+        self.receive(PeerMessage::EndsReported {
+            worker: InstanceName::new(WORKER),
+            worker_epoch: WORKER_EPOCH,
+            ends: vec![ReportedEnd {
+                ended,
+                listed: true,
+                ran_ms: 500,
+            }],
+        });
+        self.answer_store();
+    }
+
+    /// Returns the runs that were ordered since the last call.
+    fn ordered_runs(&mut self) -> Vec<RunKey> {
+        let messages = std::mem::take(&mut self.out.messages);
+        let run = |message| match message {
+            PeerMessage::Start(order) => Some(order.run),
+            _ => None,
+        };
+        messages.into_values().flatten().filter_map(run).collect()
+    }
+}
+
+fn process(number: u64) -> ProcessId {
+    ProcessId {
+        instance: InstanceName::new(format!("entry-{number}")),
+        boot: 1,
+    }
+}
+
+fn resources() -> Resources {
+    Resources::new(2_000, 1 << 30)
+}
+
+fn ownership_change(key: &str, process: ProcessId, version: StoreVersion) -> KeyChange {
+    let owner = Owner { process, term: 1 };
+    KeyChange {
+        key: key.into(),
+        version,
+        value: Some(serde_json::to_string(&owner).unwrap()),
+    }
+}
+
+/// Guards against a task that waits for ever for an ended run, which a late report revives.
+#[rstest]
+fn ended_run_stays_ended(
+    #[values(None, Some(LateReport::Found), Some(LateReport::Recovery))] late: Option<LateReport>,
+) {
+    let mut harness = JobOwnerHarness::new();
+    harness.submit();
+    harness.report_usable(true);
+    let ordered = harness.ordered_runs();
+    assert_eq!(ordered.len(), 1, "the task is not started");
+    let run = ordered[0];
+    let worker = InstanceName::new(WORKER);
+    harness.receive(PeerMessage::StartAnswer {
+        worker: worker.clone(),
+        run,
+        outcome: StartOutcome::Started,
+    });
+    harness.report_usable(false);
+    harness.report_end(run);
+    let runs = vec![run];
+    match late {
+        None => {}
+        Some(LateReport::Found) => harness.receive(PeerMessage::RunsFound { worker, runs }),
+        Some(LateReport::Recovery) => {
+            harness.receive(PeerMessage::RecoveryReport(RecoveryReport {
+                worker,
+                worker_epoch: WORKER_EPOCH,
+                query_id: Some(1),
+                runs,
+                ends: Vec::new(),
+            }));
+        }
+    }
+    let mut restarted = Vec::new();
+    for _ in 0..100 {
+        harness.report_usable(true);
+        harness.answer_store();
+        harness.now_ms += 300;
+        restarted.extend(harness.ordered_runs());
+    }
+    assert_eq!(restarted.len(), 1, "the task must start once more");
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -28,6 +28,7 @@
 mod graceful_shutdown;
 mod journal_ring;
 mod large_messages;
+mod late_reports;
 mod late_watches;
 mod long_lists;
 mod ownership_fuzz;
