--- a/crates/turmericfold-fleet/src/jobs/expired_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/expired_runs.rs
@@ -33,9 +33,9 @@
             return false;
         }
         if let Some(tracked) = self.runs.get_mut(&run)
-            && !tracked.is_expired
+            && !tracked.expiry_logged
         {
-            tracked.is_expired = true;
+            tracked.expiry_logged = true;
             log::info!(
                 job:% = run.task.job,
                 run:% = run,
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -420,7 +420,7 @@
         }
         for (run, worker) in without_owner {
             log::info!(run:% = run, worker:% = worker; "worker of a run has no owner any more; the run counts as lapsed");
-            self.end_as_expired(context, &worker, run, out);
+            self.end_as_lapsed(context, &worker, run, out);
         }
     }
 
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -308,7 +308,7 @@
                 filler_millicores: details.filler_millicores(),
                 tracked_since: context.moment.now,
                 is_confirmed: true,
-                is_expired: false,
+                expiry_logged: false,
                 is_stopping: false,
                 stop_sent_at: context.moment.now,
                 progress_percent: 0,
@@ -318,7 +318,7 @@
     }
 
     /// Ends a run whose worker has departed or does not know the run.
-    pub(super) fn end_as_expired(
+    pub(super) fn end_as_lapsed(
         &mut self,
         context: Context<'_>,
         worker: &InstanceName,
@@ -360,7 +360,7 @@
                 epoch = report.worker_epoch.0;
                 "run is missing in the report of its worker's new owner; it counts as lapsed"
             );
-            self.end_as_expired(context, &report.worker, run, out);
+            self.end_as_lapsed(context, &report.worker, run, out);
         }
     }
 
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -177,7 +177,7 @@
             filler_millicores,
             tracked_since: context.moment.now,
             is_confirmed: false,
-            is_expired: false,
+            expiry_logged: false,
             is_stopping: false,
             stop_sent_at: context.moment.now,
             progress_percent: 0,
--- a/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
@@ -22,8 +22,8 @@
     pub(crate) tracked_since: MonotonicMs,
     /// Whether the run is known to be on the worker.
     pub(crate) is_confirmed: bool,
-    /// Whether the lease of the run has expired without a known end.
-    pub(crate) is_expired: bool,
+    /// Whether it was logged that the lease of the run has expired without a known end.
+    pub(crate) expiry_logged: bool,
     /// Whether the run is to be stopped.
     pub(crate) is_stopping: bool,
     /// The time at which a stop was last sent to the worker's owner.
--- a/crates/turmericfold-fleet/src/membership.rs
+++ b/crates/turmericfold-fleet/src/membership.rs
@@ -318,7 +318,7 @@
 
     /// Applies the registrations of other instances among the current keys of a refused
     /// transaction, unless the watch has reported their versions already.
-    pub(crate) fn on_current(&mut self, current: &[ExpectedKey]) {
+    pub(crate) fn apply_current_members(&mut self, current: &[ExpectedKey]) {
         for key in current {
             let Some(name) = keys::parse_member(&key.key) else {
                 continue;
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -109,7 +109,7 @@
             Ok(StoreReply::Committed { .. }) => self.read_owners(out),
             Ok(StoreReply::Refused { current }) => {
                 self.apply_current(current);
-                membership.on_current(current);
+                membership.apply_current_members(current);
                 self.read_owners(out);
             }
             Ok(StoreReply::Page { keys, .. }) => {
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -32,43 +32,23 @@
             return;
         };
         let key = ended.run;
-        let worker_epoch = worker.epoch;
-        let run = worker.runs.remove(&key);
         let end_number = evidence.end_number();
+        let run = worker.runs.remove(&key);
         let mut ran_ms = run.map_or(0, |run| context.moment.since_ms(run.known_since));
         if let Some(tracked) = worker.ends.get_mut(&key) {
             if end_number.is_none() || tracked.end.listed {
                 tracked.end_number = tracked.end_number.or(end_number);
                 return;
             }
-            if tracked.end.ended.end != ended.end {
-                log::warn!(
-                    run:% = key,
-                    worker:% = name,
-                    inferred:? = tracked.end.ended.end,
-                    listed:? = ended.end;
-                    "worker lists another end than its owner inferred; reporting the listed end"
-                );
-            }
+            warn_of_other_end(name, &tracked.end.ended, &ended);
             ran_ms = tracked.end.ran_ms;
         }
-        let last_answer_at = worker.last_answer_at;
-        log::info!(
-            run:% = key,
-            worker:% = name,
-            epoch = worker_epoch.0,
-            end:? = ended.end,
-            evidence:? = evidence,
-            ran_ms = ran_ms,
-            silent_ms = last_answer_at.map_or(0, |at| context.moment.since_ms(at)),
-            listed = end_number.is_some();
-            "run has ended; reporting the end to the owner of its job"
-        );
         let end = ReportedEnd {
             ended,
             listed: end_number.is_some(),
             ran_ms,
         };
+        log_end(context.moment, worker, &end, evidence);
         worker.ends.insert(
             key,
             TrackedEnd {
@@ -81,7 +61,7 @@
         if let Some(owner) = context.job_owner(&key) {
             let message = PeerMessage::EndsReported {
                 worker: name.clone(),
-                worker_epoch,
+                worker_epoch: worker.epoch,
                 ends: vec![end],
             };
             out.send(&owner, message);
@@ -215,3 +195,30 @@
 fn has_left(worker: &Worker) -> bool {
     !worker.registered && worker.entry.draining && worker.connection_refused
 }
+
+fn log_end(moment: Moment, worker: &Worker, end: &ReportedEnd, evidence: EndEvidence) {
+    log::info!(
+        run:% = end.ended.run,
+        worker:% = worker.id,
+        epoch = worker.epoch.0,
+        end:? = end.ended.end,
+        evidence:? = evidence,
+        ran_ms = end.ran_ms,
+        silent_ms = worker.last_answer_at.map_or(0, |at| moment.since_ms(at)),
+        listed = end.listed;
+        "run has ended; reporting the end to the owner of its job"
+    );
+}
+
+fn warn_of_other_end(worker: &InstanceName, inferred: &EndedRun, listed: &EndedRun) {
+    if inferred.end == listed.end {
+        return;
+    }
+    log::warn!(
+        run:% = listed.run,
+        worker:% = worker,
+        inferred:? = inferred.end,
+        listed:? = listed.end;
+        "worker lists another end than its owner inferred; reporting the listed end"
+    );
+}
--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -30,7 +30,7 @@
     /// The runs are over, but one may have completed its task after the last answer of the
     /// worker, which lists it once it answers again. Until then, or until the worker is lost,
     /// the owners of the jobs learn only that the lease has expired.
-    pub(super) fn check_lease(
+    pub(super) fn handle_expiry(
         &mut self,
         context: Context<'_>,
         name: &InstanceName,
@@ -43,7 +43,7 @@
         else {
             return;
         };
-        if is_lost(context.moment, worker, expired_ms) {
+        if counts_as_lost(context.moment, worker, expired_ms) {
             log::warn!(
                 worker:% = name,
                 epoch = worker.epoch.0,
@@ -64,17 +64,17 @@
     ///
     /// This process does not know the worker's clock, but every owner grants leases of the
     /// same length.
-    pub(super) fn check_first_answer(&mut self, context: Context<'_>, name: &InstanceName) {
+    pub(super) fn give_up_unheard(&mut self, context: Context<'_>, name: &InstanceName) {
         let max_silence_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS;
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
-        let is_unknown = worker.last_answer_at.is_none() && !worker.fenced && !worker.is_lost;
+        let is_unknown = worker.last_answer_at.is_none() && !worker.fenced && !worker.presumed_lost;
         let waited_ms = context.moment.since_ms(worker.earlier_renewal_at);
         if !is_unknown || !context.has_valid_registration || waited_ms < max_silence_ms {
             return;
         }
-        worker.is_lost = true;
+        worker.presumed_lost = true;
         log::warn!(
             worker:% = name,
             epoch = worker.epoch.0,
@@ -144,7 +144,7 @@
 }
 
 /// Returns whether a worker with an expired lease counts as lost, with the ends of its runs.
-fn is_lost(moment: Moment, worker: &Worker, expired_ms: u64) -> bool {
+fn counts_as_lost(moment: Moment, worker: &Worker, expired_ms: u64) -> bool {
     let is_unregistered = worker
         .unregistered_at
         .is_some_and(|at| moment.since_ms(at) >= REREGISTRATION_MS);
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -142,7 +142,7 @@
                 && reported.epoch < worker.epoch
             {
                 worker.earlier_renewal_at = moment.now;
-                worker.is_lost = false;
+                worker.presumed_lost = false;
             }
         }
     }
@@ -232,8 +232,8 @@
         let names: Vec<InstanceName> = self.workers.keys().cloned().collect();
         for name in &names {
             self.end_departed(context, name, out);
-            self.check_lease(context, name, out);
-            self.check_first_answer(context, name);
+            self.handle_expiry(context, name, out);
+            self.give_up_unheard(context, name);
             self.poll_if_due(context, name, out);
             self.retry_calls(context, name, out);
             self.resend_reports(context, name, out);
@@ -318,10 +318,10 @@
     worker.acknowledged_up_to = worker.acknowledged_up_to.max(up_to);
     let acknowledged_up_to = worker.acknowledged_up_to;
     worker.ends.retain(|_, tracked| {
-        let is_unlisted = tracked
+        let is_acknowledged = tracked
             .end_number
             .is_none_or(|number| number <= acknowledged_up_to);
-        !(tracked.is_recorded && is_unlisted)
+        !(tracked.is_recorded && is_acknowledged)
     });
 }
 
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -152,7 +152,7 @@
         }
         worker.last_answer_at = Some(context.moment.now);
         worker.expiry_reported_at = None;
-        worker.is_lost = false;
+        worker.presumed_lost = false;
         let listed = update_running(worker, context.moment.now, &listing.running);
         let started = listed.started;
         let ended: Vec<RunKey> = listing.finished.iter().map(|listed| listed.run).collect();
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -70,7 +70,7 @@
     /// When an earlier owner may last have renewed its lease, as far as is known.
     pub(crate) earlier_renewal_at: MonotonicMs,
     /// Whether it counts as lost, as it has never answered this process.
-    pub(crate) is_lost: bool,
+    pub(crate) presumed_lost: bool,
     /// Whether this process has read the owners of all jobs since it owns the worker.
     pub(crate) authorities_known: bool,
     /// The last reading of its clock, once it has answered a poll.
@@ -123,7 +123,7 @@
             unregistered_at: None,
             owned_since: now,
             earlier_renewal_at: now,
-            is_lost: false,
+            presumed_lost: false,
             authorities_known: false,
             clock: None,
             started_ms: 0,
@@ -285,7 +285,7 @@
     /// Returns the runs that may be in progress and the ends not recorded yet, once both are
     /// known; both are empty if the worker counts as lost.
     pub(crate) fn recovery_report(&self, query_id: Option<u64>) -> Option<RecoveryReport> {
-        let is_known = (self.has_listed_all || self.is_lost) && self.authorities_known;
+        let is_known = (self.has_listed_all || self.presumed_lost) && self.authorities_known;
         is_known.then(|| RecoveryReport {
             worker: self.id.clone(),
             worker_epoch: self.epoch,
