--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -42,6 +42,7 @@
 mod silent_takeovers;
 mod silent_workers;
 mod site_adapter;
+mod slow_polls;
 mod slow_reads;
 mod start_doubts;
 mod whole_path;
