Order no runs on a worker that is known to be leaving

Cause: whether a worker takes runs was judged by the summary of its owner alone, which may be older than what the owner of the job knows. Of 11 draining workers, only the three whose owners learned late or never got orders. late_reports::leaving_worker_gets_nothing failed. Change: offers of workers that this process knows as draining are not taken. Why the owner's watch of the workers stalled is not known.

--- a/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
+++ b/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
@@ -77,6 +77,7 @@
         let mut offers: Vec<Offer> = own_offers
             .chain(peer_offers)
             .filter(|offer| !backed_off.contains(&offer.worker.worker))
+            .filter(|offer| !is_draining(context, &offer.worker.worker))
             .collect();
         deduct_unconfirmed(&mut offers, runs);
         offers
@@ -95,6 +96,13 @@
         .is_some_and(|owned| owned.owner.process == *process && owned.epoch == epoch)
 }
 
+/// Returns whether this process knows that a worker is draining; the summary of its owner may
+/// be older.
+fn is_draining(context: Context<'_>, worker: &InstanceName) -> bool {
+    let entry = context.registrations.entry(worker);
+    entry.is_some_and(|entry| entry.draining)
+}
+
 /// Deducts the resources of unconfirmed runs on the workers of peers, whose summaries may
 /// not include these runs yet.
 fn deduct_unconfirmed(offers: &mut [Offer], runs: &TrackedRuns) {
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -1,12 +1,13 @@
-//! Reports on runs that reach the owner of their job after newer reports.
+//! Reports that reach the owner of a job after newer knowledge.
 
 use rstest::rstest;
 use turmericfold_fleet::{
     CallId, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Member, Moment, Outbox,
-    Owner, PeerMessage, RecoveryReport, ReportedEnd, StartOutcome, Summary, WorkerSummary,
+    Owner, PeerMessage, RecoveryReport, ReportedEnd, StartOutcome, Summary, WorkerChange,
+    WorkerSummary,
 };
 use turmericfold_jobs::{EndedRun, JobId, JobSpec, QueueName, RunEnd, RunKey, StepSpec};
-use turmericfold_platform::{KeyChange, StoreCall, StoreReply, StoreVersion};
+use turmericfold_platform::{KeyChange, StoreCall, StoreReply, StoreVersion, WorkerEntry};
 use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
 use turmericfold_types::{
     FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
@@ -145,6 +146,22 @@
         self.answer_store();
     }
 
+    /// Reports that the worker is about to leave.
+    fn drain(&mut self) {
+        let entry = WorkerEntry {
+            id: InstanceName::new(WORKER),
+            address: "10.1.0.0:8000".into(),
+            service: ServiceName::new(SERVICE),
+            domain: FailureDomain::new("west"),
+            draining: true,
+            remaining_ms: Some(5_000),
+            capacity: resources(),
+            labels: Vec::new(),
+        };
+        let change = WorkerChange::Registered(entry);
+        self.deliver(Event::WorkersChanged(vec![change]));
+    }
+
     /// Returns the runs that were ordered since the last call.
     fn ordered_runs(&mut self) -> Vec<RunKey> {
         let messages = std::mem::take(&mut self.out.messages);
@@ -218,3 +235,13 @@
     }
     assert_eq!(restarted.len(), 1, "the task must start once more");
 }
+
+/// Guards against an order to a leaving worker, whose owner does not know yet that it leaves.
+#[test]
+fn leaving_worker_gets_nothing() {
+    let mut harness = JobOwnerHarness::new();
+    harness.drain();
+    harness.submit();
+    harness.report_usable(true);
+    assert_eq!(harness.ordered_runs(), []);
+}
