Share the fleet of the tests of cut-off workers and processes

Cause: silent_workers, silent_takeovers and cut_zones each had the same jobs, cuts and final check. Change: they stand once in the test library, cut_fleet.rs; cut_zones is called cut_domains, as the code calls a zone failure domain.

--- a/tests/features/cut_zones.rs
+++ b/tests/features/cut_domains.rs
@@ -2,28 +2,12 @@
 //! processes.
 
 use rstest::rstest;
-use turmericfold_jobs::{JobId, JobSpec, StepSpec};
-use turmericfold_standin::TaskBehaviour;
-use turmericfold_tests::fleet_world::{FaultKind, FaultPlan, FleetWorld};
-use turmericfold_types::Resources;
-
-const NODES: usize = 3;
-const WORKERS: usize = 4;
-const JOBS: u64 = 6;
-
-/// The time that a fleet needs to become ready after its start, in milliseconds.
-const SETTLE_MS: u64 = 2_000;
-
-/// The time of the world at which the cut begins, in milliseconds.
-const CUT_AT_MS: u64 = 4_000;
+use turmericfold_tests::cut_fleet::{CUT_AT_MS, NODES, cut_fleet, finite_job, with_cut_workers};
+use turmericfold_tests::fleet_world::{FaultKind, FaultPlan};
 
 /// How long the runs work, in milliseconds: longer than any cut.
 const WORK_MS: u64 = 40_000;
 
-fn resources() -> Resources {
-    Resources::new(2_000, 1 << 30)
-}
-
 /// Returns a plan in which `former` reaches only worker 0, and no other node reaches it.
 fn cut(former: usize, for_ms: u64) -> FaultPlan {
     let cut_store = FaultKind::CutStore {
@@ -32,19 +16,12 @@
     };
     let mut plan = FaultPlan::new().with_fault(CUT_AT_MS, cut_store);
     for node in (0..NODES).filter(|node| *node != former) {
-        let cut_worker = FaultKind::CutWorker {
-            node,
-            worker: 0,
-            for_ms,
-        };
         let cut_peers = FaultKind::CutPeers {
             one: former,
             other: node,
             for_ms,
         };
-        plan = plan
-            .with_fault(CUT_AT_MS, cut_worker)
-            .with_fault(CUT_AT_MS, cut_peers);
+        plan = with_cut_workers(plan, node, 1, for_ms).with_fault(CUT_AT_MS, cut_peers);
     }
     plan
 }
@@ -81,23 +58,8 @@
 }
 
 fn assert_runs_once(seed: u64, former: usize, for_ms: u64, unregistered: bool) {
-    let mut world = FleetWorld::new(seed, NODES, WORKERS).with_plan(cut(former, for_ms));
-    world.run_for(SETTLE_MS);
-    let step = StepSpec::new(2, resources(), WORK_MS);
-    let spec = JobSpec {
-        payload: "visit".into(),
-        steps: vec![step],
-        recurrence: None,
-    };
-    let behaviour = TaskBehaviour {
-        resources: resources(),
-        work_ms: Some(WORK_MS),
-        always_fails: false,
-    };
-    for number in 1..=JOBS {
-        world.submit(0, JobId(number), spec.clone(), vec![behaviour]);
-    }
-    world.run_for(CUT_AT_MS - SETTLE_MS);
+    let plan = cut(former, for_ms);
+    let mut world = cut_fleet(seed, plan, &finite_job(WORK_MS), Some(WORK_MS));
     if unregistered {
         world.unregister_worker(0);
     }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -13,7 +13,7 @@
 mod configuration_pull;
 mod configuration_series;
 mod control_figures;
-mod cut_zones;
+mod cut_domains;
 mod documents;
 mod endpoint_faults;
 mod endpoint_health;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod batch_world;
 mod http_probe;
 
+pub mod cut_fleet;
 pub mod fleet_world;
 pub mod fuzz;
 pub mod shared_workers;
