Split the admission by type

Cause: admission.rs had grown to 561 lines and held the requests, the refusals, the shares of profiles and the limits of services beside the queue itself. No behaviour changes.

--- a/crates/turmericfold-policy/src/requests/admission.rs
+++ b/crates/turmericfold-policy/src/requests/admission.rs
@@ -4,10 +4,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use slotmap::SlotMap;
-use turmericfold_config::{Configuration, FleetShare, Urgency};
+use turmericfold_config::Configuration;
 use turmericfold_types::{MonotonicMs, ProfileName, ServiceName, TeamName};
 
+use super::admission_types::{AdmissionRequest, Enqueued, Expired, NextRequest, Refusal};
 use super::class::{Class, WaitingRequest};
+use super::profile_state::ProfileState;
+use super::service_bounds::{QueueUsage, ServiceBounds};
 
 slotmap::new_key_type! {
     /// A request that waits in an [`Admission`].
@@ -30,69 +33,6 @@
 /// requests is chosen.
 const MAX_ROUND_ROBIN_TURNS: usize = 10_000;
 
-/// A request for a slot.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AdmissionRequest {
-    /// Service that the request is for.
-    pub service: ServiceName,
-    /// Team of the request, if it names one.
-    pub team: Option<TeamName>,
-    /// Bytes that the request holds while it waits.
-    pub bytes: u64,
-    /// Time after which an answer is useless.
-    pub deadline: MonotonicMs,
-    /// Whether the request may run more than once.
-    pub idempotent: bool,
-}
-
-/// Why a request is refused instead of queued.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// The service is not declared.
-    UnknownService,
-    /// The queue of the service is full.
-    QueueFull {
-        /// Time after which a retry may succeed, in milliseconds.
-        retry_after_ms: u64,
-    },
-    /// The request would not be answered before its deadline.
-    DeadlineUnmet {
-        /// Time after which a retry may succeed, in milliseconds.
-        retry_after_ms: u64,
-    },
-}
-
-/// A queued request, and the request that was removed to make space for it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Enqueued {
-    /// The queued request.
-    pub ticket: TicketKey,
-    /// A request of the team with the longest queue, refused to make space.
-    pub displaced: Option<TicketKey>,
-}
-
-/// A request that waited until its deadline.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Expired {
-    /// The expired request.
-    pub ticket: TicketKey,
-    /// Time after which a retry may succeed, in milliseconds.
-    pub retry_after_ms: u64,
-}
-
-/// A waiting request that is to start now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NextRequest {
-    /// The request.
-    pub ticket: TicketKey,
-    /// Class of the request.
-    pub class: ClassKey,
-    /// Deadline of the request.
-    pub deadline: MonotonicMs,
-    /// Whether the request may run more than once.
-    pub idempotent: bool,
-}
-
 /// Shares slots between profiles, and within a profile between teams.
 ///
 /// A free slot goes first to a profile below its guaranteed share, then to the most
@@ -108,27 +48,6 @@
     tickets: SlotMap<TicketKey, ClassKey>,
 }
 
-#[derive(Debug)]
-struct ProfileState {
-    share: FleetShare,
-    urgency: Urgency,
-    running: u32,
-    /// Classes in round-robin order.
-    round_robin: Vec<ClassKey>,
-    position: usize,
-}
-
-#[derive(Debug, Clone)]
-struct ServiceBounds {
-    profile: ProfileName,
-    team: TeamName,
-    max_run_ms: u64,
-    queue_requests: u32,
-    queue_bytes: u64,
-    waiting_requests: u32,
-    waiting_bytes: u64,
-}
-
 impl Admission {
     /// Creates an admission without services.
     pub fn new() -> Self {
@@ -508,54 +427,3 @@
         self.profiles.get_mut(&class.profile)
     }
 }
-
-/// Queue usage of one service.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct QueueUsage {
-    /// Number of waiting requests.
-    pub requests: u32,
-    /// Bytes held by the waiting requests.
-    pub bytes: u64,
-}
-
-impl ServiceBounds {
-    fn has_space(&self, bytes: u64) -> bool {
-        self.waiting_requests < self.queue_requests
-            && self.waiting_bytes + bytes <= self.queue_bytes
-    }
-}
-
-impl ProfileState {
-    /// Returns whether one more slot stays within the ceiling. One slot is always
-    /// permitted, so that no profile starves on a small group of endpoints.
-    fn is_below_ceiling(&self, capacity: u32) -> bool {
-        let used = (u64::from(self.running) + 1) * 1_000;
-        self.running == 0 || used <= u64::from(self.share.ceiling_permille) * u64::from(capacity)
-    }
-
-    /// Returns whether one more slot stays within the guaranteed share.
-    fn fits_guarantee(&self, capacity: u32) -> bool {
-        let used = (u64::from(self.running) + 1) * 1_000;
-        used <= u64::from(self.share.guaranteed_permille) * u64::from(capacity)
-    }
-
-    /// Returns whether the profile uses less than its guaranteed share.
-    fn is_below_guarantee(&self, capacity: u32) -> bool {
-        let used = u64::from(self.running) * 1_000;
-        used < u64::from(self.share.guaranteed_permille) * u64::from(capacity)
-    }
-
-    fn guarantee_use(&self) -> u64 {
-        u64::from(self.running) * 1_000_000 / u64::from(self.share.guaranteed_permille.max(1))
-    }
-
-    /// Returns the number of slots that the profile can expect under contention.
-    fn expected_slots(&self, capacity: u32) -> u32 {
-        let share_permille = match self.urgency {
-            Urgency::Urgent => self.share.ceiling_permille,
-            Urgency::Normal | Urgency::Background => self.share.guaranteed_permille,
-        };
-        let slots = u64::from(capacity) * u64::from(share_permille) / 1_000;
-        u32::try_from(slots).unwrap_or(u32::MAX)
-    }
-}
--- a/crates/turmericfold-policy/src/requests/mod.rs
+++ b/crates/turmericfold-policy/src/requests/mod.rs
@@ -2,20 +2,21 @@
 
 mod adaptive_limit;
 mod admission;
+mod admission_types;
 mod class;
 mod drain_rate;
 mod endpoint_health;
 mod endpoint_state;
 mod peer_choice;
+mod profile_state;
 mod request_scheduler;
 mod retry_budget;
+mod service_bounds;
 mod slot_ledger;
 
 pub use adaptive_limit::AdaptiveLimit;
-pub use admission::{
-    Admission, AdmissionRequest, ClassKey, Enqueued, Expired, NextRequest, QueueUsage, Refusal,
-    TicketKey,
-};
+pub use admission::{Admission, ClassKey, TicketKey};
+pub use admission_types::{AdmissionRequest, Enqueued, Expired, NextRequest, Refusal};
 pub use drain_rate::DrainRate;
 pub use endpoint_health::{EndpointHealth, FULL_WEIGHT_PERMILLE, Outcome};
 pub use endpoint_state::EndpointDeclaration;
@@ -24,4 +25,5 @@
     Decision, EndpointKey, Grant, GrantEnd, GroupLoad, Offer, RequestScheduler,
 };
 pub use retry_budget::RetryBudget;
+pub use service_bounds::QueueUsage;
 pub use slot_ledger::{SlotKey, SlotLedger};
