Translate between the batch scheduler and the workers' calls in one place

Change: worker_commands.rs in control serves all three. The batch world is split into the world, its exchanges with workers and the actions of the scheduler; the time after which a silent worker's runs have ended has a name. The oracle reads the checkpoint from the record that is started, as that is what the command carries.

--- a/crates/turmericfold-control/src/lib.rs
+++ b/crates/turmericfold-control/src/lib.rs
@@ -21,6 +21,7 @@
 mod shard_leases;
 mod snapshot;
 mod witness;
+mod worker_commands;
 mod worker_session;
 
 pub use driver::{ControlParts, run_control};
@@ -32,3 +33,4 @@
 pub use rendezvous::{place_shards, rank_members, shard_of_instance, shard_of_key};
 pub use shard_leases::ShardLeases;
 pub use snapshot::{ControlSnapshot, OwnedEndpoint, PeerView, ShardOwner, StoreCallCounts};
+pub use worker_commands::{run_end, start_command};
--- a/crates/turmericfold-control/src/shard/mod.rs
+++ b/crates/turmericfold-control/src/shard/mod.rs
@@ -19,6 +19,7 @@
 use crate::journal::Journal;
 use crate::outbox::{Outbox, Purpose, ShardPurpose};
 use crate::records::{Roster, Segment};
+use crate::worker_commands::start_command;
 use crate::worker_session::WorkerSession;
 
 /// Divisor of the store's call budget; the quotient is the share of all journals
@@ -278,15 +279,7 @@
                 durable_first,
                 ..
             } => {
-                let command = WorkerCommand::Start {
-                    run,
-                    task: record.id.clone(),
-                    kind: record.spec.kind.clone(),
-                    reserved,
-                    declared_run_ms: record.spec.run_ms,
-                    payload: record.spec.payload.clone(),
-                    checkpoint: record.checkpoint.clone(),
-                };
+                let command = start_command(run, &record, reserved);
                 if durable_first {
                     self.hold_back(Waiter::Command { worker, command }, out);
                 } else {
--- a/crates/turmericfold-control/src/shard/workers.rs
+++ b/crates/turmericfold-control/src/shard/workers.rs
@@ -1,7 +1,7 @@
 //! Sends messages to the workers and handles their replies.
 
 use turmericfold_platform::{
-    InstanceState, PlatformError, RunOutcome, RunReport, WorkerCommand, WorkerSync, WorkerSyncReply,
+    InstanceState, PlatformError, RunReport, WorkerCommand, WorkerSync, WorkerSyncReply,
 };
 use turmericfold_policy::batch::{BatchEvent, RunEnd};
 use turmericfold_types::{EndpointPace, Incarnation, InstanceName, MonotonicMs, TaskId};
@@ -9,6 +9,7 @@
 use super::{OwnedShard, OwnershipLost, Waiter};
 use crate::event::Action;
 use crate::outbox::Outbox;
+use crate::worker_commands::run_end;
 
 impl OwnedShard {
     pub(super) fn queue_command(&mut self, worker: &InstanceName, command: WorkerCommand) {
@@ -220,7 +221,7 @@
                 };
                 self.decide(now, event, out);
             }
-            let outcome = run_end(&report.outcome);
+            let outcome = run_end(report.outcome.clone());
             self.on_run_ended(now, worker, task, run, outcome, report.ran_ms, out);
         }
         let command = WorkerCommand::Acknowledge { run };
@@ -254,21 +255,3 @@
         self.decide(now, event, out);
     }
 }
-
-fn run_end(outcome: &RunOutcome) -> RunEnd {
-    match outcome {
-        RunOutcome::Finished { result } => RunEnd::Finished {
-            result: result.clone(),
-        },
-        RunOutcome::Failed { reason } => RunEnd::Failed {
-            reason: reason.clone(),
-        },
-        RunOutcome::Evicted { checkpoint } => RunEnd::Evicted {
-            checkpoint: checkpoint.clone(),
-        },
-        RunOutcome::Stopped | RunOutcome::LeaseLapsed => RunEnd::Stopped,
-        RunOutcome::Refused { reason } => RunEnd::Refused {
-            reason: reason.clone(),
-        },
-    }
-}
--- a/measure/src/batch/simulation.rs
+++ b/measure/src/batch/simulation.rs
@@ -7,8 +7,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
+use turmericfold_control::{run_end, start_command};
 use turmericfold_platform::{RunOutcome, RunReport, WorkerCommand, WorkerSync, WorkerSyncReply};
-use turmericfold_policy::batch::{BatchAction, BatchEvent, RunEnd, TaskRecord};
+use turmericfold_policy::batch::{BatchAction, BatchEvent, TaskRecord};
 use turmericfold_standin::{OverloadMargin, WorkerFaults, WorkerModel, WorkerViolation};
 use turmericfold_timeline::EventKind;
 use turmericfold_types::{
@@ -220,15 +221,7 @@
                 if record.spec.service == workload::BACKGROUND.into() && record.run.is_none() {
                     self.waiting_background = self.waiting_background.saturating_sub(1);
                 }
-                let command = WorkerCommand::Start {
-                    run,
-                    task: record.id.clone(),
-                    kind: record.spec.kind.clone(),
-                    reserved,
-                    declared_run_ms: record.spec.run_ms,
-                    payload: record.spec.payload.clone(),
-                    checkpoint: record.checkpoint.clone(),
-                };
+                let command = start_command(run, &record, reserved);
                 (worker, command)
             }
             BatchAction::Throttle {
@@ -336,32 +329,21 @@
             .get(&kind.as_str().into())
             .map_or(0.0, |behaviour| behaviour.cpu_millicores as f64 / 1_000.0);
         let is_warmed_up = self.is_warmed_up();
-        let outcome = match report.outcome {
-            RunOutcome::Finished { result } => {
-                if is_warmed_up {
-                    self.stats.core_hours_per_hour += workload::core_hours(&kind);
-                }
-                RunEnd::Finished { result }
-            }
-            RunOutcome::Evicted { checkpoint } => {
-                self.stats.evictions += u64::from(is_warmed_up);
-                RunEnd::Evicted { checkpoint }
+        match &report.outcome {
+            RunOutcome::Finished { .. } if is_warmed_up => {
+                self.stats.core_hours_per_hour += workload::core_hours(&kind);
             }
-            RunOutcome::Failed { reason } => {
+            RunOutcome::Finished { .. } | RunOutcome::Refused { .. } => {}
+            RunOutcome::Evicted { .. } => self.stats.evictions += u64::from(is_warmed_up),
+            RunOutcome::Failed { .. } | RunOutcome::Stopped | RunOutcome::LeaseLapsed => {
                 self.stats.wasted_core_hours += cores * run_hours;
-                RunEnd::Failed { reason }
             }
-            RunOutcome::Stopped | RunOutcome::LeaseLapsed => {
-                self.stats.wasted_core_hours += cores * run_hours;
-                RunEnd::Stopped
-            }
-            RunOutcome::Refused { reason } => RunEnd::Refused { reason },
-        };
+        }
         self.handle_event(BatchEvent::RunEnded {
             worker: worker.clone(),
             task: report.task,
             run,
-            outcome,
+            outcome: run_end(report.outcome),
             ran_ms: report.ran_ms,
         });
     }
--- a/tests/src/batch_world/mod.rs
+++ b/tests/src/batch_world/mod.rs
@@ -1,18 +1,19 @@
 //! One batch scheduler with simulated workers, in virtual time.
 
+mod actions;
 mod oracle;
+mod syncs;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use turmericfold_config::Configuration;
-use turmericfold_platform::{RunOutcome, WorkerCommand, WorkerSync, WorkerSyncReply};
-use turmericfold_policy::batch::{BatchAction, BatchEvent, BatchScheduler, RunEnd, TaskRecord};
+use turmericfold_platform::WorkerCommand;
+use turmericfold_policy::batch::{BatchEvent, BatchScheduler, TaskRecord};
 use turmericfold_standin::{KindBehaviours, OverloadMargin, WorkerFaults, WorkerModel};
 use turmericfold_timeline::EventKind;
 use turmericfold_types::{
-    Epoch, Incarnation, InstanceName, MonotonicMs, Resources, ShardId, TaskId, TaskSpec, TaskState,
-    TaskStatus,
+    Epoch, InstanceName, MonotonicMs, Resources, ShardId, TaskId, TaskSpec, TaskState, TaskStatus,
 };
 
 pub use oracle::{BatchOracle, Violation};
@@ -20,6 +21,9 @@
 /// The duration of the lease of a run, in milliseconds.
 const LEASE_MS: u64 = 8_000;
 
+/// The time without a reply after which the runs of a worker have ended, in milliseconds.
+const EXPIRY_MS: u64 = LEASE_MS + 2_500;
+
 /// How far and how long the actual use may exceed the capacity of a worker.
 const OVERLOAD_MARGIN: OverloadMargin = OverloadMargin {
     excess_permille: 200,
@@ -292,7 +296,7 @@
         }
         self.report_lost_workers();
         let has_replied_or_expired = |simulated: &SimulatedWorker| {
-            simulated.is_up || self.now.since_ms(simulated.last_reply_at) > LEASE_MS + 2_500
+            simulated.is_up || self.now.since_ms(simulated.last_reply_at) > EXPIRY_MS
         };
         if self.is_recovering && self.workers.values().all(has_replied_or_expired) {
             self.is_recovering = false;
@@ -308,246 +312,4 @@
         self.oracle
             .check_runs(running.map(|(task, _)| task).collect());
     }
-
-    fn sync(&mut self, name: &InstanceName) {
-        let Some(simulated) = self.workers.get_mut(name) else {
-            return;
-        };
-        simulated.model.advance(self.now);
-        if self.now < simulated.unreachable_until {
-            return;
-        }
-        let mut commands = match simulated.is_up {
-            true => std::mem::take(&mut simulated.commands),
-            false => Vec::new(),
-        };
-        let started: BTreeSet<_> = commands.iter().filter_map(started_run).collect();
-        let runs = self.scheduler.runs_on(name);
-        commands.extend(
-            runs.iter()
-                .filter(|(_, run)| !started.contains(run))
-                .map(|(_, run)| WorkerCommand::Renew { run: *run }),
-        );
-        let sync = WorkerSync {
-            shard: ShardId::new("north-0"),
-            epoch: self.epoch,
-            lease_ms: LEASE_MS,
-            not_after: Some(self.now),
-            commands,
-        };
-        let reply = simulated.model.sync(self.now, sync);
-        simulated.last_reply_at = self.now;
-        self.on_reply(name, reply, runs);
-    }
-
-    fn on_reply(
-        &mut self,
-        name: &InstanceName,
-        reply: WorkerSyncReply,
-        known: Vec<(TaskId, Incarnation)>,
-    ) {
-        let WorkerSyncReply::Done {
-            running,
-            reports,
-            usage,
-            ..
-        } = reply
-        else {
-            return;
-        };
-        self.mark_up(name);
-        for found in &running {
-            let (task, run) = (found.task.clone(), found.run);
-            let event = match known.contains(&(task.clone(), run)) {
-                true => BatchEvent::RunConfirmed { task, run },
-                false => BatchEvent::RunFound {
-                    worker: name.clone(),
-                    task,
-                    run,
-                    reserved: found.reserved,
-                },
-            };
-            self.handle_event(event);
-        }
-        for report in &reports {
-            if !self.scheduler.is_end_handled(&report.task, report.run) {
-                self.oracle.on_reported(&report.task, &report.outcome);
-                self.report_run_end(
-                    name,
-                    &report.task,
-                    report.run,
-                    &report.outcome,
-                    report.ran_ms,
-                );
-            }
-            let run = report.run;
-            self.send(name, WorkerCommand::Acknowledge { run });
-        }
-        for (task, run) in known {
-            let is_reported = running.iter().any(|found| found.run == run)
-                || reports.iter().any(|report| report.run == run);
-            if !is_reported {
-                self.report_run_end(name, &task, run, &RunOutcome::Stopped, 0);
-            }
-        }
-        for sample in usage {
-            let hides_use = self.broken_rule == Some(BrokenRule::HideUse);
-            self.handle_event(BatchEvent::Usage {
-                worker: name.clone(),
-                task: sample.task,
-                run: sample.run,
-                used: if hides_use {
-                    Resources::new(10, 10)
-                } else {
-                    sample.used
-                },
-                age_ms: sample.age_ms,
-            });
-        }
-    }
-
-    fn mark_up(&mut self, name: &InstanceName) {
-        let Some(simulated) = self
-            .workers
-            .get_mut(name)
-            .filter(|simulated| !simulated.is_up)
-        else {
-            return;
-        };
-        simulated.is_up = true;
-        let (worker, capacity) = (name.clone(), self.capacity);
-        self.handle_event(BatchEvent::WorkerUp {
-            worker,
-            capacity,
-            failure_domain: "north".into(),
-            rack: "rack-0".into(),
-        });
-    }
-
-    fn report_run_end(
-        &mut self,
-        worker: &InstanceName,
-        task: &TaskId,
-        run: Incarnation,
-        outcome: &RunOutcome,
-        ran_ms: u64,
-    ) {
-        let (worker, task) = (worker.clone(), task.clone());
-        let is_known = self
-            .scheduler
-            .runs_on(&worker)
-            .iter()
-            .any(|(_, other)| *other == run);
-        if !is_known {
-            self.handle_event(BatchEvent::RunFound {
-                worker: worker.clone(),
-                task: task.clone(),
-                run,
-                reserved: Resources::default(),
-            });
-        }
-        let outcome = run_end(outcome);
-        self.handle_event(BatchEvent::RunEnded {
-            worker,
-            task,
-            run,
-            outcome,
-            ran_ms,
-        });
-    }
-
-    fn report_lost_workers(&mut self) {
-        let mut lost = Vec::new();
-        for (name, simulated) in &mut self.workers {
-            if simulated.is_up && self.now.since_ms(simulated.last_reply_at) > LEASE_MS + 2_500 {
-                simulated.is_up = false;
-                simulated.commands.clear();
-                lost.push(name.clone());
-            }
-        }
-        for worker in lost {
-            self.handle_event(BatchEvent::WorkerLost { worker });
-        }
-    }
-
-    fn execute(&mut self, action: BatchAction) {
-        match action {
-            BatchAction::Start {
-                worker,
-                run,
-                record,
-                reserved,
-                ..
-            } => {
-                let drops_checkpoint = self.broken_rule == Some(BrokenRule::DropCheckpoint);
-                let checkpoint = record.checkpoint.clone().filter(|_| !drops_checkpoint);
-                self.oracle.on_started(&record, run, &checkpoint, reserved);
-                let command = WorkerCommand::Start {
-                    run,
-                    task: record.id.clone(),
-                    kind: record.spec.kind.clone(),
-                    reserved,
-                    declared_run_ms: record.spec.run_ms,
-                    payload: record.spec.payload.clone(),
-                    checkpoint,
-                };
-                if self.broken_rule == Some(BrokenRule::RunTwice) {
-                    let other = self.workers.keys().find(|name| **name != worker).cloned();
-                    if let Some(other) = other {
-                        self.send(&other, command.clone());
-                    }
-                }
-                self.send(&worker, command);
-            }
-            BatchAction::Throttle {
-                worker,
-                run,
-                share_permille,
-            } => self.send(
-                &worker,
-                WorkerCommand::Throttle {
-                    run,
-                    share_permille,
-                },
-            ),
-            BatchAction::Evict {
-                worker,
-                run,
-                notice_ms,
-            } => self.send(&worker, WorkerCommand::Evict { run, notice_ms }),
-            BatchAction::Stop { worker, run } => self.send(&worker, WorkerCommand::Stop { run }),
-            BatchAction::Journal(change) => {
-                self.oracle.on_journaled(&change.record);
-                self.journal.insert(change.record.id.clone(), change.record);
-            }
-            BatchAction::Record(event) => {
-                if matches!(*event, EventKind::AutomaticChange { .. }) {
-                    self.changes.push(*event);
-                }
-            }
-        }
-    }
-
-    fn send(&mut self, worker: &InstanceName, command: WorkerCommand) {
-        if let Some(simulated) = self.workers.get_mut(worker) {
-            simulated.commands.push(command);
-        }
-    }
-}
-
-fn started_run(command: &WorkerCommand) -> Option<Incarnation> {
-    match command {
-        WorkerCommand::Start { run, .. } => Some(*run),
-        _ => None,
-    }
-}
-
-fn run_end(outcome: &RunOutcome) -> RunEnd {
-    match outcome.clone() {
-        RunOutcome::Finished { result } => RunEnd::Finished { result },
-        RunOutcome::Failed { reason } => RunEnd::Failed { reason },
-        RunOutcome::Evicted { checkpoint } => RunEnd::Evicted { checkpoint },
-        RunOutcome::Stopped | RunOutcome::LeaseLapsed => RunEnd::Stopped,
-        RunOutcome::Refused { reason } => RunEnd::Refused { reason },
-    }
 }
--- a/tests/src/batch_world/oracle.rs
+++ b/tests/src/batch_world/oracle.rs
@@ -97,13 +97,7 @@
     }
 
     /// Checks a start that the scheduler requested.
-    pub fn on_started(
-        &mut self,
-        record: &TaskRecord,
-        run: Incarnation,
-        checkpoint: &Option<EcoString>,
-        reserved: Resources,
-    ) {
+    pub fn on_started(&mut self, record: &TaskRecord, run: Incarnation, reserved: Resources) {
         let Some(task) = self.tasks.get_mut(&record.id) else {
             return;
         };
@@ -116,7 +110,7 @@
             self.violations
                 .push(Violation::StartedCancelled(id.clone()));
         }
-        if *checkpoint != task.checkpoint {
+        if record.checkpoint != task.checkpoint {
             self.violations.push(Violation::WrongCheckpoint(id));
         }
         task.reserved = reserved;
