Stop renewing a worker that a peer lists under a later epoch

Cause: a process whose registration is back but whose watch is late renewed a worker's lease after the new owner's summaries had listed the worker under a later epoch. When the two were cut off from each other, the new owner gave the worker up beside a renewed lease. Change: such a worker is marked as superseded: no lease is renewed, it takes no new runs and nothing is concluded from its lease. A later claim creates its state anew.

--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -135,7 +135,7 @@
 /// `None` if it may be valid.
 fn expired_ms(context: Context<'_>, worker: &Worker) -> Option<u64> {
     // If this process no longer owns the worker, the new owner may be renewing the lease.
-    if worker.fenced || !context.has_valid_registration {
+    if worker.fenced || worker.superseded || !context.has_valid_registration {
         return None;
     }
     let clock_ms = worker.clock?.earliest_ms(context.moment.now);
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -135,15 +135,22 @@
     /// Handles a peer's summary.
     ///
     /// A former owner that has not learned of its loss may still renew the lease of a worker.
+    /// If the peer lists a worker under a later epoch, this process is that former owner, and
+    /// stops renewing the lease; if it claims the worker again, the state begins anew.
     pub(crate) fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: &Summary) {
         self.isolation.on_summary(moment, &from.instance);
         for reported in &summary.workers {
-            if let Some(worker) = self.workers.get_mut(&reported.worker)
-                && reported.epoch < worker.epoch
-            {
+            let Some(worker) = self.workers.get_mut(&reported.worker) else {
+                continue;
+            };
+            if reported.epoch < worker.epoch {
                 worker.earlier_renewal_at = moment.now;
                 worker.presumed_lost = false;
             }
+            if reported.epoch > worker.epoch && !worker.superseded {
+                log::warn!(worker:% = worker.id, epoch = worker.epoch.0, later = reported.epoch.0; "peer owns the worker under a later epoch; its lease is not renewed");
+                worker.superseded = true;
+            }
         }
     }
 
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -264,7 +264,7 @@
     let has_answered = worker.unanswered_polls == 0;
     let lease_until_ms = worker
         .clock
-        .filter(|_| has_answered && may_renew)
+        .filter(|_| has_answered && may_renew && !worker.superseded)
         .map(|clock| {
             worker
                 .lease_until_ms
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -99,6 +99,8 @@
     pub(crate) expiry_reported_at: Option<MonotonicMs>,
     /// Whether it refused this process's token at the last answered poll.
     pub(crate) fenced: bool,
+    /// Whether a peer has listed it under a later epoch, so that this process has lost it.
+    pub(crate) superseded: bool,
     /// The runs that may be in progress.
     pub(crate) runs: BTreeMap<RunKey, Run>,
     /// The ends that are not recorded yet, or are recorded but still listed.
@@ -137,6 +139,7 @@
             has_listed_all: false,
             expiry_reported_at: None,
             fenced: false,
+            superseded: false,
             runs: BTreeMap::new(),
             ends: BTreeMap::new(),
             barred: BTreeMap::new(),
@@ -153,6 +156,7 @@
         self.registered
             && self.authorities_known
             && !self.fenced
+            && !self.superseded
             && !self.entry.draining
             && answered_recently
             && self.runs.values().all(|run| run.details.is_some())
--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -21,26 +21,29 @@
     cut_group(NODES, &[former], 0, for_ms)
 }
 
+fn cut_store(node: usize, for_ms: u64) -> FaultKind {
+    FaultKind::CutStore { node, for_ms }
+}
+
+fn cut_watch(node: usize, for_ms: u64) -> FaultKind {
+    FaultKind::CutWatch { node, for_ms }
+}
+
+fn cut_peers(one: usize, other: usize, for_ms: u64) -> FaultKind {
+    FaultKind::CutPeers { one, other, for_ms }
+}
+
 /// Returns a plan in which the nodes of `group` reach only each other and worker 0, which no
 /// other node reaches. They lose the store `lead_ms` before the other nodes.
 fn cut_group(nodes: usize, group: &[usize], lead_ms: u64, for_ms: u64) -> FaultPlan {
     let mut plan = FaultPlan::new();
     for node in group {
-        let cut_store = FaultKind::CutStore {
-            node: *node,
-            for_ms: lead_ms + for_ms,
-        };
-        plan = plan.with_fault(CUT_AT_MS, cut_store);
+        plan = plan.with_fault(CUT_AT_MS, cut_store(*node, lead_ms + for_ms));
     }
     for node in (0..nodes).filter(|node| !group.contains(node)) {
         plan = with_cut_workers(plan, node, 1, lead_ms + for_ms);
         for member in group {
-            let cut_peers = FaultKind::CutPeers {
-                one: *member,
-                other: node,
-                for_ms,
-            };
-            plan = plan.with_fault(CUT_AT_MS + lead_ms, cut_peers);
+            plan = plan.with_fault(CUT_AT_MS + lead_ms, cut_peers(*member, node, for_ms));
         }
     }
     plan
@@ -101,6 +104,26 @@
     assert_no_violations(world, lead_ms + 14_000);
 }
 
+/// Guards against the same for an owner that hears of its loss only from the new owner.
+#[rstest]
+fn told_owner_stops_renewing(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2)] former: usize,
+    #[values(1, 2)] offset: usize,
+) {
+    let for_ms = 30_000;
+    let successor = (former + offset) % NODES;
+    let mut plan = FaultPlan::new()
+        .with_fault(CUT_AT_MS, cut_store(former, 3_000))
+        .with_fault(CUT_AT_MS, cut_watch(former, for_ms))
+        .with_fault(CUT_AT_MS + 6_000, cut_peers(former, successor, for_ms));
+    for node in (0..NODES).filter(|node| *node != former) {
+        plan = with_cut_workers(plan, node, 1, for_ms);
+    }
+    let world = cut_world(NODES, seed, plan, true);
+    assert_no_violations(world, 20_000);
+}
+
 /// Guards against owners that stop renewing in an outage of the store that ends one process.
 #[rstest]
 #[case::alone(1, None, 60_000)]
