--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -287,14 +287,14 @@
         out: &mut Outbox,
     ) {
         let lease_ms = self.lease_ms;
-        let may_renew = self.isolation.may_renew();
+        let may_renew = self.isolation.may_renew(context);
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
         let Some(clock) = worker.clock else {
             return;
         };
-        if may_renew {
+        if may_renew && !worker.superseded {
             let renewed_until_ms = clock.estimated_ms(context.moment.now) + lease_ms;
             worker.lease_until_ms = worker.lease_until_ms.max(renewed_until_ms);
         }
