Count a worker as unregistered only while its watch reports

Seen by callers: a task was started again after a run of it had ended as done. Cause: a silent worker whose registration is gone counts as lost after 2.5 s, so that its runs end as lapsed. The watch of the workers may lose an answer for 3.7 s; a worker that is back in the store meanwhile still counted as gone. Change: a watch that ends without a change reports that, too, and the 2.5 s are counted up to the last report. Without reports the worker counts as lost after the longest wait for an outcome, as a registered one does. A process that was suspended still takes a report that waited for it as new.

--- a/crates/turmericfold-fleet/src/event.rs
+++ b/crates/turmericfold-fleet/src/event.rs
@@ -39,7 +39,8 @@
     KeysChanged(Vec<KeyChange>),
     /// All registered workers have been read again.
     WorkersReloaded(Vec<WorkerEntry>),
-    /// Registrations of workers have been added, changed or removed.
+    /// Registrations of workers have been added, changed or removed; none if a watch has
+    /// ended without a change.
     WorkersChanged(Vec<WorkerChange>),
     /// A configuration has been read.
     Configuration(Arc<Configuration>),
--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -27,6 +27,10 @@
     }
 
     pub(super) fn on_workers_changed(&mut self, moment: Moment, changes: Vec<WorkerChange>) {
+        self.workers.on_registrations_reported(moment);
+        if changes.is_empty() {
+            return;
+        }
         for change in changes {
             match change {
                 WorkerChange::Registered(entry) => {
--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -43,7 +43,7 @@
         else {
             return;
         };
-        if counts_as_lost(context.moment, worker, expired_ms) {
+        if self.counts_as_lost(worker, expired_ms) {
             log::warn!(
                 worker:% = name,
                 epoch = worker.epoch.0,
@@ -84,6 +84,16 @@
         );
     }
 
+    /// Returns whether a worker with an expired lease counts as lost, with the ends of its
+    /// runs. It may have registered again unless the watch has reported since.
+    fn counts_as_lost(&self, worker: &Worker, expired_ms: u64) -> bool {
+        let reported_at = self.registrations_reported_at;
+        let is_unregistered = worker
+            .unregistered_at
+            .is_some_and(|at| reported_at.since_ms(at) >= REREGISTRATION_MS);
+        is_unregistered || expired_ms >= MAX_OUTCOME_WAIT_MS
+    }
+
     /// Reports that the lease of a worker's runs has expired, again after a while.
     fn report_expired(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
         let Some(worker) = self.worker_mut(name) else {
@@ -143,14 +153,6 @@
     (clock_ms > expired_at_ms).then(|| clock_ms - expired_at_ms)
 }
 
-/// Returns whether a worker with an expired lease counts as lost, with the ends of its runs.
-fn counts_as_lost(moment: Moment, worker: &Worker, expired_ms: u64) -> bool {
-    let is_unregistered = worker
-        .unregistered_at
-        .is_some_and(|at| moment.since_ms(at) >= REREGISTRATION_MS);
-    is_unregistered || expired_ms >= MAX_OUTCOME_WAIT_MS
-}
-
 fn silent_ms(moment: Moment, worker: &Worker) -> u64 {
     worker.last_answer_at.map_or(0, |at| moment.since_ms(at))
 }
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -33,6 +33,9 @@
     pub(super) authorities: BTreeMap<JobShard, StoreVersion>,
     authorities_call: Option<AuthoritiesCall>,
     pub(super) isolation: Isolation,
+    /// When the watch of the workers last reported: registrations that it has not restored by
+    /// then were still gone.
+    pub(super) registrations_reported_at: MonotonicMs,
     next_progress_at: MonotonicMs,
     interference: InterferenceModel,
 }
@@ -55,6 +58,7 @@
             authorities: BTreeMap::new(),
             authorities_call: None,
             isolation: Isolation::default(),
+            registrations_reported_at: MonotonicMs::default(),
             next_progress_at: MonotonicMs::default(),
             interference: InterferenceModel::default(),
         }
@@ -132,6 +136,11 @@
         }
     }
 
+    /// Handles that the watch of the workers has reported all changes until now.
+    pub(crate) fn on_registrations_reported(&mut self, moment: Moment) {
+        self.registrations_reported_at = moment.now;
+    }
+
     /// Handles a peer's summary.
     ///
     /// A former owner that has not learned of its loss may still renew the lease of a worker.
--- a/crates/turmericfold/src/fleet/watch.rs
+++ b/crates/turmericfold/src/fleet/watch.rs
@@ -98,7 +98,7 @@
         keys: Vec<StoredKey>,
         version: StoreVersion,
     },
-    /// The changes since the last update.
+    /// The changes since the last update; none if a watch has ended without any.
     Changes(Vec<KeyChange>),
 }
 
@@ -147,8 +147,7 @@
         }
     }
 
-    /// Waits for changes after `version`; returns `None` if there are none or the
-    /// call fails.
+    /// Waits for changes after `version`; returns `None` if the call fails.
     async fn wait(&mut self, version: StoreVersion) -> Option<Vec<KeyChange>> {
         tokio::time::sleep(Duration::from_millis(self.batch_delay_ms)).await;
         let call = StoreCall::Watch {
@@ -160,7 +159,7 @@
             Ok(StoreReply::Changes { changes, version }) => {
                 self.version = Some(version);
                 self.on_success();
-                (!changes.is_empty()).then_some(changes)
+                Some(changes)
             }
             Ok(StoreReply::Compacted) => {
                 log::info!(prefix = self.prefix.as_str(); "history of the store is compacted; reading all keys again");
@@ -238,6 +237,7 @@
     loop {
         let event = match watch.next().await {
             WatchUpdate::All { keys, version } => Event::KeysReloaded { keys, version },
+            WatchUpdate::Changes(changes) if changes.is_empty() => continue,
             WatchUpdate::Changes(changes) => Event::KeysChanged(changes),
         };
         if events.send(event).await.is_err() {
@@ -268,6 +268,7 @@
                 .filter(|stored| stored.key == key)
                 .map(|stored| stored.stored.value)
                 .collect(),
+            WatchUpdate::Changes(changes) if changes.is_empty() => continue,
             WatchUpdate::Changes(changes) => changes
                 .into_iter()
                 .filter(|change| change.key == key)
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -32,6 +32,7 @@
 mod late_reports;
 mod late_watches;
 mod long_lists;
+mod lost_registrations;
 mod ownership_fuzz;
 mod peer_ports;
 mod promises;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -82,7 +82,9 @@
     reported_version: Option<StoreVersion>,
     /// The version of the configuration that the store has last reported to the node.
     reported_configuration: u64,
-    has_worker_entries: bool,
+    /// The registrations of workers that its watch has reported, once it has.
+    reported_entries: Option<BTreeMap<InstanceName, WorkerEntry>>,
+    workers_reported_at: MonotonicMs,
 }
 
 /// A job as seen by its caller.
--- a/tests/src/fleet_world/nodes.rs
+++ b/tests/src/fleet_world/nodes.rs
@@ -34,7 +34,8 @@
             process: process.clone(),
             reported_version: None,
             reported_configuration: self.configuration.version,
-            has_worker_entries: false,
+            reported_entries: None,
+            workers_reported_at: self.now,
         });
         let event = Event::Configuration(self.configuration.clone());
         self.schedule(5, Delivery::Node { process, event });
--- a/tests/src/fleet_world/watches.rs
+++ b/tests/src/fleet_world/watches.rs
@@ -1,27 +1,27 @@
 //! Reports changes in the store, and the list of workers, to nodes.
 
-use turmericfold_fleet::{Event, keys};
-use turmericfold_platform::{KeyChange, StoreCall, StoreReply, StoreVersion, StoredKey};
+use std::collections::BTreeMap;
+
+use turmericfold_fleet::{Event, WorkerChange, keys};
+use turmericfold_platform::{
+    KeyChange, StoreCall, StoreReply, StoreVersion, StoredKey, WorkerEntry,
+};
+use turmericfold_types::InstanceName;
 
 use super::FleetWorld;
 
+/// The longest duration of a watch of the workers, in milliseconds.
+const WATCH_MS: u64 = 1_500;
+
 impl FleetWorld {
     /// Reports the store changes since the last report to a node. The first report holds
     /// all keys, and so does a report for which the store no longer has the changes. The
-    /// node also receives the list of workers, once after its start, and each new
-    /// configuration.
+    /// node also receives the changes of workers and each new configuration.
     pub(super) fn report_changes(&mut self, index: usize) {
         if self.faults.is_watch_cut(index) || self.faults.is_store_down(index) {
             return;
         }
-        let Some(running) = self.nodes[index].as_mut() else {
-            return;
-        };
-        if !running.has_worker_entries {
-            running.has_worker_entries = true;
-            let entries = self.entries.values().cloned().collect();
-            self.handle_event(index, Event::WorkersReloaded(entries));
-        }
+        self.report_workers(index);
         let Some(reported_version) = self.nodes[index]
             .as_ref()
             .map(|running| running.reported_version)
@@ -42,6 +42,29 @@
         self.report_configuration(index);
     }
 
+    /// Reports the registered workers to a node: all of them first, then their changes, or
+    /// that there are none when a watch ends without any.
+    fn report_workers(&mut self, index: usize) {
+        let now = self.now;
+        let Some(running) = self.nodes[index].as_mut() else {
+            return;
+        };
+        let entries = self.entries.clone();
+        let event = match &running.reported_entries {
+            None => Event::WorkersReloaded(entries.values().cloned().collect()),
+            Some(reported) => {
+                let is_watch_over = now.since_ms(running.workers_reported_at) >= WATCH_MS;
+                if *reported == entries && !is_watch_over {
+                    return;
+                }
+                Event::WorkersChanged(worker_changes(reported, &entries))
+            }
+        };
+        running.reported_entries = Some(entries);
+        running.workers_reported_at = now;
+        self.handle_event(index, event);
+    }
+
     pub(super) fn changes_after(
         &mut self,
         after: StoreVersion,
@@ -69,3 +92,19 @@
         }
     }
 }
+
+/// Returns the changes from the reported registrations to the current ones.
+fn worker_changes(
+    reported: &BTreeMap<InstanceName, WorkerEntry>,
+    entries: &BTreeMap<InstanceName, WorkerEntry>,
+) -> Vec<WorkerChange> {
+    let is_gone = |name: &&InstanceName| !entries.contains_key(*name);
+    let gone = reported.keys().filter(is_gone).cloned();
+    let is_changed = |(name, entry): &(&InstanceName, &WorkerEntry)| {
+        reported.get(*name).is_none_or(|known| known != *entry)
+    };
+    let changed = entries.iter().filter(is_changed);
+    gone.map(WorkerChange::Unregistered)
+        .chain(changed.map(|(_, entry)| WorkerChange::Registered(entry.clone())))
+        .collect()
+}
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -1,7 +1,7 @@
 //! The workers of the world and the calls that arrive at them.
 
 use ecow::EcoString;
-use turmericfold_fleet::{CallId, Event, WorkerCall, WorkerChange, WorkerResult};
+use turmericfold_fleet::{CallId, Event, WorkerCall, WorkerResult};
 use turmericfold_jobs::{RunEnd, RunKey};
 use turmericfold_platform::{PlatformError, WorkerEntry};
 use turmericfold_standin::{TaskWorkerModel, WorkerEvent};
@@ -20,27 +20,14 @@
         self.check_worker(&name);
     }
 
-    /// Removes the registration of a worker, as all nodes learn at once.
+    /// Removes the registration of a worker, as the watches of the nodes report.
     pub fn unregister_worker(&mut self, number: usize) {
-        let name = worker_name(number);
-        self.entries.remove(&name);
-        for index in 0..self.nodes.len() {
-            let change = WorkerChange::Unregistered(name.clone());
-            self.handle_event(index, Event::WorkersChanged(vec![change]));
-        }
-    }
-
-    /// Returns the number of runs in progress on a worker.
-    pub fn runs_on(&self, number: usize) -> usize {
-        let worker = self.workers.get(&worker_name(number));
-        worker.map_or(0, TaskWorkerModel::run_count)
+        self.entries.remove(&worker_name(number));
     }
 
-    pub(super) fn add_worker(&mut self, number: usize) {
+    /// Registers a worker, as the watches of the nodes report.
+    pub fn register_worker(&mut self, number: usize) {
         let name = worker_name(number);
-        let capacity = Resources::new(8_000, 32 << 30);
-        let worker = TaskWorkerModel::new(capacity, self.now);
-        self.workers.insert(name.clone(), worker);
         let entry = WorkerEntry {
             id: name.clone(),
             address: EcoString::from(format!("10.1.0.{number}:8000")),
@@ -48,12 +35,24 @@
             domain: FailureDomain::new("west"),
             draining: false,
             remaining_ms: None,
-            capacity,
+            capacity: worker_capacity(),
             labels: vec!["a".into(), "rack-1".into()],
         };
         self.entries.insert(name, entry);
     }
 
+    /// Returns the number of runs in progress on a worker.
+    pub fn runs_on(&self, number: usize) -> usize {
+        let worker = self.workers.get(&worker_name(number));
+        worker.map_or(0, TaskWorkerModel::run_count)
+    }
+
+    pub(super) fn add_worker(&mut self, number: usize) {
+        let worker = TaskWorkerModel::new(worker_capacity(), self.now);
+        self.workers.insert(worker_name(number), worker);
+        self.register_worker(number);
+    }
+
     pub(super) fn call_worker(
         &mut self,
         process: ProcessId,
@@ -133,6 +132,10 @@
     }
 }
 
+fn worker_capacity() -> Resources {
+    Resources::new(8_000, 32 << 30)
+}
+
 /// Returns the name of a worker by its number.
 pub(super) fn worker_name(number: usize) -> InstanceName {
     InstanceName::new(format!("worker-{number:02}"))
