Acknowledge no end without a write or a certain registration

Seen by callers: a job stays active for ever, as its task is never started again. Cause: an end that changes nothing in the store, such as a lapse, was acknowledged at once, also by a process that no longer owned the job and did not know that. A worker's owner with a late watch reports to that process and drops the end, while the new owner of the job has found the run in its recovery and waits for the end of it. Change: such an end is acknowledged only under a certain registration, as that of an unknown job is. Until then the worker's owner reports it again.

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -297,7 +297,8 @@
             entry.mark_dirty(context.moment.now);
         }
         self.stop_runs(context, &change.stop, out);
-        !is_unrecorded
+        // Nothing is written, so nothing shows that no other process owns the shard.
+        !is_unrecorded && context.has_valid_registration
     }
 
     /// Stops tracked runs.
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -173,6 +173,13 @@
         };
         messages.into_values().flatten().filter_map(run).collect()
     }
+
+    /// Returns whether an end was acknowledged since the messages were last taken.
+    fn has_acknowledged(&mut self) -> bool {
+        let messages = std::mem::take(&mut self.out.messages);
+        let mut messages = messages.into_values().flatten();
+        messages.any(|message| matches!(message, PeerMessage::EndsRecorded { .. }))
+    }
 }
 
 fn process(number: u64) -> ProcessId {
@@ -262,12 +269,21 @@
         task,
         number: RunNumber(1_001),
     });
-    let messages = std::mem::take(&mut harness.out.messages);
-    let mut messages = messages.into_values().flatten();
-    let is_acknowledged =
-        messages.any(|message| matches!(message, PeerMessage::EndsRecorded { .. }));
     assert!(
-        !is_acknowledged,
+        !harness.has_acknowledged(),
         "the end of an unknown run is acknowledged"
     );
 }
+
+/// Guards against the acknowledgement of an end, which is not stored, by a former owner.
+#[test]
+fn uncertain_owner_acknowledges_nothing() {
+    let mut harness = JobOwnerHarness::new();
+    harness.submit();
+    harness.report_usable(true);
+    let ordered = harness.ordered_runs();
+    assert_eq!(ordered.len(), 1, "the task is not started");
+    harness.report_usable(false);
+    harness.report_end(ordered[0]);
+    assert!(!harness.has_acknowledged(), "the end is acknowledged");
+}
--- a/tests/features/late_watches.rs
+++ b/tests/features/late_watches.rs
@@ -186,3 +186,24 @@
         assert_eq!(submitted.state, Some(JobState::Completed), "job {job}");
     }
 }
+
+/// Guards against a lost end that a former owner acknowledges before the new owner learns it.
+#[rstest]
+fn former_owner_acknowledges_nothing(#[values(1, 2)] seed: u64) {
+    let mut plan = FaultPlan::new()
+        .with_fault(FAULTS_AT_MS, cut_store())
+        .with_fault(FAULTS_AT_MS, late_watch(FORMER_OWNER, LATE_MS))
+        .with_fault(FAULTS_AT_MS, late_watch(JOB_OWNER, LATE_MS));
+    for worker in 0..WORKERS {
+        let restart = FaultKind::RestartWorker { worker };
+        plan = plan.with_fault(FAULTS_AT_MS + CUT_MS + REPORT_MS, restart);
+    }
+    let work_ms = 9_000;
+    let mut world = busy_fleet(seed, plan, FORMER_OWNER, Some(work_ms));
+    world.run_for(LATE_MS + work_ms + 2 * REPORT_MS);
+    ask_states(&mut world, NEW_OWNER);
+    assert_eq!(world.violations(), [], "promises were broken");
+    for (job, submitted) in world.jobs() {
+        assert_eq!(submitted.state, Some(JobState::Completed), "job {job}");
+    }
+}
