Stop the runs of ended jobs after a takeover of their shard

Seen by callers: tasks of a cancelled job run on, those that last for ever. Cause: the next owner of a shard without open jobs asked for no runs, as if an ended job had none. With an open job it stopped what it found, but only once: if that order was lost, the worker's owner, which knew the run, never asked again. Change: the runs of every shard with jobs are recovered. Only open jobs hold up starts, as before; reports are requested until none lists an unwanted run.

--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -91,6 +91,7 @@
         let records = std::mem::take(&mut loading.records);
         let mut progress = std::mem::take(&mut loading.progress);
         let mut open_jobs = 0_usize;
+        let is_empty = records.is_empty();
         for (id, record) in records {
             let loaded = progress.remove(&id);
             let mut job = Job::new(id, Arc::new(record));
@@ -113,14 +114,16 @@
             open_jobs = open_jobs;
             "loaded the jobs of a shard; recovering the runs of its open jobs"
         );
-        if open_jobs == 0 {
+        if is_empty {
             shard.phase = Phase::Ready;
             return;
         }
         self.last_query_id += 1;
         shard.phase = Phase::Recovering(Recovering {
             query_id: self.last_query_id,
+            holds_starts: open_jobs > 0,
             reported_workers: BTreeSet::new(),
+            settled_workers: BTreeSet::new(),
             next_query_at: moment.now,
             since: moment.now,
         });
@@ -133,6 +136,8 @@
     }
 
     /// Requests missing recovery reports; a shard with reports on all owned workers is ready.
+    /// Reports are requested until none lists an unwanted run, as the order to stop it may be
+    /// lost.
     pub(super) fn recover_shards(&mut self, context: Context<'_>, out: &mut Outbox) {
         let moment = context.moment;
         let mut finished = false;
@@ -143,19 +148,24 @@
             let Phase::Recovering(recovering) = &mut shard.phase else {
                 continue;
             };
-            let missing: Vec<&InstanceName> = context
-                .ownership
-                .workers()
-                .filter(|worker| !recovering.reported_workers.contains(*worker))
-                .collect();
-            if missing.is_empty() {
+            let mut workers = context.ownership.workers();
+            let all_reported = workers.all(|worker| recovering.reported_workers.contains(worker));
+            if recovering.holds_starts && all_reported {
                 log::info!(
                     shard:% = authority.shard,
                     took_ms = moment.since_ms(recovering.since);
                     "recovered the runs of a shard; it is ready"
                 );
-                shard.phase = Phase::Ready;
+                recovering.holds_starts = false;
                 finished = true;
+            }
+            let missing: Vec<&InstanceName> = context
+                .ownership
+                .workers()
+                .filter(|worker| !recovering.settled_workers.contains(*worker))
+                .collect();
+            if missing.is_empty() {
+                shard.phase = Phase::Ready;
                 continue;
             }
             if !moment.has_reached(recovering.next_query_at) {
@@ -231,6 +241,7 @@
         let Some(query_id) = report.query_id else {
             return;
         };
+        let mut unsettled = BTreeSet::new();
         for run in &report.runs {
             let is_loaded = self
                 .shards
@@ -238,15 +249,19 @@
                 .is_some_and(Shard::is_loaded);
             if is_loaded && self.adopt(context, &report.worker, *run).is_none() {
                 self.stop_unwanted(from, &report.worker, *run, out);
+                unsettled.insert(JobShard::of(run.task.job));
             }
         }
         self.on_ends_reported(context, from, &report.worker, &report.ends, out);
         self.reconcile_runs(context, report, out);
-        for shard in self.shards.values_mut() {
+        for (name, shard) in &mut self.shards {
             if let Phase::Recovering(recovering) = &mut shard.phase
                 && recovering.query_id <= query_id
             {
                 recovering.reported_workers.insert(report.worker.clone());
+                if !unsettled.contains(name) {
+                    recovering.settled_workers.insert(report.worker.clone());
+                }
             }
         }
     }
--- a/crates/turmericfold-fleet/src/jobs/shard.rs
+++ b/crates/turmericfold-fleet/src/jobs/shard.rs
@@ -20,7 +20,7 @@
     Loading(Loading),
     /// The owners of workers are queried for the runs in progress.
     Recovering(Recovering),
-    /// The jobs and their runs are known.
+    /// The jobs and their runs are known, and no unwanted run is left.
     Ready,
 }
 
@@ -53,8 +53,12 @@
 pub(crate) struct Recovering {
     /// The identifier of the recovery query, which the reports repeat.
     pub(crate) query_id: u64,
+    /// Whether a job is open and a worker not reported yet, so that no task of it may start.
+    pub(crate) holds_starts: bool,
     /// The workers on which a recovery report has arrived.
     pub(crate) reported_workers: BTreeSet<InstanceName>,
+    /// The workers whose last report listed no unwanted run of the shard.
+    pub(crate) settled_workers: BTreeSet<InstanceName>,
     /// The time at which the query is repeated for the other workers.
     pub(crate) next_query_at: MonotonicMs,
     /// The time at which the recovery began.
@@ -87,9 +91,14 @@
         !matches!(self.phase, Phase::Loading(_))
     }
 
-    /// Returns whether the jobs have been read and their runs recovered.
+    /// Returns whether the jobs have been read and the runs of the open ones recovered;
+    /// unwanted runs of ended jobs may still have to be stopped.
     pub(crate) fn is_ready(&self) -> bool {
-        matches!(self.phase, Phase::Ready)
+        match &self.phase {
+            Phase::Loading(_) => false,
+            Phase::Recovering(recovering) => !recovering.holds_starts,
+            Phase::Ready => true,
+        }
     }
 
     /// Returns a number that no run of an earlier owner exceeds; the runs of this owner
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -33,6 +33,7 @@
 mod late_watches;
 mod long_lists;
 mod lost_registrations;
+mod lost_stops;
 mod ownership_fuzz;
 mod peer_ports;
 mod promises;
@@ -48,5 +49,6 @@
 mod slow_polls;
 mod slow_reads;
 mod start_doubts;
+
 mod whole_path;
 mod world_fuzz;
