Take no answer to a former process for one to its successor

Seen by callers: the state of another job, or an acceptance of a job that is not stored; and a second run of a task beside its first. Cause: queries about runs and forwarded requests were numbered from 1 in each process. An answer that a peer with a late watch sends to a former process reaches the next one at the same address and may match a number of it. A report older than the takeover then counted as an answer to the recovery query, so that the shard was ready without the runs started since. Change: the numbers begin at the boot number of the process, and reports with numbers of others are ignored. late_reports::ended_run_stays_ended now reports in answer to a real query; without the guard of ended runs it fails as before.

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -15,6 +15,7 @@
 use super::write_queue::WriteQueue;
 use crate::context::Context;
 use crate::ownership::Owned;
+use crate::peer_calls::PeerCalls;
 use crate::workers::WorkerOwner;
 use crate::{
     Configuration, FleetSettings, JobShard, Moment, Outbox, PeerMessage, PendingJobs, ReportedEnd,
@@ -42,7 +43,7 @@
     pub(super) job_retention_ms: u64,
     /// Whether a change since the last attempt may allow more tasks to start.
     pub(super) should_start_tasks: bool,
-    pub(super) last_query_id: u64,
+    pub(super) queries: PeerCalls,
     /// The recovery queries about workers that have a new owner.
     pub(super) worker_queries: BTreeMap<InstanceName, WorkerQuery>,
     /// The ended jobs, which are removed from the store after their retention.
@@ -70,7 +71,7 @@
             write_queue: WriteQueue::default(),
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
-            last_query_id: 0,
+            queries: PeerCalls::new(&settings.member.process),
             worker_queries: BTreeMap::new(),
             finished_jobs: VecDeque::new(),
             next_review_at: MonotonicMs::default(),
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -118,9 +118,8 @@
             shard.phase = Phase::Ready;
             return;
         }
-        self.last_query_id += 1;
         shard.phase = Phase::Recovering(Recovering {
-            query_id: self.last_query_id,
+            query_id: self.queries.next(),
             holds_starts: open_jobs > 0,
             reported_workers: BTreeSet::new(),
             settled_workers: BTreeSet::new(),
@@ -208,12 +207,14 @@
             let Some(owned) = context.ownership.owner(&unit) else {
                 continue;
             };
-            let query_id = self.last_query_id + 1;
-            let query = self.worker_queries.entry(worker).or_insert(WorkerQuery {
-                query_id,
-                next_query_at: context.moment.now,
-            });
-            self.last_query_id = self.last_query_id.max(query.query_id);
+            let queries = &mut self.queries;
+            let query = self
+                .worker_queries
+                .entry(worker)
+                .or_insert_with(|| WorkerQuery {
+                    query_id: queries.next(),
+                    next_query_at: context.moment.now,
+                });
             if context.moment.has_reached(query.next_query_at) {
                 query.next_query_at = context.moment + QUERY_RETRY_MS;
                 let message = PeerMessage::RecoveryQuery {
@@ -238,7 +239,7 @@
         if owned.is_none_or(|owned| owned.epoch != report.worker_epoch) {
             return;
         }
-        let Some(query_id) = report.query_id else {
+        let Some(query_id) = report.query_id.filter(|id| self.queries.contains(*id)) else {
             return;
         };
         let mut unsettled = BTreeSet::new();
--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod node;
 mod outbox;
 mod ownership;
+mod peer_calls;
 pub mod policy;
 mod registrations;
 mod settings;
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -16,6 +16,7 @@
 use crate::jobs::{Caller, JobOwner};
 use crate::membership::Membership;
 use crate::ownership::Ownership;
+use crate::peer_calls::PeerCalls;
 use crate::registrations::Registrations;
 use crate::workers::WorkerOwner;
 use crate::{
@@ -41,7 +42,7 @@
     configuration_sync: ConfigurationSync,
     waiting_requests: Vec<WaitingRequest>,
     forwarded_requests: BTreeMap<u64, ForwardedRequest>,
-    last_forward_id: u64,
+    forwards: PeerCalls,
     ownership_checks: BTreeMap<CallId, OwnershipCheck>,
     peer_pending: BTreeMap<ProcessId, PeerPending>,
     next_summary_at: MonotonicMs,
@@ -65,7 +66,7 @@
             configuration_sync: ConfigurationSync::new(me.clone()),
             waiting_requests: Vec::new(),
             forwarded_requests: BTreeMap::new(),
-            last_forward_id: 0,
+            forwards: PeerCalls::new(&me),
             ownership_checks: BTreeMap::new(),
             peer_pending: BTreeMap::new(),
             next_summary_at: MonotonicMs::default(),
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -161,15 +161,14 @@
             owner.filter(|owner| *owner != self.me && self.membership.find(owner).is_some());
         match (reachable, &caller) {
             (Some(owner), Caller::Local(call)) => {
-                self.last_forward_id += 1;
+                let forward = self.forwards.next();
                 let forwarded = ForwardedRequest {
                     caller: *call,
                     owner: owner.clone(),
                     since: moment.now,
                 };
-                self.forwarded_requests
-                    .insert(self.last_forward_id, forwarded);
-                let call = self.last_forward_id;
+                self.forwarded_requests.insert(forward, forwarded);
+                let call = forward;
                 out.send(&owner, PeerMessage::Forward { call, request });
             }
             // A request that a peer has forwarded is not forwarded again.
--- /dev/null
+++ b/crates/turmericfold-fleet/src/peer_calls.rs
@@ -0,0 +1,33 @@
+//! Numbers of the calls that this process makes to its peers.
+
+use turmericfold_types::ProcessId;
+
+/// The number of low bits that count the calls of one process.
+const COUNT_BITS: u32 = 32;
+
+/// Numbers calls to peers so that no answer to a former process at the same address is taken
+/// for an answer to this one.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeerCalls {
+    first: u64,
+    last: u64,
+}
+
+impl PeerCalls {
+    /// Creates the numbers of a process, whose boot number distinguishes them.
+    pub(crate) fn new(process: &ProcessId) -> Self {
+        let first = process.boot << COUNT_BITS;
+        Self { first, last: first }
+    }
+
+    /// Returns the number of the next call.
+    pub(crate) fn next(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    /// Returns whether this process has made a call of this number.
+    pub(crate) fn contains(&self, number: u64) -> bool {
+        self.first < number && number <= self.last
+    }
+}
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -33,6 +33,7 @@
     node: FleetNode,
     out: Outbox,
     now_ms: u64,
+    worker_epoch: StoreVersion,
 }
 
 impl JobOwnerHarness {
@@ -48,6 +49,7 @@
             node: FleetNode::new(&FleetSettings::new(member)),
             out: Outbox::new(process(0)),
             now_ms: 1_000,
+            worker_epoch: WORKER_EPOCH,
         };
         harness.deliver(Event::Configuration(configuration().into()));
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
@@ -114,7 +116,7 @@
     fn report_usable(&mut self, usable: bool) {
         let worker = WorkerSummary {
             worker: InstanceName::new(WORKER),
-            epoch: WORKER_EPOCH,
+            epoch: self.worker_epoch,
             service: ServiceName::new(SERVICE),
             domain: FailureDomain::new("west"),
             capacity: resources(),
@@ -138,7 +140,7 @@
         };
         self.receive(PeerMessage::EndsReported {
             worker: InstanceName::new(WORKER),
-            worker_epoch: WORKER_EPOCH,
+            worker_epoch: self.worker_epoch,
             ends: vec![ReportedEnd {
                 ended,
                 listed: true,
@@ -164,6 +166,21 @@
         self.deliver(Event::WorkersChanged(vec![change]));
     }
 
+    /// Gives the worker to its owner anew and returns the number of the query about its runs.
+    fn reassign_worker(&mut self) -> Option<u64> {
+        self.worker_epoch = StoreVersion(JOBS_EPOCH.0 + 1);
+        let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
+        let change = ownership_change(&worker_key, process(1), self.worker_epoch);
+        self.now_ms += 300;
+        self.deliver(Event::KeysChanged(vec![change]));
+        let messages = std::mem::take(&mut self.out.messages);
+        let query = |message| match message {
+            PeerMessage::RecoveryQuery { query_id, .. } => Some(query_id),
+            _ => None,
+        };
+        messages.into_values().flatten().find_map(query)
+    }
+
     /// Returns the runs that were ordered since the last call.
     fn ordered_runs(&mut self) -> Vec<RunKey> {
         let messages = std::mem::take(&mut self.out.messages);
@@ -220,6 +237,11 @@
         outcome: StartOutcome::Started,
     });
     harness.report_usable(false);
+    let query_id = harness.reassign_worker();
+    assert!(
+        query_id.is_some(),
+        "the runs of the worker are not asked for"
+    );
     harness.report_end(run);
     let runs = vec![run];
     match late {
@@ -228,8 +250,8 @@
         Some(LateReport::Recovery) => {
             harness.receive(PeerMessage::RecoveryReport(RecoveryReport {
                 worker,
-                worker_epoch: WORKER_EPOCH,
-                query_id: Some(1),
+                worker_epoch: harness.worker_epoch,
+                query_id,
                 runs,
                 ends: Vec::new(),
             }));
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -49,6 +49,7 @@
 mod slow_polls;
 mod slow_reads;
 mod start_doubts;
+mod successors;
 
 mod whole_path;
 mod world_fuzz;
