--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -32,6 +32,8 @@
 mod late_reports;
 mod late_watches;
 mod long_lists;
+mod lost_registrations;
+mod lost_stops;
 mod ownership_fuzz;
 mod peer_ports;
 mod promises;
@@ -47,5 +49,7 @@
 mod slow_polls;
 mod slow_reads;
 mod start_doubts;
+mod successors;
+
 mod whole_path;
 mod world_fuzz;
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -1,7 +1,7 @@
 //! The workers of the world and the calls that arrive at them.
 
 use ecow::EcoString;
-use turmericfold_fleet::{CallId, Event, Owner, WorkerCall, WorkerChange, WorkerResult};
+use turmericfold_fleet::{CallId, Event, Owner, WorkerCall, WorkerResult};
 use turmericfold_jobs::{RunEnd, RunKey};
 use turmericfold_platform::{PlatformError, WorkerEntry};
 use turmericfold_standin::{TaskWorkerModel, WorkerEvent};
@@ -23,14 +23,25 @@
         self.check_worker(&name);
     }
 
-    /// Removes the registration of a worker, as all nodes learn at once.
+    /// Removes the registration of a worker, as the watches of the nodes report.
     pub fn unregister_worker(&mut self, number: usize) {
+        self.entries.remove(&worker_name(number));
+    }
+
+    /// Registers a worker, as the watches of the nodes report.
+    pub fn register_worker(&mut self, number: usize) {
         let name = worker_name(number);
-        self.entries.remove(&name);
-        for index in 0..self.nodes.len() {
-            let change = WorkerChange::Unregistered(name.clone());
-            self.handle_event(index, Event::WorkersChanged(vec![change]));
-        }
+        let entry = WorkerEntry {
+            id: name.clone(),
+            address: EcoString::from(format!("10.1.0.{number}:8000")),
+            service: ServiceName::new(SERVICE),
+            domain: FailureDomain::new("west"),
+            draining: false,
+            remaining_ms: None,
+            capacity: worker_capacity(),
+            labels: vec!["a".into(), "rack-1".into()],
+        };
+        self.entries.insert(name, entry);
     }
 
     /// Returns the numbers of the workers that a node owns according to the store.
@@ -56,21 +67,9 @@
     }
 
     pub(super) fn add_worker(&mut self, number: usize) {
-        let name = worker_name(number);
-        let capacity = Resources::new(8_000, 32 << 30);
-        let worker = TaskWorkerModel::new(capacity, self.now);
-        self.workers.insert(name.clone(), worker);
-        let entry = WorkerEntry {
-            id: name.clone(),
-            address: EcoString::from(format!("10.1.0.{number}:8000")),
-            service: ServiceName::new(SERVICE),
-            domain: FailureDomain::new("west"),
-            draining: false,
-            remaining_ms: None,
-            capacity,
-            labels: vec!["a".into(), "rack-1".into()],
-        };
-        self.entries.insert(name, entry);
+        let worker = TaskWorkerModel::new(worker_capacity(), self.now);
+        self.workers.insert(worker_name(number), worker);
+        self.register_worker(number);
     }
 
     pub(super) fn call_worker(
@@ -152,6 +151,10 @@
     }
 }
 
+fn worker_capacity() -> Resources {
+    Resources::new(8_000, 32 << 30)
+}
+
 /// Returns the name of a worker by its number.
 pub(super) fn worker_name(number: usize) -> InstanceName {
     InstanceName::new(format!("worker-{number:02}"))
