--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -35,6 +35,7 @@
 mod lost_registrations;
 mod lost_stops;
 mod ownership_fuzz;
+mod ownership_searches;
 mod peer_ports;
 mod promises;
 mod rebalancing;
