Count a job as begun once a worker has started a task of it

A job counts as begun by the order to start a task, not by the start. `Job::add_run` set the mark, `discard_refused_run` left it: after a refused first start the job was never counted as waiting again. So did an order to a worker that does not answer.

Change: the mark is set by a worker owner's answer that the run has started, by a run found on a worker, and by an end that the worker listed. A job is `queued` until then.

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -286,6 +286,9 @@
                 "run has completed its task, but a later run was ordered already; the task may run twice"
             );
         }
+        if end.listed {
+            entry.job.record_start();
+        }
         let change = entry.job.end_run(&end.ended);
         // A repeated end may belong to a change that is still being written.
         let is_unrecorded = change.must_persist || entry.is_writing || entry.dirty_since.is_some();
@@ -345,7 +348,12 @@
             return;
         };
         match outcome {
-            StartOutcome::Started => tracked.is_confirmed = true,
+            StartOutcome::Started => {
+                tracked.is_confirmed = true;
+                if let Some(entry) = self.jobs.get_mut(&run.task.job) {
+                    entry.job.record_start();
+                }
+            }
             StartOutcome::Refused(refusal) => {
                 log::info!(
                     job:% = run.task.job,
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -289,6 +289,7 @@
         if !entry.job.add_run(run, worker.clone()) {
             return None;
         }
+        entry.job.record_start();
         let epoch = context
             .ownership
             .owner(&Unit::Worker(worker.clone()))
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -324,10 +324,15 @@
         };
         task.add_run(number, worker);
         step.recount();
-        self.started = true;
         true
     }
 
+    /// Records that a worker has started a task; an order to start one is not enough, as it
+    /// may be refused.
+    pub fn record_start(&mut self) {
+        self.started = true;
+    }
+
     /// Removes a run that was refused and therefore never starts.
     pub fn discard_refused_run(&mut self, run: RunKey) {
         self.update_task(run.task, |task| task.remove_run(run.number));
@@ -382,7 +387,6 @@
         if was_final || was_done {
             return JobChange::default();
         }
-        self.started = true;
         match ended.end {
             RunEnd::Done if !long_running => self.finish_task(key, gang),
             RunEnd::Failed if !long_running => self.count_failure(ended.run, gang, max_attempts),
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -47,5 +47,6 @@
 mod slow_polls;
 mod slow_reads;
 mod start_doubts;
+mod waiting_counts;
 mod whole_path;
 mod world_fuzz;
--- a/tests/src/fleet_world/callers.rs
+++ b/tests/src/fleet_world/callers.rs
@@ -48,19 +48,39 @@
         self.send_request(node, job, CallerRequest::State { job });
     }
 
+    /// Requests the number of waiting jobs through a node.
+    pub fn ask_count(&mut self, node: usize) {
+        let queue = QueueName(QUEUE.into());
+        if let Some(call) = self.call_node(node, CallerRequest::Pending { queue }) {
+            self.count_calls.insert(call);
+        }
+    }
+
+    /// Returns and clears the answers to requests for the number of waiting jobs.
+    pub fn take_counts(&mut self) -> Vec<CallerAnswer> {
+        std::mem::take(&mut self.counts)
+    }
+
     pub(super) fn send_request(&mut self, node: usize, job: JobId, request: CallerRequest) {
+        if let Some(call) = self.call_node(node, request) {
+            self.calls.insert(call, job);
+        }
+    }
+
+    fn call_node(&mut self, node: usize, request: CallerRequest) -> Option<CallId> {
         self.last_call += 1;
         let call = CallId(self.last_call);
-        let Some(running) = &self.nodes[node] else {
-            return;
-        };
-        let process = running.process.clone();
-        self.calls.insert(call, job);
+        let process = self.nodes[node].as_ref()?.process.clone();
         let event = Event::CallerRequest { call, request };
         self.schedule(3, Delivery::Node { process, event });
+        Some(call)
     }
 
     pub(super) fn on_answer(&mut self, call: CallId, answer: CallerAnswer) {
+        if self.count_calls.remove(&call) {
+            self.counts.push(answer);
+            return;
+        }
         let Some(job) = self.calls.remove(&call) else {
             return;
         };
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -12,12 +12,14 @@
 mod watches;
 mod workers;
 
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use turmericfold_fleet::{CallId, Configuration, Event, FleetNode, Moment, Outbox, WorkerCall};
+use turmericfold_fleet::{
+    CallId, CallerAnswer, Configuration, Event, FleetNode, Moment, Outbox, WorkerCall,
+};
 use turmericfold_jobs::{JobId, JobSpec};
 use turmericfold_platform::{StoreCall, StoreVersion, WorkerEntry};
 use turmericfold_standin::{StoreModel, TaskBehaviour, TaskWorkerModel};
@@ -118,6 +120,8 @@
     plan: FaultPlan,
     jobs: BTreeMap<JobId, Submitted>,
     calls: BTreeMap<CallId, JobId>,
+    count_calls: BTreeSet<CallId>,
+    counts: Vec<CallerAnswer>,
     last_call: u64,
     oracle: Oracle,
 }
@@ -143,6 +147,8 @@
             plan: FaultPlan::default(),
             jobs: BTreeMap::new(),
             calls: BTreeMap::new(),
+            count_calls: BTreeSet::new(),
+            counts: Vec::new(),
             last_call: 0,
             oracle: Oracle::default(),
         };
