Count the waiting jobs only from recent reports on all shards

Callers got a silently wrong number of waiting jobs while a process was dead, unheard or taking over: a peer's number was ignored after 2.5 s, as if it had none, and jobs of a shard that moved counted twice, or not at all until its new owner had loaded it.

Cause: numbers were kept by process, not by shard.

Change: a summary reports the waiting jobs of each loaded shard with its epoch. A process adds up the last owners' reports and answers only if it has one of the last 1.7 s on every shard; 2 s are promised. Otherwise the request waits for up to 1.5 s like others without an owner, then gets 503 with Retry-After. A last known number was not kept for longer: an owner that is not heard may accept jobs. Reports of a former owner, told by the epoch, are dropped. Summary changes on the wire, so all processes of a fleet have to be replaced.

--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod schedule;
 mod shard;
 mod tracked_runs;
+mod waiting;
 mod write_draft;
 mod write_outcome;
 mod write_queue;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -17,8 +17,8 @@
 use crate::ownership::Owned;
 use crate::workers::WorkerOwner;
 use crate::{
-    Configuration, FleetSettings, JobShard, Moment, Outbox, PeerMessage, PendingJobs, ReportedEnd,
-    StartOutcome, Summary, Unit,
+    Configuration, FleetSettings, JobShard, Moment, Outbox, PeerMessage, ReportedEnd, StartOutcome,
+    Summary, Unit,
 };
 
 /// The time after which an unconfirmed run is stopped, in milliseconds; twice the time
@@ -120,20 +120,6 @@
                 .all(|entry| entry.is_stored && entry.dirty_since.is_none())
     }
 
-    /// Returns the numbers of jobs that wait for their first start, by queue.
-    pub(crate) fn pending(&self) -> Vec<PendingJobs> {
-        let mut counts = BTreeMap::new();
-        for entry in self.jobs.values() {
-            let waiting = entry.visible_state() == turmericfold_jobs::JobState::Queued;
-            if entry.is_stored && waiting {
-                let queue = entry.job.record.queue.name.clone();
-                *counts.entry(queue).or_default() += 1;
-            }
-        }
-        let pending = |(queue, jobs)| PendingJobs { queue, jobs };
-        counts.into_iter().map(pending).collect()
-    }
-
     /// Handles a peer's summary.
     pub(crate) fn on_summary(&mut self, moment: Moment, summary: &Summary) {
         self.fleet_resources.on_summary(moment, summary);
--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -32,7 +32,7 @@
 pub use member::{Member, Owner};
 pub use messages::{
     Authority, PeerMessage, PendingJobs, RecoveryReport, ReportedEnd, RunDetails, RunProgress,
-    ServingSlack, StartOrder, StartOutcome, StartRefusal, Summary, WorkerSummary,
+    ServingSlack, ShardPending, StartOrder, StartOutcome, StartRefusal, Summary, WorkerSummary,
 };
 pub use moment::Moment;
 pub use node::FleetNode;
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -277,12 +277,21 @@
     pub configuration: u64,
     /// The workers that it owns.
     pub workers: Vec<WorkerSummary>,
-    /// The numbers of its jobs that wait for their first start, by queue.
-    pub pending: Vec<PendingJobs>,
+    /// The jobs that wait for their first start, for every shard that it owns and has loaded.
+    pub pending: Vec<ShardPending>,
     /// Its estimates of how fillers slow latency-critical tasks; empty in most summaries.
     pub effects: Vec<EffectEstimate>,
 }
 
+/// The jobs of a shard that wait for their first start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardPending {
+    /// The shard and the epoch of its ownership.
+    pub authority: Authority,
+    /// The numbers of waiting jobs, for every queue that has any.
+    pub queues: Vec<PendingJobs>,
+}
+
 /// The number of jobs of a queue that wait for their first start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingJobs {
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod configuration_sync;
+mod pending_reports;
 mod requests;
 mod summary;
 
@@ -22,8 +23,8 @@
     CallId, Configuration, Event, FleetSettings, JobShard, Moment, Outbox, PeerMessage, Unit,
 };
 use configuration_sync::ConfigurationSync;
+use pending_reports::PendingReports;
 use requests::{ForwardedRequest, OwnershipCheck, WaitingRequest};
-use summary::PeerPending;
 
 /// The state machine of one process of the fleet.
 ///
@@ -43,7 +44,7 @@
     forwarded_requests: BTreeMap<u64, ForwardedRequest>,
     last_forward_id: u64,
     ownership_checks: BTreeMap<CallId, OwnershipCheck>,
-    peer_pending: BTreeMap<ProcessId, PeerPending>,
+    pending_reports: PendingReports,
     next_summary_at: MonotonicMs,
     summaries_sent: u64,
     stopping: bool,
@@ -67,7 +68,7 @@
             forwarded_requests: BTreeMap::new(),
             last_forward_id: 0,
             ownership_checks: BTreeMap::new(),
-            peer_pending: BTreeMap::new(),
+            pending_reports: PendingReports::default(),
             next_summary_at: MonotonicMs::default(),
             summaries_sent: 0,
             stopping: false,
--- /dev/null
+++ b/crates/turmericfold-fleet/src/node/pending_reports.rs
@@ -0,0 +1,71 @@
+//! The last reports on the waiting jobs of each shard.
+
+use std::collections::BTreeMap;
+
+use turmericfold_jobs::QueueName;
+use turmericfold_platform::StoreVersion;
+use turmericfold_types::MonotonicMs;
+
+use crate::{Authority, JobShard, Moment, PendingJobs, ShardPending};
+
+/// The time for which a report is used, in milliseconds; callers may get counts that are
+/// 2 s old, of which a summary can spend some time on its way.
+const MAX_REPORT_AGE_MS: u64 = 1_700;
+
+/// The last report of a shard's owner on its waiting jobs.
+#[derive(Debug)]
+struct Report {
+    epoch: StoreVersion,
+    received_at: MonotonicMs,
+    queues: Vec<PendingJobs>,
+}
+
+impl Report {
+    fn is_recent(&self, moment: Moment) -> bool {
+        moment.since_ms(self.received_at) < MAX_REPORT_AGE_MS
+    }
+}
+
+/// The last reports on the waiting jobs of each shard, also of this process on its own.
+///
+/// A shard without a recent report is not known to have no waiting jobs, so there is no
+/// count without it.
+#[derive(Debug, Default)]
+pub(super) struct PendingReports {
+    by_shard: BTreeMap<JobShard, Report>,
+}
+
+impl PendingReports {
+    /// Records the report of a shard's owner, unless a later owner of the shard has reported.
+    pub(super) fn record(&mut self, moment: Moment, report: ShardPending) {
+        let Authority { shard, epoch } = report.authority;
+        let known = self.by_shard.get(&shard);
+        if known.is_some_and(|known| known.epoch > epoch) {
+            return;
+        }
+        let report = Report {
+            epoch,
+            received_at: moment.now,
+            queues: report.queues,
+        };
+        self.by_shard.insert(shard, report);
+    }
+
+    /// Returns the first shard without a recent report, if there is one.
+    pub(super) fn first_missing(&self, moment: Moment) -> Option<JobShard> {
+        JobShard::all().find(|shard| {
+            let report = self.by_shard.get(shard);
+            !report.is_some_and(|report| report.is_recent(moment))
+        })
+    }
+
+    /// Returns the number of waiting jobs of a queue in all reports.
+    pub(super) fn count(&self, queue: &QueueName) -> u64 {
+        self.by_shard
+            .values()
+            .flat_map(|report| &report.queues)
+            .filter(|pending| pending.queue == *queue)
+            .map(|pending| pending.jobs)
+            .sum()
+    }
+}
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -57,12 +57,7 @@
         out: &mut Outbox,
     ) {
         match request.job() {
-            None => {
-                if let CallerRequest::Pending { queue } = &request {
-                    let pending = self.pending(moment, queue);
-                    caller.answer(CallerAnswer::Pending(pending), out);
-                }
-            }
+            None => self.answer_count(moment, caller, request, out),
             Some(job) if self.jobs.can_answer(job) => {
                 self.answer(moment, caller, request, out);
             }
@@ -70,6 +65,31 @@
         }
     }
 
+    /// Answers a request for the number of waiting jobs, or keeps it until there is a recent
+    /// report on every shard.
+    fn answer_count(
+        &mut self,
+        moment: Moment,
+        caller: Caller,
+        request: CallerRequest,
+        out: &mut Outbox,
+    ) {
+        let CallerRequest::Pending { queue } = &request else {
+            return;
+        };
+        match self.pending(moment, queue) {
+            Ok(pending) => caller.answer(CallerAnswer::Pending(pending), out),
+            Err(shard) => {
+                log::debug!(shard:% = shard, queue:% = queue; "shard has no recent report on its waiting jobs; the request for their number waits");
+                self.waiting_requests.push(WaitingRequest {
+                    caller,
+                    request,
+                    since: moment.now,
+                });
+            }
+        }
+    }
+
     fn answer(&mut self, moment: Moment, caller: Caller, request: CallerRequest, out: &mut Outbox) {
         let context = Context {
             moment,
@@ -190,6 +210,7 @@
                 since,
             } = waiting;
             if moment.since_ms(since) >= OWNER_TIMEOUT_MS {
+                self.log_missing_report(moment, &request);
                 refuse_without_owner(&caller, out);
                 continue;
             }
@@ -201,6 +222,20 @@
         }
     }
 
+    fn log_missing_report(&self, moment: Moment, request: &CallerRequest) {
+        let missing = self.pending_reports.first_missing(moment);
+        if let (CallerRequest::Pending { queue }, Some(shard)) = (request, missing) {
+            let owned = self.ownership.owner(&Unit::Jobs(shard));
+            let owner = owned.map(|owned| owned.owner.process.to_string());
+            log::info!(
+                shard:% = shard,
+                owner:? = owner,
+                queue:% = queue;
+                "shard has no recent report on its waiting jobs; refusing the request for their number"
+            );
+        }
+    }
+
     /// Answers the forwarded requests that timed out; their outcome is unknown.
     pub(super) fn expire_forwarded(&mut self, moment: Moment, out: &mut Outbox) {
         let expired: Vec<u64> = self
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -1,10 +1,10 @@
 //! Exchanges summaries of free resources and waiting jobs with the peers.
 
 use turmericfold_jobs::QueueName;
-use turmericfold_types::{MonotonicMs, ProcessId};
+use turmericfold_types::ProcessId;
 
 use super::FleetNode;
-use crate::{Moment, Outbox, PeerMessage, PendingJobs, Summary};
+use crate::{JobShard, Moment, Outbox, PeerMessage, ShardPending, Summary, Unit};
 
 /// The interval between summaries to the peers, in milliseconds.
 const SUMMARY_INTERVAL_MS: u64 = 300;
@@ -12,17 +12,6 @@
 /// One in this many summaries includes the interference estimates.
 const SUMMARIES_PER_ESTIMATES: u64 = 8;
 
-/// The time after which a peer's numbers of waiting jobs are ignored, in
-/// milliseconds.
-const MAX_PENDING_AGE_MS: u64 = 2_500;
-
-/// The last report of a peer about its waiting jobs.
-#[derive(Debug)]
-pub(super) struct PeerPending {
-    pub(super) received_at: MonotonicMs,
-    pub(super) pending: Vec<PendingJobs>,
-}
-
 impl FleetNode {
     /// Handles a peer's summary.
     pub(super) fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: Summary) {
@@ -34,28 +23,30 @@
         let own_version = self.configuration_version();
         self.configuration_sync
             .on_peer_version(moment, from, summary.configuration, own_version);
-        let pending = PeerPending {
-            received_at: moment.now,
-            pending: summary.pending,
-        };
-        self.peer_pending.insert(from.clone(), pending);
+        for report in summary.pending {
+            self.record_pending(moment, report);
+        }
+    }
+
+    /// Records a report on the waiting jobs of a shard, unless its sender no longer owns the
+    /// shard: the jobs that the shard gets since are not in it.
+    fn record_pending(&mut self, moment: Moment, report: ShardPending) {
+        let owned = self.ownership.owner(&Unit::Jobs(report.authority.shard));
+        if owned.is_none_or(|owned| owned.epoch <= report.authority.epoch) {
+            self.pending_reports.record(moment, report);
+        }
     }
 
     /// Returns the number of jobs of a queue in the whole fleet that wait for their first
-    /// start.
-    pub(super) fn pending(&self, moment: Moment, queue: &QueueName) -> u64 {
-        let own_pending = self.jobs.pending();
-        let peer_pending = self
-            .peer_pending
-            .values()
-            .filter(|peer| moment.since_ms(peer.received_at) < MAX_PENDING_AGE_MS)
-            .flat_map(|peer| &peer.pending);
-        own_pending
-            .iter()
-            .chain(peer_pending)
-            .filter(|pending| pending.queue == *queue)
-            .map(|pending| pending.jobs)
-            .sum()
+    /// start, or a shard whose waiting jobs are unknown.
+    pub(super) fn pending(&mut self, moment: Moment, queue: &QueueName) -> Result<u64, JobShard> {
+        if let Some(shard) = self.pending_reports.first_missing(moment) {
+            return Err(shard);
+        }
+        for report in self.jobs.pending() {
+            self.record_pending(moment, report);
+        }
+        Ok(self.pending_reports.count(queue))
     }
 
     /// Sends a summary to all peers when it is due.
@@ -69,11 +60,15 @@
             0 => self.workers.interference().estimates(),
             _ => Vec::new(),
         };
+        let pending = self.jobs.pending();
+        for report in &pending {
+            self.record_pending(moment, report.clone());
+        }
         let summary = Summary {
             process: self.me.clone(),
             configuration: self.configuration_version(),
             workers: self.workers.summaries(moment),
-            pending: self.jobs.pending(),
+            pending,
             effects,
         };
         for member in self.membership.members() {
--- a/tests/features/waiting_counts.rs
+++ b/tests/features/waiting_counts.rs
@@ -16,9 +16,18 @@
 /// The time that a fleet needs to become ready after its start, in milliseconds.
 const SETTLE_MS: u64 = 2_000;
 
+/// The time of the world at which a fault begins, in milliseconds.
+const FAULT_AT_MS: u64 = 5_000;
+
+/// The interval between requests for the count, in milliseconds.
+const ASK_MS: u64 = 50;
+
 /// The age that a count may have, in milliseconds.
 const MAX_AGE_MS: u64 = 2_000;
 
+/// The longest time without a count after a process was killed, in milliseconds.
+const MAX_GAP_MS: u64 = 2_500;
+
 /// The processor time of a task of which four fit on a worker, in millicores.
 const FITTING: u64 = 2_000;
 
@@ -47,6 +56,44 @@
     world
 }
 
+/// Creates a fleet whose jobs all wait, until the fault begins.
+fn waiting_fleet(seed: u64, kind: FaultKind) -> FleetWorld {
+    let plan = FaultPlan::new().with_fault(FAULT_AT_MS, kind);
+    let mut world = fleet(seed, plan, TOO_LARGE);
+    world.run_for(FAULT_AT_MS - SETTLE_MS);
+    world
+}
+
+/// Asks a node for the count for a while and checks each answer; returns the longest time
+/// without a count, in milliseconds.
+fn longest_gap_ms(world: &mut FleetWorld, node: usize, for_ms: u64) -> u64 {
+    let mut gap_ms = 0;
+    let mut longest_ms = 0;
+    for _ in 0..for_ms / ASK_MS {
+        world.ask_count(node);
+        world.run_for(ASK_MS);
+        gap_ms += ASK_MS;
+        for answer in world.take_counts() {
+            if is_count(&answer) {
+                gap_ms = 0;
+            }
+        }
+        longest_ms = longest_ms.max(gap_ms);
+    }
+    longest_ms
+}
+
+/// Returns whether an answer is the count of all jobs; panics unless it is or is refused.
+fn is_count(answer: &CallerAnswer) -> bool {
+    match answer {
+        CallerAnswer::Refused { .. } => false,
+        answer => {
+            assert_eq!(*answer, CallerAnswer::Pending(JOBS));
+            true
+        }
+    }
+}
+
 /// Returns the number of waiting jobs that a node tells.
 fn count(world: &mut FleetWorld, node: usize) -> CallerAnswer {
     world.ask_count(node);
@@ -89,6 +136,62 @@
     }
 }
 
+/// Guards against a killed process whose waiting jobs count as none.
+#[rstest]
+fn killed_owners_count(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(0, 1)] killed: usize,
+    #[values(300, 60_000)] down_ms: u64,
+) {
+    let kill = FaultKind::KillNode {
+        node: killed,
+        down_ms,
+    };
+    let mut world = waiting_fleet(seed, kill);
+    let gap_ms = longest_gap_ms(&mut world, 3, 10_000);
+    assert!(gap_ms <= MAX_GAP_MS, "no count for {gap_ms} ms");
+}
+
+/// Guards against a process that counts the jobs of a peer it does not hear as none.
+#[rstest]
+fn unheard_peers_count(#[values(1, 2, 3)] seed: u64) {
+    let (one, other, for_ms) = (0, 3, 10_000);
+    let cut = FaultKind::CutPeers { one, other, for_ms };
+    let mut world = waiting_fleet(seed, cut);
+    longest_gap_ms(&mut world, 3, for_ms + 1_000);
+    assert_eq!(count(&mut world, 3), CallerAnswer::Pending(JOBS));
+}
+
+/// Guards against a process that counts only its own jobs before it has heard its peers.
+#[rstest]
+fn new_processes_count(#[values(1, 2, 3)] seed: u64) {
+    let (node, down_ms) = (3, 200);
+    let mut world = waiting_fleet(seed, FaultKind::KillNode { node, down_ms });
+    world.run_for(down_ms);
+    longest_gap_ms(&mut world, node, 6_000);
+    assert_eq!(count(&mut world, node), CallerAnswer::Pending(JOBS));
+}
+
+/// Guards against jobs that count as none or twice while all processes change.
+#[rstest]
+fn moved_jobs_count(#[values(1, 2, 3)] seed: u64) {
+    let mut world = waiting_fleet(seed, FaultKind::RemoveRegistration { node: 0 });
+    let gap_ms = longest_gap_ms(&mut world, 3, 4_000);
+    assert!(gap_ms <= MAX_GAP_MS, "no count for {gap_ms} ms");
+    world.stop_node(1);
+    let gap_ms = longest_gap_ms(&mut world, 3, 4_000);
+    assert!(gap_ms <= MAX_GAP_MS, "no count for {gap_ms} ms");
+}
+
+/// Guards against a fleet without counts while the store is out.
+#[rstest]
+fn store_outages_count(#[values(1, 2)] seed: u64) {
+    let for_ms = 8_000;
+    let mut world = waiting_fleet(seed, FaultKind::StoreDown { for_ms });
+    let gap_ms = longest_gap_ms(&mut world, 3, for_ms + 4_000);
+    assert!(gap_ms <= MAX_GAP_MS, "no count for {gap_ms} ms");
+}
+
 /// Guards against a count that stays as it was after jobs were cancelled.
 #[rstest]
 fn cancelled_jobs_leave(#[values(1, 2)] seed: u64) {
