--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -18,8 +18,8 @@
 use crate::peer_calls::PeerCalls;
 use crate::workers::WorkerOwner;
 use crate::{
-    Configuration, FleetSettings, JobShard, Moment, Outbox, PeerMessage, PendingJobs, ReportedEnd,
-    StartOutcome, Summary, Unit,
+    Configuration, FleetSettings, JobShard, Moment, Outbox, PeerMessage, ReportedEnd, StartOutcome,
+    Summary, Unit,
 };
 
 /// The time after which an unconfirmed run is stopped, in milliseconds; twice the time
@@ -121,20 +121,6 @@
                 .all(|entry| entry.is_stored && entry.dirty_since.is_none())
     }
 
-    /// Returns the numbers of jobs that wait for their first start, by queue.
-    pub(crate) fn pending(&self) -> Vec<PendingJobs> {
-        let mut counts = BTreeMap::new();
-        for entry in self.jobs.values() {
-            let waiting = entry.visible_state() == turmericfold_jobs::JobState::Queued;
-            if entry.is_stored && waiting {
-                let queue = entry.job.record.queue.name.clone();
-                *counts.entry(queue).or_default() += 1;
-            }
-        }
-        let pending = |(queue, jobs)| PendingJobs { queue, jobs };
-        counts.into_iter().map(pending).collect()
-    }
-
     /// Handles a peer's summary.
     pub(crate) fn on_summary(&mut self, moment: Moment, summary: &Summary) {
         self.fleet_resources.on_summary(moment, summary);
@@ -287,6 +273,9 @@
                 "run has completed its task, but a later run was ordered already; the task may run twice"
             );
         }
+        if end.listed {
+            entry.job.record_start();
+        }
         let change = entry.job.end_run(&end.ended);
         // A repeated end may belong to a change that is still being written.
         let is_unrecorded = change.must_persist || entry.is_writing || entry.dirty_since.is_some();
@@ -347,7 +336,12 @@
             return;
         };
         match outcome {
-            StartOutcome::Started => tracked.is_confirmed = true,
+            StartOutcome::Started => {
+                tracked.is_confirmed = true;
+                if let Some(entry) = self.jobs.get_mut(&run.task.job) {
+                    entry.job.record_start();
+                }
+            }
             StartOutcome::Refused(refusal) => {
                 log::info!(
                     job:% = run.task.job,
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -52,5 +52,6 @@
 mod start_doubts;
 mod successors;
 
+mod waiting_counts;
 mod whole_path;
 mod world_fuzz;
