Look up the interference of two images once for each pair

Cause: for every task to place and every worker, the effect of a filler on each task beside it was looked up at each of five points of the load's swing, a search by name each time; merging a peer's estimates copied those of all peers. Change: the loss is computed once for each pair and then compared at the five points; the estimates are read in place. The results are the same.

--- a/crates/turmericfold-fleet/src/policy/interference.rs
+++ b/crates/turmericfold-fleet/src/policy/interference.rs
@@ -181,15 +181,17 @@
         }
         self.peer_estimates.insert(peer.clone(), estimates.to_vec());
         let mut merged: BTreeMap<EcoString, BTreeMap<usize, PeerEstimate>> = BTreeMap::new();
-        for estimate in self.peer_estimates.clone().into_values().flatten() {
+        let peer_estimates = std::mem::take(&mut self.peer_estimates);
+        for estimate in peer_estimates.values().flatten() {
             let index = self.index_of(&estimate.filler);
-            let combined = merged.entry(estimate.serving).or_default();
+            let combined = merged.entry(estimate.serving.clone()).or_default();
             let combined = combined.entry(index).or_default();
             let weight = combined.weight + estimate.weight;
             combined.effect += (estimate.effect - combined.effect) * estimate.weight
                 / weight.max(f64::MIN_POSITIVE);
             combined.weight = weight;
         }
+        self.peer_estimates = peer_estimates;
         for (serving, peers) in merged {
             let model = self.models.entry(serving).or_default();
             model.grow(self.fillers.len());
--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -57,13 +57,13 @@
     /// its full speed.
     pub fn speed_permille(&self, interference: &InterferenceModel, step: &StepSpec) -> i64 {
         let by_spare_time = self.worker.spare_millicores as f64 / wanted_millicores(step) as f64;
-        let speeds = SWING_PHASES.map(|phase| {
-            let by_slack = self.worker.serving.iter().map(|slack| {
-                let loss = self.slack_loss_of(interference, slack, step);
-                slack_at(slack, phase) / loss.max(MIN_SLACK_LOSS)
-            });
-            by_slack.fold(by_spare_time.min(1.0), f64::min)
-        });
+        let mut speeds = [by_spare_time.min(1.0); SWING_PHASES.len()];
+        for slack in &self.worker.serving {
+            let loss = self.slack_loss_of(interference, slack, step);
+            for (speed, phase) in speeds.iter_mut().zip(SWING_PHASES) {
+                *speed = speed.min(slack_at(slack, phase) / loss.max(MIN_SLACK_LOSS));
+            }
+        }
         let mean = speeds.iter().sum::<f64>() / SWING_PHASES.len() as f64;
         (mean * 1_000.0) as i64
     }
