--- a/crates/turmericfold/src/fleet/driver.rs
+++ b/crates/turmericfold/src/fleet/driver.rs
@@ -165,8 +165,19 @@
 
     fn handle(&mut self, event: Event) {
         let moment = self.moment();
+        let is_tick = matches!(event, Event::Tick);
         self.node.handle(moment, event, &mut self.outbox);
         self.carry_out();
+        if is_tick {
+            self.drop_former_peers();
+        }
+    }
+
+    /// Closes the connections to processes that are no longer members.
+    fn drop_former_peers(&mut self) {
+        let node = &self.node;
+        self.peers
+            .retain(|process| node.address_of(process).is_some());
     }
 
     fn carry_out(&mut self) {
@@ -194,8 +205,6 @@
 
     fn publish(&mut self) {
         let node = &self.node;
-        self.peers
-            .retain(|process| node.address_of(process).is_some());
         if let Some(configuration) = node.configuration()
             && !self
                 .configuration
