Warn of a late completion only where the task must not run twice

Cause: the check looked at the numbers of the runs only. Evidence: late_completions::copies_raise_none failed for the step with copies. Change: a step that allows copies raises no warning.

--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -357,8 +357,12 @@
     }
 
     /// Returns whether a run has completed its task after a later run of the task was
-    /// ordered.
+    /// ordered, although the task must not run twice.
     pub fn is_late_completion(&self, ended: &EndedRun) -> bool {
+        let step = self.step_spec(ended.run.task);
+        if step.is_some_and(|step| step.copies_allowed) {
+            return false;
+        }
         let task = self.task(ended.run.task);
         let is_superseded = task.is_some_and(|task| task.last_number > ended.run.number);
         ended.end == RunEnd::Done && is_superseded
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -29,6 +29,7 @@
 mod graceful_shutdown;
 mod journal_ring;
 mod large_messages;
+mod late_completions;
 mod late_reports;
 mod late_watches;
 mod long_lists;
