Log when a worker or a shard changes its owner, and the worker's first answer

Cause: in the traced plays it could not be told which of the claim, the read of the owners and the first poll took 4 s while the leases of a worker's runs ended. Change: one line when a worker is acquired, when a unit is lost, and when a worker first answers its new owner, with the time since the acquisition. They follow changes of owners, so their number is bounded by these.

--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -108,13 +108,20 @@
                 OwnershipChange::Acquired { unit, owned } => match unit {
                     Unit::Jobs(shard) => self.jobs.on_acquired(shard, &owned, out),
                     Unit::Worker(worker) => {
+                        log::info!(worker:% = worker, epoch = owned.epoch.0; "acquired a worker; polling it under the new epoch");
                         self.workers
                             .on_acquired(moment, &self.registrations, &worker, owned.epoch);
                     }
                 },
                 OwnershipChange::Lost { unit } => match unit {
-                    Unit::Jobs(shard) => self.jobs.on_lost(shard, out),
-                    Unit::Worker(worker) => self.workers.on_lost(&worker),
+                    Unit::Jobs(shard) => {
+                        log::info!(shard:% = shard; "lost a shard of jobs; its next owner recovers its runs");
+                        self.jobs.on_lost(shard, out);
+                    }
+                    Unit::Worker(worker) => {
+                        log::info!(worker:% = worker; "lost a worker; its next owner polls it");
+                        self.workers.on_lost(&worker);
+                    }
                 },
             }
         }
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -142,6 +142,10 @@
         if worker.unanswered_polls >= 2 {
             log::info!(worker:% = name, unanswered = worker.unanswered_polls; "worker answers polls again; its lease is renewed");
         }
+        if worker.last_answer_at.is_none() {
+            let waited_ms = context.moment.since_ms(worker.owned_since);
+            log::info!(worker:% = name, epoch = worker.epoch.0, waited_ms = waited_ms; "worker has answered its new owner; its lease is renewed");
+        }
         detect_restart(worker, listing.started_ms);
         worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
         if !worker.has_seen_token() {
