Let the test of late starts reach its check on the code before the fix

Cause: its second poll was not due on the code before the fencing tokens rose with a restart, so that it failed there for want of a poll, before its check. Change: it waits 150 ms instead of 50; the check is the same. A late completion's test looks at the change that a lapsed run causes.

--- a/tests/features/late_completions.rs
+++ b/tests/features/late_completions.rs
@@ -59,7 +59,8 @@
     let mut job = job(copies_allowed);
     let worker = InstanceName::new("w-0");
     assert!(job.add_run(run(1), worker.clone()));
-    job.end_run(&ended(1, RunEnd::Lapsed));
+    let change = job.end_run(&ended(1, RunEnd::Lapsed));
+    assert_eq!(change.stop, []);
     assert!(job.add_run(run(2), worker));
     let first_is_done = ended(1, RunEnd::Done);
     assert_eq!(job.is_late_completion(&first_is_done), expected);
--- a/tests/features/start_doubts.rs
+++ b/tests/features/start_doubts.rs
@@ -315,7 +315,7 @@
     let (_, late) = harness.take_start_call();
     harness.answer(poll, listing);
     for _ in 0..2 {
-        harness.wait(50);
+        harness.wait(150);
         harness.poll_and_answer(&mut worker);
     }
     assert_eq!(harness.reported_ends(), [RunEnd::Lapsed]);
