Refuse fillers that other orders have left no processor time or slack

Cause: job owners place fillers by summaries that are 0.3 to 2 s old, and all prefer the same worker; its owner checked only the reserved resources, of which a filler has no processor time. Change: the worker's owner applies the same measure as the placement, to the worker as it is when the order arrives: a filler that would be too slow or take too much slack is refused, and its task waits for another offer. The measure moved to filler.rs, as both sides use it.

--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -2,6 +2,7 @@
 //! pacing, interference and evacuation.
 
 pub mod evacuation;
+pub mod filler;
 pub mod gang;
 pub mod interference;
 pub mod offer;
--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -3,6 +3,7 @@
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::Resources;
 
+use crate::policy::filler::Filler;
 use crate::policy::interference::InterferenceModel;
 use crate::{ServingSlack, WorkerSummary};
 
@@ -53,13 +54,13 @@
         }
     }
 
-    /// Returns the average speed that a filler of the step would reach, in thousandths of
+    /// Returns the average speed that a filler would reach, in thousandths of
     /// its full speed.
-    pub fn speed_permille(&self, interference: &InterferenceModel, step: &StepSpec) -> i64 {
-        let by_spare_time = self.worker.spare_millicores as f64 / wanted_millicores(step) as f64;
+    pub fn speed_permille(&self, interference: &InterferenceModel, filler: Filler<'_>) -> i64 {
+        let by_spare_time = self.worker.spare_millicores as f64 / filler.wanted_millicores as f64;
         let mut speeds = [by_spare_time.min(1.0); SWING_PHASES.len()];
         for slack in &self.worker.serving {
-            let loss = self.slack_loss_of(interference, slack, step);
+            let loss = self.slack_loss_of(interference, slack, filler);
             for (speed, phase) in speeds.iter_mut().zip(SWING_PHASES) {
                 *speed = speed.min(slack_at(slack, phase) / loss.max(MIN_SLACK_LOSS));
             }
@@ -68,12 +69,12 @@
         (mean * 1_000.0) as i64
     }
 
-    /// Returns the slack that a filler of the step takes at full speed from the task that
+    /// Returns the slack that a filler takes at full speed from the task that
     /// it slows down most, in thousandths.
-    pub fn slack_loss_permille(&self, interference: &InterferenceModel, step: &StepSpec) -> i64 {
+    pub fn slack_loss_permille(&self, interference: &InterferenceModel, filler: Filler<'_>) -> i64 {
         let serving = self.worker.serving.iter();
         let loss = serving
-            .map(|slack| self.slack_loss_of(interference, slack, step))
+            .map(|slack| self.slack_loss_of(interference, slack, filler))
             .fold(0.0, f64::max);
         (loss * 1_000.0) as i64
     }
@@ -82,9 +83,9 @@
         &self,
         interference: &InterferenceModel,
         slack: &ServingSlack,
-        step: &StepSpec,
+        filler: Filler<'_>,
     ) -> f64 {
-        interference.effect(&slack.image, &step.image) * self.share(wanted_millicores(step))
+        interference.effect(&slack.image, filler.image) * self.share(filler.wanted_millicores)
     }
 
     /// Returns the share of the worker's processor time, from 0 to 1.
@@ -93,10 +94,6 @@
     }
 }
 
-fn wanted_millicores(step: &StepSpec) -> u64 {
-    step.resources.cpu_millicores.max(1)
-}
-
 /// Returns the remaining slack at a point of the swing, given in mean deviations.
 fn slack_at(slack: &ServingSlack, phase: f64) -> f64 {
     let slack_permille = slack.slack_permille as f64 + phase * slack.swing_permille as f64;
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -11,27 +11,10 @@
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::{InstanceName, ServiceName};
 
+use crate::policy::filler::{Filler, filler_value};
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 
-/// The cost of one unit of slack that a filler takes, in thousandths of its full speed:
-/// a filler that takes all the slack that a task usually has to spare is no better than
-/// one that does not run.
-const SLACK_COST_PERMILLE: i64 = 900;
-
-/// The cost of a worker that runs no task with a latency target, in thousandths of the
-/// full speed of a filler: such workers are left to the fillers that interfere most,
-/// unless the other workers would be clearly slower.
-const NO_SERVING_COST_PERMILLE: i64 = 200;
-
-/// The least value (speed less costs) at which a filler is started, in thousandths of its
-/// full speed.
-const MIN_FILLER_VALUE_PERMILLE: i64 = 500;
-
-/// The unit in which values are compared, in thousandths; smaller differences do not
-/// count.
-const VALUE_STEP_PERMILLE: i64 = 50;
-
 /// The requirements of a task on its worker.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'job> {
@@ -148,7 +131,7 @@
         .as_ref()
         .is_none_or(|rack| worker.labels.contains(rack));
     let preference = if step.filler {
-        let value = filler_value(interference, step, offer)?;
+        let value = filler_value(interference, Filler::of_step(step), offer)?;
         Preference::Filler { value }
     } else if step.latency_target_ms.is_some() {
         Preference::Serving(co_location(demand, offer))
@@ -169,20 +152,6 @@
     })
 }
 
-/// Returns the speed of a filler less its costs, in units of `VALUE_STEP_PERMILLE`, or
-/// `None` if it is too low.
-fn filler_value(interference: &InterferenceModel, step: &StepSpec, offer: &Offer) -> Option<i64> {
-    let speed_permille = offer.speed_permille(interference, step);
-    let slack_loss_permille = offer.slack_loss_permille(interference, step);
-    let no_serving_cost_permille = match offer.worker.serving.is_empty() {
-        true => NO_SERVING_COST_PERMILLE,
-        false => 0,
-    };
-    let slack_cost_permille = SLACK_COST_PERMILLE * slack_loss_permille / 1_000;
-    let value_permille = speed_permille - slack_cost_permille - no_serving_cost_permille;
-    (value_permille >= MIN_FILLER_VALUE_PERMILLE).then_some(value_permille / VALUE_STEP_PERMILLE)
-}
-
 fn co_location(demand: Demand<'_>, offer: &Offer) -> CoLocation {
     let worker = &offer.worker;
     let mut serving = worker.serving.iter();
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -64,7 +64,7 @@
             send_end(from, &name, worker.epoch, tracked.end.clone(), out);
             return;
         }
-        if let Some(refusal) = refusal(context, worker, &order, is_admitted) {
+        if let Some(refusal) = refusal(context, worker, self.interference(), &order, is_admitted) {
             log::info!(
                 run:% = run,
                 worker:% = name,
--- a/crates/turmericfold-fleet/src/workers/refusal.rs
+++ b/crates/turmericfold-fleet/src/workers/refusal.rs
@@ -4,12 +4,16 @@
 
 use super::worker::Worker;
 use crate::context::Context;
+use crate::policy::filler::{Filler, filler_value};
+use crate::policy::interference::InterferenceModel;
+use crate::policy::offer::Offer;
 use crate::{StartOrder, StartRefusal};
 
 /// Returns why an order to start a run on a worker is refused, if it is.
 pub(super) fn refusal(
     context: Context<'_>,
     worker: &Worker,
+    interference: &InterferenceModel,
     order: &StartOrder,
     is_admitted: bool,
 ) -> Option<StartRefusal> {
@@ -22,10 +26,26 @@
     if !worker.is_usable(context.moment) {
         return Some(StartRefusal::WorkerUnusable);
     }
-    let fits = order.details.resources.fits_in(&worker.free_resources());
+    let fits = order.details.resources.fits_in(&worker.free_resources())
+        && is_worth_starting(context, worker, interference, order);
     (!fits).then_some(StartRefusal::NoRoom)
 }
 
+/// Returns whether a filler would still be worth starting: fillers that other job owners
+/// have ordered since the last summary leave less of the worker.
+fn is_worth_starting(
+    context: Context<'_>,
+    worker: &Worker,
+    interference: &InterferenceModel,
+    order: &StartOrder,
+) -> bool {
+    let Some(filler) = Filler::of_run(&order.details) else {
+        return true;
+    };
+    let offer = Offer::new(worker.summary(context.moment, interference), true);
+    filler_value(interference, filler, &offer).is_some()
+}
+
 /// Returns the refusal to report for a reply that is not a success.
 pub(super) fn refusal_of(result: &Result<StartReply, PlatformError>) -> StartRefusal {
     match result {
--- a/tests/features/filler_placement.rs
+++ b/tests/features/filler_placement.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use rstest::rstest;
+use turmericfold_fleet::policy::filler::Filler;
 use turmericfold_fleet::policy::interference::InterferenceModel;
 use turmericfold_fleet::policy::offer::Offer;
 use turmericfold_fleet::policy::placement::{Demand, choose_offer};
@@ -133,9 +134,9 @@
     };
     let mut offer = offer("w-0", 16_000, &["desk"]);
     let interference = InterferenceModel::default();
-    let before = offer.speed_permille(&interference, &filler);
+    let before = offer.speed_permille(&interference, Filler::of_step(&filler));
     offer.reserve_step(&interference, &filler);
     offer.reserve_step(&interference, &filler);
-    let after = offer.speed_permille(&interference, &filler);
+    let after = offer.speed_permille(&interference, Filler::of_step(&filler));
     assert!(before > after, "{before} and then {after}");
 }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -13,6 +13,7 @@
 mod configuration_pull;
 mod configuration_series;
 mod control_figures;
+mod crowded_workers;
 mod cut_domains;
 mod documents;
 mod endpoint_faults;
