--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -51,6 +51,7 @@
 mod site_adapter;
 mod slow_polls;
 mod slow_reads;
+mod slow_starts;
 mod start_doubts;
 mod successors;
 
