Share the parts of a fleet and the worker's server between tests

Cause: four tests that drive a single node built the same process, registration and change of an owner, and two tests of slow calls the same server of a worker.

--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -2,15 +2,16 @@
 
 use serde::Serialize;
 use turmericfold_fleet::{
-    CallId, CallerRequest, Configuration, Event, FleetNode, FleetSettings, JobShard, Member,
-    Moment, Outbox, Owner,
+    CallId, CallerRequest, Configuration, Event, FleetNode, FleetSettings, JobShard, Moment,
+    Outbox, Owner,
 };
 use turmericfold_jobs::{JobId, JobSpec, QueueName};
 use turmericfold_platform::{
     ExpectedKey, KeyChange, LeaseId, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue,
 };
 use turmericfold_tests::fleet_world::{QUEUE, configuration};
-use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, ProcessId};
+use turmericfold_tests::node_parts::{member, process};
+use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 const JOB: JobId = JobId(5);
 
@@ -24,10 +25,7 @@
 
 impl NodeHarness {
     fn new() -> Self {
-        let process = ProcessId {
-            instance: InstanceName::new("entry-0"),
-            boot: 1,
-        };
+        let process = process(0, 1);
         let member = member(process.clone());
         let configuration: Configuration = configuration();
         let mut harness = Self {
@@ -172,16 +170,6 @@
     }
 }
 
-fn member(process: ProcessId) -> Member {
-    Member {
-        process,
-        address: "10.0.0.1:7000".into(),
-        domain: FailureDomain::new("west"),
-        weight: 100,
-        stopping: false,
-    }
-}
-
 fn stored<Value>(key: String, value: &Value, version: StoreVersion) -> StoredKey
 where
     Value: Serialize,
--- a/tests/features/late_completions.rs
+++ b/tests/features/late_completions.rs
@@ -2,25 +2,13 @@
 
 use rstest::rstest;
 use turmericfold_jobs::{
-    EndedRun, Job, JobId, JobRecord, JobSpec, QueueName, QueueSettings, RunEnd, RunKey, RunNumber,
-    StepSpec, TaskKey,
+    EndedRun, Job, JobId, JobRecord, JobSpec, QueueName, QueueSettings, RunEnd, StepSpec,
 };
+use turmericfold_tests::node_parts::run;
 use turmericfold_types::{InstanceName, Resources};
 
 const JOB: JobId = JobId(1);
 
-fn run(number: u64) -> RunKey {
-    RunKey {
-        task: TaskKey {
-            job: JOB,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        number: RunNumber(number),
-    }
-}
-
 fn job(copies_allowed: bool) -> Job {
     let mut step = StepSpec::new(1, Resources::new(1_000, 1 << 30), 1_000);
     step.copies_allowed = copies_allowed;
@@ -45,7 +33,7 @@
 
 fn ended(number: u64, end: RunEnd) -> EndedRun {
     EndedRun {
-        run: run(number),
+        run: run(JOB, number),
         end,
         checkpoint: None,
     }
@@ -58,10 +46,10 @@
 fn copies_raise_none(#[case] copies_allowed: bool, #[case] expected: bool) {
     let mut job = job(copies_allowed);
     let worker = InstanceName::new("w-0");
-    assert!(job.add_run(run(1), worker.clone()));
+    assert!(job.add_run(run(JOB, 1), worker.clone()));
     let change = job.end_run(&ended(1, RunEnd::Lapsed));
     assert_eq!(change.stop, []);
-    assert!(job.add_run(run(2), worker));
+    assert!(job.add_run(run(JOB, 2), worker));
     let first_is_done = ended(1, RunEnd::Done);
     assert_eq!(job.is_late_completion(&first_is_done), expected);
 }
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -2,18 +2,16 @@
 
 use rstest::rstest;
 use turmericfold_fleet::{
-    CallId, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Member, Moment, Outbox,
-    Owner, PeerMessage, RecoveryReport, ReportedEnd, StartOutcome, Summary, WorkerChange,
-    WorkerSummary,
+    CallId, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox, PeerMessage,
+    RecoveryReport, ReportedEnd, StartOutcome, Summary, WorkerChange, WorkerSummary,
 };
 use turmericfold_jobs::{
     EndedRun, JobId, JobSpec, QueueName, RunEnd, RunKey, RunNumber, StepSpec, TaskKey,
 };
-use turmericfold_platform::{KeyChange, StoreCall, StoreReply, StoreVersion, WorkerEntry};
+use turmericfold_platform::{StoreCall, StoreReply, StoreVersion, WorkerEntry};
 use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
-use turmericfold_types::{
-    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
-};
+use turmericfold_tests::node_parts::{member, owner_change, process};
+use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources, ServiceName};
 
 const JOB: JobId = JobId(5);
 const WORKER: &str = "worker-00";
@@ -38,16 +36,10 @@
 
 impl JobOwnerHarness {
     fn new() -> Self {
-        let member = Member {
-            process: process(0),
-            address: "10.0.0.1:7000".into(),
-            domain: FailureDomain::new("west"),
-            weight: 100,
-            stopping: false,
-        };
+        let member = member(process(0, 1));
         let mut harness = Self {
             node: FleetNode::new(&FleetSettings::new(member)),
-            out: Outbox::new(process(0)),
+            out: Outbox::new(process(0, 1)),
             now_ms: 1_000,
             worker_epoch: WORKER_EPOCH,
         };
@@ -55,8 +47,8 @@
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
         harness.deliver(Event::KeysChanged(vec![
-            ownership_change(&worker_key, process(1), WORKER_EPOCH),
-            ownership_change(&jobs_key, process(0), JOBS_EPOCH),
+            owner_change(&worker_key, process(1, 1), WORKER_EPOCH),
+            owner_change(&jobs_key, process(0, 1), JOBS_EPOCH),
         ]));
         harness.answer_store();
         harness
@@ -93,7 +85,7 @@
 
     fn receive(&mut self, message: PeerMessage) {
         self.deliver(Event::Peer {
-            from: process(1),
+            from: process(1, 1),
             messages: vec![message],
         });
     }
@@ -125,7 +117,7 @@
             ..WorkerSummary::default()
         };
         self.receive(PeerMessage::Summary(Summary {
-            process: process(1),
+            process: process(1, 1),
             configuration: 1,
             workers: vec![worker],
             ..Summary::default()
@@ -170,7 +162,7 @@
     fn reassign_worker(&mut self) -> Option<u64> {
         self.worker_epoch = StoreVersion(JOBS_EPOCH.0 + 1);
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
-        let change = ownership_change(&worker_key, process(1), self.worker_epoch);
+        let change = owner_change(&worker_key, process(1, 1), self.worker_epoch);
         self.now_ms += 300;
         self.deliver(Event::KeysChanged(vec![change]));
         let messages = std::mem::take(&mut self.out.messages);
@@ -199,26 +191,10 @@
     }
 }
 
-fn process(number: u64) -> ProcessId {
-    ProcessId {
-        instance: InstanceName::new(format!("entry-{number}")),
-        boot: 1,
-    }
-}
-
 fn resources() -> Resources {
     Resources::new(2_000, 1 << 30)
 }
 
-fn ownership_change(key: &str, process: ProcessId, version: StoreVersion) -> KeyChange {
-    let owner = Owner { process, term: 1 };
-    KeyChange {
-        key: key.into(),
-        version,
-        value: Some(serde_json::to_string(&owner).unwrap()),
-    }
-}
-
 /// Guards against a task that waits for ever for an ended run, which a late report revives.
 #[rstest]
 fn ended_run_stays_ended(
--- a/tests/features/start_doubts.rs
+++ b/tests/features/start_doubts.rs
@@ -1,17 +1,18 @@
 //! How a worker's owner handles start calls whose outcome is unknown.
 
 use turmericfold_fleet::{
-    Authority, CallId, Event, FleetNode, FleetSettings, JobShard, Member, Moment, Outbox, Owner,
-    PeerMessage, RunDetails, StartOrder, StartOutcome, WorkerCall, WorkerResult,
+    Authority, CallId, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox, PeerMessage,
+    RunDetails, StartOrder, StartOutcome, WorkerCall, WorkerResult,
 };
-use turmericfold_jobs::{JobId, RunEnd, RunKey, RunNumber, TaskKey};
+use turmericfold_jobs::{JobId, RunEnd};
 use turmericfold_platform::{
-    KeyChange, PlatformError, PollCall, PollReply, StartCall, StartReply, StoreCall, StoreReply,
-    StoreVersion, WorkerEntry,
+    PlatformError, PollCall, PollReply, StartCall, StartReply, StoreCall, StoreReply, StoreVersion,
+    WorkerEntry,
 };
 use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
 use turmericfold_tests::fleet_world::{SERVICE, configuration};
-use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources};
+use turmericfold_tests::node_parts::{member, owner_change, process, run};
+use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources};
 
 const JOB: JobId = JobId(5);
 const WORKER: &str = "worker-00";
@@ -32,16 +33,10 @@
     }
 
     fn with_worker_epoch(worker_epoch: StoreVersion) -> Self {
-        let member = Member {
-            process: process(0),
-            address: "10.0.0.1:7000".into(),
-            domain: FailureDomain::new("west"),
-            weight: 100,
-            stopping: false,
-        };
+        let member = member(process(0, 1));
         let mut harness = Self {
             node: FleetNode::new(&FleetSettings::new(member)),
-            out: Outbox::new(process(0)),
+            out: Outbox::new(process(0, 1)),
             now_ms: 1_000,
         };
         harness.deliver(Event::Configuration(configuration().into()));
@@ -49,8 +44,8 @@
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
         harness.deliver(Event::KeysChanged(vec![
-            ownership_change(&worker_key, process(0), worker_epoch),
-            ownership_change(&jobs_key, process(1), JOBS_EPOCH),
+            owner_change(&worker_key, process(0, 1), worker_epoch),
+            owner_change(&jobs_key, process(1, 1), JOBS_EPOCH),
         ]));
         harness.deliver(Event::Tick);
         harness.answer_owner_ranges();
@@ -184,7 +179,7 @@
             },
             worker: InstanceName::new(WORKER),
             worker_epoch: WORKER_EPOCH,
-            run: run(),
+            run: run(JOB, 1),
             payload: "visit".into(),
             checkpoint: None,
             details: RunDetails {
@@ -197,7 +192,7 @@
             },
         };
         self.deliver(Event::Peer {
-            from: process(1),
+            from: process(1, 1),
             messages: vec![PeerMessage::Start(Box::new(order))],
         });
     }
@@ -217,25 +212,6 @@
     }
 }
 
-fn process(number: u64) -> ProcessId {
-    ProcessId {
-        instance: InstanceName::new(format!("entry-{number}")),
-        boot: 1,
-    }
-}
-
-fn run() -> RunKey {
-    RunKey {
-        task: TaskKey {
-            job: JOB,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        number: RunNumber(1),
-    }
-}
-
 fn entry() -> WorkerEntry {
     WorkerEntry {
         id: InstanceName::new(WORKER),
@@ -249,15 +225,6 @@
     }
 }
 
-fn ownership_change(key: &str, process: ProcessId, version: StoreVersion) -> KeyChange {
-    let owner = Owner { process, term: 1 };
-    KeyChange {
-        key: key.into(),
-        version,
-        value: Some(serde_json::to_string(&owner).unwrap()),
-    }
-}
-
 fn behaviour() -> TaskBehaviour {
     TaskBehaviour {
         resources: Resources::default(),
--- a/tests/features/successors.rs
+++ b/tests/features/successors.rs
@@ -1,8 +1,8 @@
 //! A process that takes over the jobs of a former process at the same address.
 
 use turmericfold_fleet::{
-    CallId, CallerAnswer, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Member, Moment,
-    Outbox, Owner, PeerMessage, RecoveryReport, Summary, WorkerSummary,
+    CallId, CallerAnswer, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox,
+    Owner, PeerMessage, RecoveryReport, Summary, WorkerSummary,
 };
 use turmericfold_jobs::{
     JobId, JobRecord, JobSpec, JobState, QueueName, RunKey, RunNumber, StepSpec, TaskKey,
@@ -11,6 +11,7 @@
     KeyChange, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue,
 };
 use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
+use turmericfold_tests::node_parts::{member, process};
 use turmericfold_types::{
     FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
 };
@@ -127,23 +128,6 @@
     }
 }
 
-fn process(number: u64, boot: u64) -> ProcessId {
-    ProcessId {
-        instance: InstanceName::new(format!("entry-{number}")),
-        boot,
-    }
-}
-
-fn member(process: ProcessId) -> Member {
-    Member {
-        process,
-        address: "10.0.0.1:7000".into(),
-        domain: FailureDomain::new("west"),
-        weight: 100,
-        stopping: false,
-    }
-}
-
 fn owner(process: ProcessId) -> String {
     serde_json::to_string(&Owner { process, term: 1 }).unwrap()
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,9 +11,11 @@
 pub mod cut_fleet;
 pub mod fleet_world;
 pub mod fuzz;
+pub mod node_parts;
 pub mod shared_workers;
 pub mod site_store;
 pub mod slow_link;
+pub mod task_worker_server;
 pub mod world;
 
 use std::path::{Path, PathBuf};
