--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -15,7 +15,7 @@
 use super::write_queue::WriteQueue;
 use crate::context::Context;
 use crate::ownership::Owned;
-use crate::peer_calls::PeerCalls;
+use crate::peer_call_numbers::PeerCallNumbers;
 use crate::workers::WorkerOwner;
 use crate::{
     Configuration, FleetSettings, JobShard, Moment, Outbox, PeerMessage, ReportedEnd, StartOutcome,
@@ -43,7 +43,7 @@
     pub(super) job_retention_ms: u64,
     /// Whether a change since the last attempt may allow more tasks to start.
     pub(super) should_start_tasks: bool,
-    pub(super) queries: PeerCalls,
+    pub(super) query_numbers: PeerCallNumbers,
     /// The recovery queries about workers that have a new owner.
     pub(super) worker_queries: BTreeMap<InstanceName, WorkerQuery>,
     /// The ended jobs, which are removed from the store after their retention.
@@ -71,7 +71,7 @@
             write_queue: WriteQueue::default(),
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
-            queries: PeerCalls::new(&settings.member.process),
+            query_numbers: PeerCallNumbers::new(&settings.member.process),
             worker_queries: BTreeMap::new(),
             finished_jobs: VecDeque::new(),
             next_review_at: MonotonicMs::default(),
@@ -287,7 +287,7 @@
             entry.mark_dirty(context.moment.now);
         }
         self.stop_runs(context, &change.stop, out);
-        // Nothing is written, so nothing shows that no other process owns the shard.
+        // Without a write, only a valid registration shows that no other process owns the shard.
         !is_unrecorded && context.has_valid_registration
     }
 
@@ -430,7 +430,7 @@
     }
 }
 
-/// Drops the ends that an earlier owner of a worker has only inferred, as its current
+/// Drops the ends that a former owner of a worker has only inferred, as its current
 /// owner may have kept those runs.
 pub(super) fn reliable_ends(
     context: Context<'_>,
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -115,11 +115,11 @@
             "loaded the jobs of a shard; recovering the runs of its open jobs"
         );
         if is_empty {
-            shard.phase = Phase::Ready;
+            shard.phase = Phase::Settled;
             return;
         }
         shard.phase = Phase::Recovering(Recovering {
-            query_id: self.queries.next(),
+            query_id: self.query_numbers.next(),
             holds_starts: open_jobs > 0,
             reported_workers: BTreeSet::new(),
             settled_workers: BTreeSet::new(),
@@ -129,7 +129,7 @@
     }
 
     /// Returns the ownerships of all shards; every recovery query contains them, so that
-    /// its receiver refuses the earlier owners.
+    /// its receiver refuses the former owners.
     fn authorities(&self) -> Vec<Authority> {
         self.shards.values().map(|shard| shard.authority).collect()
     }
@@ -164,7 +164,7 @@
                 .filter(|worker| !recovering.settled_workers.contains(*worker))
                 .collect();
             if missing.is_empty() {
-                shard.phase = Phase::Ready;
+                shard.phase = Phase::Settled;
                 continue;
             }
             if !moment.has_reached(recovering.next_query_at) {
@@ -207,7 +207,7 @@
             let Some(owned) = context.ownership.owner(&unit) else {
                 continue;
             };
-            let queries = &mut self.queries;
+            let queries = &mut self.query_numbers;
             let query = self
                 .worker_queries
                 .entry(worker)
@@ -239,7 +239,10 @@
         if owned.is_none_or(|owned| owned.epoch != report.worker_epoch) {
             return;
         }
-        let Some(query_id) = report.query_id.filter(|id| self.queries.contains(*id)) else {
+        let Some(query_id) = report
+            .query_id
+            .filter(|id| self.query_numbers.contains(*id))
+        else {
             return;
         };
         let mut unsettled = BTreeSet::new();
@@ -357,7 +360,7 @@
     }
 
     /// Ends the runs that are missing in the report of a worker's new owner; they can't
-    /// start later, as the worker refuses the orders of an earlier owner.
+    /// start later, as the worker refuses the orders of a former owner.
     fn reconcile_runs(&mut self, context: Context<'_>, report: &RecoveryReport, out: &mut Outbox) {
         let mut unknown = Vec::new();
         for (run, tracked) in self.runs.iter_mut() {
--- a/crates/turmericfold-fleet/src/jobs/shard.rs
+++ b/crates/turmericfold-fleet/src/jobs/shard.rs
@@ -20,8 +20,8 @@
     Loading(Loading),
     /// The owners of workers are queried for the runs in progress.
     Recovering(Recovering),
-    /// The jobs and their runs are known, and no unwanted run is left.
-    Ready,
+    /// No worker has to be queried for runs of the shard any more.
+    Settled,
 }
 
 /// The state of reading the jobs of a shard.
@@ -53,11 +53,12 @@
 pub(crate) struct Recovering {
     /// The identifier of the recovery query, which the reports repeat.
     pub(crate) query_id: u64,
-    /// Whether a job is open and a worker not reported yet, so that no task of it may start.
+    /// Whether no task may start yet: a job was open at the takeover, and a report on a worker
+    /// is missing.
     pub(crate) holds_starts: bool,
     /// The workers on which a recovery report has arrived.
     pub(crate) reported_workers: BTreeSet<InstanceName>,
-    /// The workers whose last report listed no unwanted run of the shard.
+    /// The workers on which a report has listed no unwanted run of the shard.
     pub(crate) settled_workers: BTreeSet<InstanceName>,
     /// The time at which the query is repeated for the other workers.
     pub(crate) next_query_at: MonotonicMs,
@@ -97,11 +98,11 @@
         match &self.phase {
             Phase::Loading(_) => false,
             Phase::Recovering(recovering) => !recovering.holds_starts,
-            Phase::Ready => true,
+            Phase::Settled => true,
         }
     }
 
-    /// Returns a number that no run of an earlier owner exceeds; the runs of this owner
+    /// Returns a number that no run of a former owner exceeds; the runs of this owner
     /// have higher numbers.
     pub(crate) fn run_number_floor(&self) -> RunNumber {
         RunNumber(u64::from(self.term.saturating_sub(1)) * RUN_NUMBERS_PER_TERM)
--- a/crates/turmericfold-fleet/src/jobs/waiting.rs
+++ b/crates/turmericfold-fleet/src/jobs/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use turmericfold_jobs::JobState;
+use turmericfold_jobs::{JobState, QueueName};
 
 use super::owner::JobOwner;
 use super::shard::Shard;
@@ -10,7 +10,7 @@
 
 impl JobOwner {
     /// Returns the ownerships of the shards whose jobs this process has loaded.
-    pub(crate) fn loaded_shards(&self) -> impl Iterator<Item = Authority> {
+    fn loaded_shards(&self) -> impl Iterator<Item = Authority> {
         let loaded = self.shards.values().filter(|shard| shard.is_loaded());
         loaded.map(|shard: &Shard| shard.authority)
     }
@@ -26,8 +26,8 @@
         }
         let report = |authority: Authority| {
             let queues = counts.remove(&authority.shard).unwrap_or_default();
-            let pending = |(queue, jobs)| PendingJobs {
-                queue: turmericfold_jobs::QueueName::clone(queue),
+            let pending = |(queue, jobs): (&QueueName, u64)| PendingJobs {
+                queue: queue.clone(),
                 jobs,
             };
             ShardPending {
--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -19,7 +19,7 @@
 mod node;
 mod outbox;
 mod ownership;
-mod peer_calls;
+mod peer_call_numbers;
 pub mod policy;
 mod registrations;
 mod settings;
--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -108,7 +108,7 @@
                 OwnershipChange::Acquired { unit, owned } => match unit {
                     Unit::Jobs(shard) => self.jobs.on_acquired(shard, &owned, out),
                     Unit::Worker(worker) => {
-                        log::info!(worker:% = worker, epoch = owned.epoch.0; "acquired a worker; polling it under the new epoch");
+                        log::info!(worker:% = worker, epoch = owned.epoch.0; "acquired a worker under a new epoch");
                         self.workers
                             .on_acquired(moment, &self.registrations, &worker, owned.epoch);
                     }
@@ -119,7 +119,7 @@
                         self.jobs.on_lost(shard, out);
                     }
                     Unit::Worker(worker) => {
-                        log::info!(worker:% = worker; "lost a worker; its next owner polls it");
+                        log::info!(worker:% = worker; "no longer owns a worker; polling it no more");
                         self.workers.on_lost(&worker);
                     }
                 },
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -17,7 +17,7 @@
 use crate::jobs::{Caller, JobOwner};
 use crate::membership::Membership;
 use crate::ownership::Ownership;
-use crate::peer_calls::PeerCalls;
+use crate::peer_call_numbers::PeerCallNumbers;
 use crate::registrations::Registrations;
 use crate::workers::WorkerOwner;
 use crate::{
@@ -43,7 +43,7 @@
     configuration_sync: ConfigurationSync,
     waiting_requests: Vec<WaitingRequest>,
     forwarded_requests: BTreeMap<u64, ForwardedRequest>,
-    forwards: PeerCalls,
+    forward_numbers: PeerCallNumbers,
     ownership_checks: BTreeMap<CallId, OwnershipCheck>,
     pending_reports: PendingReports,
     next_summary_at: MonotonicMs,
@@ -67,7 +67,7 @@
             configuration_sync: ConfigurationSync::new(me.clone()),
             waiting_requests: Vec::new(),
             forwarded_requests: BTreeMap::new(),
-            forwards: PeerCalls::new(&me),
+            forward_numbers: PeerCallNumbers::new(&me),
             ownership_checks: BTreeMap::new(),
             pending_reports: PendingReports::default(),
             next_summary_at: MonotonicMs::default(),
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -182,7 +182,7 @@
             owner.filter(|owner| *owner != self.me && self.membership.find(owner).is_some());
         match (reachable, &caller) {
             (Some(owner), Caller::Local(call)) => {
-                let forward = self.forwards.next();
+                let forward = self.forward_numbers.next();
                 let forwarded = ForwardedRequest {
                     caller: *call,
                     owner: owner.clone(),
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -28,8 +28,8 @@
         }
     }
 
-    /// Records a report on the waiting jobs of a shard, unless its sender no longer owns the
-    /// shard: the jobs that the shard gets since are not in it.
+    /// Records a report on the waiting jobs of a shard, unless a later owner of the shard is
+    /// known: the former owner does not know the shard's newer jobs.
     fn record_pending(&mut self, moment: Moment, report: ShardPending) {
         let owned = self.ownership.owner(&Unit::Jobs(report.authority.shard));
         if owned.is_none_or(|owned| owned.epoch <= report.authority.epoch) {
--- a/crates/turmericfold-fleet/src/peer_calls.rs
+++ b/crates/turmericfold-fleet/src/peer_call_numbers.rs
@@ -8,13 +8,15 @@
 /// Numbers calls to peers so that no answer to a former process at the same address is taken
 /// for an answer to this one.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct PeerCalls {
+pub(crate) struct PeerCallNumbers {
+    /// The number before the first call.
     first: u64,
+    /// The number of the last call.
     last: u64,
 }
 
-impl PeerCalls {
-    /// Creates the numbers of a process, whose boot number distinguishes them.
+impl PeerCallNumbers {
+    /// Creates the numbers of a process; the low half of its boot number distinguishes them.
     pub(crate) fn new(process: &ProcessId) -> Self {
         let first = process.boot << COUNT_BITS;
         Self { first, last: first }
--- a/crates/turmericfold-fleet/src/policy/filler.rs
+++ b/crates/turmericfold-fleet/src/policy/filler.rs
@@ -29,9 +29,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Filler<'spec> {
     /// The image that it runs.
-    pub image: &'spec EcoString,
+    pub(crate) image: &'spec EcoString,
     /// The processor time that it uses if it is not limited, in millicores; at least 1.
-    pub wanted_millicores: u64,
+    pub(crate) wanted_millicores: u64,
 }
 
 impl<'spec> Filler<'spec> {
@@ -44,7 +44,7 @@
     }
 
     /// Returns what a run uses, if it is a filler.
-    pub fn of_run(details: &'spec RunDetails) -> Option<Self> {
+    pub(crate) fn of_run(details: &'spec RunDetails) -> Option<Self> {
         details.filler.then(|| Self {
             image: &details.image,
             wanted_millicores: details.wanted_millicores.max(1),
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -169,7 +169,7 @@
         if !is_unresponsive && !has_left(worker) {
             return false;
         }
-        // Every owner grants leases of the same length, so one of an earlier owner has expired
+        // Every owner grants leases of the same length, so one of a former owner has expired
         // as well.
         let is_lease_expired =
             moment.since_ms(departed_since) > self.lease_ms + DEPARTURE_MARGIN_MS;
--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Gives up a worker that has not answered this process since its earlier owner may have
+    /// Gives up a worker that has not answered this process since its former owner may have
     /// renewed its lease, so that the owners of jobs do not wait for ever for its report.
     ///
     /// This process does not know the worker's clock, but every owner grants leases of the
@@ -85,7 +85,8 @@
     }
 
     /// Returns whether a worker with an expired lease counts as lost, with the ends of its
-    /// runs. It may have registered again unless the watch has reported since.
+    /// runs. It may have registered again since the last report of the watch, so it counts as
+    /// unregistered only up to that report.
     fn counts_as_lost(&self, worker: &Worker, expired_ms: u64) -> bool {
         let reported_at = self.registrations_reported_at;
         let is_unregistered = worker
@@ -145,7 +146,7 @@
 /// `None` if it may be valid.
 fn expired_ms(context: Context<'_>, worker: &Worker) -> Option<u64> {
     // If this process no longer owns the worker, the new owner may be renewing the lease.
-    if worker.fenced || worker.superseded || !context.has_valid_registration {
+    if worker.fenced || worker.has_later_owner || !context.has_valid_registration {
         return None;
     }
     let clock_ms = worker.clock?.earliest_ms(context.moment.now);
--- a/crates/turmericfold-fleet/src/workers/isolation.rs
+++ b/crates/turmericfold-fleet/src/workers/isolation.rs
@@ -10,10 +10,12 @@
 /// The age up to which a peer's summary shows that the peer can be reached, in milliseconds:
 /// longer than the interval of the summaries.
 ///
-/// Peers with the store send no summaries to a process whose registration they know has
-/// ended, and only then can another process claim its workers. So the last renewal is sent at
-/// most this long after the claim. It expires one lease later, on a clock that may be 2% slow;
-/// the new owner gives up an unregistered worker 700 ms after one lease.
+/// A peer stops sending summaries to a process once its watch reports that the registration
+/// has ended, and only then can another process claim the workers. If the watches are up to
+/// date, the last renewal is sent at most this long, and the delay of a summary, after the
+/// claim. It expires one lease later, on a clock that may be 2% slow, and before the new owner
+/// treats an unregistered worker as departed. A peer with a late watch may be heard for longer;
+/// then the new owner's summary ends the renewals.
 const MAX_SUMMARY_AGE_MS: u64 = 400;
 
 /// The peers that this process hears, without which it renews leases only while its
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -304,7 +304,7 @@
         let Some(clock) = worker.clock else {
             return;
         };
-        if may_renew && !worker.superseded {
+        if may_renew && !worker.has_later_owner {
             let renewed_until_ms = clock.estimated_ms(context.moment.now) + lease_ms;
             worker.lease_until_ms = worker.lease_until_ms.max(renewed_until_ms);
         }
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -33,8 +33,8 @@
     pub(super) authorities: BTreeMap<JobShard, StoreVersion>,
     authorities_call: Option<AuthoritiesCall>,
     pub(super) isolation: Isolation,
-    /// When the watch of the workers last reported: registrations that it has not restored by
-    /// then were still gone.
+    /// When the watch of the workers, or a read of all, last reported: a worker that is
+    /// unregistered here had not registered again by then.
     pub(super) registrations_reported_at: MonotonicMs,
     next_progress_at: MonotonicMs,
     interference: InterferenceModel,
@@ -136,7 +136,8 @@
         }
     }
 
-    /// Handles that the watch of the workers has reported all changes until now.
+    /// Handles that the watch of the workers, or a read of all, has reported, possibly without
+    /// a change.
     pub(crate) fn on_registrations_reported(&mut self, moment: Moment) {
         self.registrations_reported_at = moment.now;
     }
@@ -156,9 +157,9 @@
                 worker.earlier_renewal_at = moment.now;
                 worker.presumed_lost = false;
             }
-            if reported.epoch > worker.epoch && !worker.superseded {
+            if reported.epoch > worker.epoch && !worker.has_later_owner {
                 log::warn!(worker:% = worker.id, epoch = worker.epoch.0, later = reported.epoch.0; "peer owns the worker under a later epoch; its lease is not renewed");
-                worker.superseded = true;
+                worker.has_later_owner = true;
             }
         }
     }
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -144,7 +144,7 @@
         }
         if worker.last_answer_at.is_none() {
             let waited_ms = context.moment.since_ms(worker.owned_since);
-            log::info!(worker:% = name, epoch = worker.epoch.0, waited_ms = waited_ms; "worker has answered its new owner; its lease is renewed");
+            log::info!(worker:% = name, epoch = worker.epoch.0, waited_ms = waited_ms; "worker has answered its new owner for the first time");
         }
         detect_restart(worker, listing.started_ms);
         worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
@@ -271,7 +271,7 @@
     let has_answered = worker.unanswered_polls == 0;
     let lease_until_ms = worker
         .clock
-        .filter(|_| has_answered && may_renew && !worker.superseded)
+        .filter(|_| has_answered && may_renew && !worker.has_later_owner)
         .map(|clock| {
             worker
                 .lease_until_ms
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -62,6 +62,7 @@
     pub(crate) id: InstanceName,
     /// The version at which the ownership was stored.
     pub(crate) epoch: StoreVersion,
+    /// The token of calls to it.
     token: FencingToken,
     /// The token of the last answered poll.
     answered_token: Option<FencingToken>,
@@ -73,7 +74,7 @@
     pub(crate) unregistered_at: Option<MonotonicMs>,
     /// When this process became its owner.
     pub(crate) owned_since: MonotonicMs,
-    /// When an earlier owner may last have renewed its lease, as far as is known.
+    /// When a former owner may last have renewed its lease, as far as is known.
     pub(crate) earlier_renewal_at: MonotonicMs,
     /// Whether it counts as lost, as it has never answered this process.
     pub(crate) presumed_lost: bool,
@@ -106,7 +107,7 @@
     /// Whether it refused this process's token at the last answered poll.
     pub(crate) fenced: bool,
     /// Whether a peer has listed it under a later epoch, so that this process has lost it.
-    pub(crate) superseded: bool,
+    pub(crate) has_later_owner: bool,
     /// The runs that may be in progress.
     pub(crate) runs: BTreeMap<RunKey, Run>,
     /// The ends that are not recorded yet, or are recorded but still listed.
@@ -147,7 +148,7 @@
             has_listed_all: false,
             expiry_reported_at: None,
             fenced: false,
-            superseded: false,
+            has_later_owner: false,
             runs: BTreeMap::new(),
             ends: BTreeMap::new(),
             barred: BTreeMap::new(),
@@ -161,8 +162,8 @@
         self.token
     }
 
-    /// Returns whether the worker has answered a poll with the current token, so that it
-    /// does nothing for calls with an earlier one.
+    /// Returns whether the worker has answered a poll with the current token. Unless it has
+    /// restarted since, it does nothing for calls with an earlier one.
     pub(crate) fn has_seen_token(&self) -> bool {
         self.answered_token == Some(self.token)
     }
@@ -196,7 +197,7 @@
         self.registered
             && self.authorities_known
             && !self.fenced
-            && !self.superseded
+            && !self.has_later_owner
             && self.has_seen_token()
             && !self.entry.draining
             && answered_recently
--- a/crates/turmericfold-platform/src/task_worker.rs
+++ b/crates/turmericfold-platform/src/task_worker.rs
@@ -50,7 +50,7 @@
     /// When the lease that covers all runs on the worker expires, on the worker's
     /// clock.
     pub lease_until_ms: u64,
-    /// The fencing token of the process that makes the call.
+    /// The fencing token of the call.
     pub token: u64,
     /// The checkpoint to resume from, if any.
     pub checkpoint: Option<EcoString>,
@@ -82,7 +82,7 @@
 pub struct StopCall {
     /// The run.
     pub run: RunKey,
-    /// The fencing token of the process that makes the call.
+    /// The fencing token of the call.
     pub token: u64,
 }
 
@@ -93,14 +93,14 @@
     pub run: RunKey,
     /// The share of full speed, in percent.
     pub percent: u32,
-    /// The fencing token of the process that makes the call.
+    /// The fencing token of the call.
     pub token: u64,
 }
 
 /// A poll of a worker, which lists its runs and renews the lease that covers them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PollCall {
-    /// The fencing token of the process that makes the call.
+    /// The fencing token of the call.
     pub token: u64,
     /// When the lease expires, on the worker's clock; `None` leaves it unchanged.
     pub lease_until_ms: Option<u64>,
--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -59,7 +59,7 @@
     assert_runs_once(seed, former, for_ms, false);
 }
 
-/// Guards against the same where the cut owner has another worker than the unregistered one.
+/// Guards against a second run of the cut owner beside an unregistered worker of another.
 #[rstest]
 fn other_owner_is_heard(
     #[values(1, 2)] seed: u64,
@@ -69,7 +69,7 @@
     assert_runs_once(seed, former, for_ms, true);
 }
 
-/// Guards against the same for a worker whose registration has ended.
+/// Guards against a second run beside one that a cut owner renews on an unregistered worker.
 #[rstest]
 fn unregistered_worker_waits(
     #[values(1, 2)] seed: u64,
@@ -79,7 +79,7 @@
     assert_runs_once(seed, former, for_ms, true);
 }
 
-/// Guards against the same for a group of processes that hear only each other.
+/// Guards against a second run beside one whose lease a cut-off group of processes renews.
 #[rstest]
 fn group_stops_renewing(
     #[values(1, 2)] seed: u64,
@@ -92,7 +92,7 @@
     assert_no_violations(world, 26_000);
 }
 
-/// Guards against the same for an owner that loses the store some time before its peers.
+/// Guards against a second run beside one of an owner that loses the store before its peers.
 #[rstest]
 fn late_cut_stops_renewing(
     #[values(1, 2)] seed: u64,
@@ -104,7 +104,7 @@
     assert_no_violations(world, lead_ms + 14_000);
 }
 
-/// Guards against the same for an owner that hears of its loss only from the new owner.
+/// Guards against a second run beside one of an owner that only the new owner tells its loss.
 #[rstest]
 fn told_owner_stops_renewing(
     #[values(1, 2)] seed: u64,
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -54,7 +54,6 @@
 mod slow_starts;
 mod start_doubts;
 mod successors;
-
 mod waiting_counts;
 mod whole_path;
 mod world_fuzz;
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -23,12 +23,12 @@
         self.check_worker(&name);
     }
 
-    /// Removes the registration of a worker, as the watches of the nodes report.
+    /// Removes the registration of a worker, of which the nodes learn from their watches.
     pub fn unregister_worker(&mut self, number: usize) {
         self.entries.remove(&worker_name(number));
     }
 
-    /// Registers a worker, as the watches of the nodes report.
+    /// Registers a worker, of which the nodes learn from their watches.
     pub fn register_worker(&mut self, number: usize) {
         let name = worker_name(number);
         let entry = WorkerEntry {
