--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -85,14 +85,19 @@
     }
 
     /// Returns whether a worker with an expired lease counts as lost, with the ends of its
-    /// runs. It may have registered again since the last report of the watch, so it counts as
-    /// unregistered only up to that report.
+    /// runs.
     fn counts_as_lost(&self, worker: &Worker, expired_ms: u64) -> bool {
+        self.is_gone(worker) || expired_ms >= MAX_OUTCOME_WAIT_MS
+    }
+
+    /// Returns whether a worker has been unregistered for so long that it is gone. It may have
+    /// registered again since the last report of the watch, so only the time up to that
+    /// report counts.
+    pub(super) fn is_gone(&self, worker: &Worker) -> bool {
         let reported_at = self.registrations_reported_at;
-        let is_unregistered = worker
+        worker
             .unregistered_at
-            .is_some_and(|at| reported_at.since_ms(at) >= REREGISTRATION_MS);
-        is_unregistered || expired_ms >= MAX_OUTCOME_WAIT_MS
+            .is_some_and(|at| reported_at.since_ms(at) >= REREGISTRATION_MS)
     }
 
     /// Reports that the lease of a worker's runs has expired, again after a while.
--- a/tests/features/lost_registrations.rs
+++ b/tests/features/lost_registrations.rs
@@ -30,6 +30,10 @@
 /// The time that the watch of a process waits for an answer that is lost, in milliseconds.
 const LOST_ANSWER_MS: u64 = 3_700;
 
+/// How long a worker is silent and the watches are late, in milliseconds: longer than a new
+/// owner waits for a worker that it never heard.
+const LATE_MS: u64 = 12_000;
+
 /// The time in which the watches report a change, in milliseconds.
 const REPORT_MS: u64 = 50;
 
@@ -114,3 +118,28 @@
     world.run_for(SILENT_MS + 12_000);
     assert_all_completed(&mut world);
 }
+
+/// Guards against a second run of a task whose worker a new owner counts as departed, though
+/// it is back.
+#[rstest]
+fn late_watch_departs_none(#[values(1, 2, 3)] seed: u64, #[values(0, 1, 2)] killed: usize) {
+    let kill = FaultKind::KillNode {
+        node: killed,
+        down_ms: LATE_MS,
+    };
+    let mut plan = silence(1, LATE_MS).with_fault(CUT_AT_MS + 500, kill);
+    for node in 0..NODES {
+        let late = FaultKind::CutWatch {
+            node,
+            for_ms: LATE_MS,
+        };
+        plan = plan.with_fault(LOST_AT_MS + REPORT_MS, late);
+    }
+    let mut world = cut_fleet(seed, plan, &finite_job(WORK_MS), Some(WORK_MS));
+    world.run_for(LOST_AT_MS - world.now().0);
+    world.unregister_worker(0);
+    world.run_for(2 * REPORT_MS);
+    world.register_worker(0);
+    world.run_for(LATE_MS + 12_000);
+    assert_eq!(world.violations(), [], "promises were broken");
+}
