Take the answer of another worker as the end of a worker that never answered

What callers saw: lasting tasks without a run for 8 to 21 s (LOST in the users' record), as the shard of their job recovered for up to 25 s.

Cause: a worker crashes, its owner changes, and another worker then answers at its address. The new owner has never heard the worker, knows none of its runs, and so ended nothing: it sent no recovery report and kept the worker until a lease after the last sign of a former owner. Each shard that changes its owner meanwhile waits for that report, and owners of jobs keep the runs on that worker as active. The class of fault: certain evidence that is not used, as the code expects it only in another state.

Change: the owner remembers that another worker answers. It then reports the worker without runs, and gives up its ownership once it is unregistered. An answer at a former address counts for nothing. The line is logged once, not every second.

Measured: replaced_workers::report_has_no_runs and owner_is_removed fail without the change; 537 tests pass with it.

--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Ends the runs of a worker that has left as announced.
+    /// Ends the runs of a worker that has certainly left.
     pub(super) fn end_departed(
         &mut self,
         context: Context<'_>,
@@ -190,10 +190,11 @@
     }
 }
 
-/// Returns whether a worker has left as announced: it was draining, its registration is
-/// gone, and its address refuses connections.
+/// Returns whether a worker has certainly left: its registration is gone, and another worker
+/// answers at its address, or it was draining and its address refuses connections.
 fn has_left(worker: &Worker) -> bool {
-    !worker.registered && worker.entry.draining && worker.connection_refused
+    let has_left_as_announced = worker.entry.draining && worker.connection_refused;
+    !worker.registered && (worker.is_replaced || has_left_as_announced)
 }
 
 fn log_end(moment: Moment, worker: &Worker, end: &ReportedEnd, evidence: EndEvidence) {
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -120,6 +120,9 @@
     /// Handles a new or changed registration of a worker.
     pub(crate) fn on_registered(&mut self, entry: &WorkerEntry) {
         if let Some(worker) = self.workers.get_mut(&entry.id) {
+            if worker.entry.address != entry.address {
+                worker.on_moved();
+            }
             worker.entry = entry.clone();
             worker.registered = true;
             worker.unregistered_at = None;
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -110,7 +110,10 @@
             }
             Ok(PollReply::OtherWorker) => {
                 worker.next_poll_at = context.moment + FENCED_RETRY_MS;
-                log::warn!(worker:% = name, address = worker.entry.address.as_str(); "another worker answers at this address; ending all runs of the expected worker");
+                if !worker.is_replaced {
+                    log::warn!(worker:% = name, epoch = worker.epoch.0, address = worker.entry.address.as_str(), runs = worker.runs.len(); "another worker answers at this address; the expected worker is gone, and its runs have ended");
+                }
+                worker.is_replaced = true;
                 self.end_all(context, name, EndEvidence::WorkerReplaced, out);
             }
             Err(error) => {
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -94,6 +94,8 @@
     pub(crate) next_poll_at: MonotonicMs,
     /// Whether its address refused the connection of the last poll.
     pub(crate) connection_refused: bool,
+    /// Whether another worker answered the last poll at its address, so that it is gone.
+    pub(crate) is_replaced: bool,
     /// The number of polls in a row without an answer.
     pub(crate) unanswered_polls: u32,
     /// When it last answered a poll.
@@ -143,6 +145,7 @@
             poll: None,
             next_poll_at: now,
             connection_refused: false,
+            is_replaced: false,
             unanswered_polls: 0,
             last_answer_at: None,
             has_listed_all: false,
@@ -176,6 +179,7 @@
         self.fenced = false;
         self.expiry_reported_at = None;
         self.presumed_lost = false;
+        self.is_replaced = false;
     }
 
     /// Resets what does not outlast a restart of the worker, and raises the token, as the
@@ -189,6 +193,13 @@
         }
     }
 
+    /// Handles a new address: a poll of the former one says nothing about the worker now.
+    pub(crate) fn on_moved(&mut self) {
+        self.poll = None;
+        self.is_replaced = false;
+        self.connection_refused = false;
+    }
+
     /// Returns whether the worker can take new runs.
     pub(crate) fn is_usable(&self, moment: Moment) -> bool {
         let answered_recently = self
@@ -329,10 +340,10 @@
     }
 
     /// Returns the runs that may be in progress and the ends not recorded yet, once both are
-    /// known; both are empty if the worker counts as lost.
+    /// known; both are empty if the worker is gone or counts as lost without an answer.
     pub(crate) fn recovery_report(&self, query_id: Option<u64>) -> Option<RecoveryReport> {
-        let is_known = (self.has_listed_all || self.presumed_lost) && self.authorities_known;
-        is_known.then(|| RecoveryReport {
+        let is_known = self.has_listed_all || self.presumed_lost || self.is_replaced;
+        (is_known && self.authorities_known).then(|| RecoveryReport {
             worker: self.id.clone(),
             worker_epoch: self.epoch,
             query_id,
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -42,6 +42,7 @@
 mod promises;
 mod rebalancing;
 mod recurring_jobs;
+mod replaced_workers;
 mod restarted_workers;
 mod retries;
 mod rollout_changes;
--- /dev/null
+++ b/tests/features/replaced_workers.rs
@@ -0,0 +1,164 @@
+//! Workers that have ended for good and at whose addresses other workers answer.
+
+use turmericfold_fleet::{
+    Authority, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox, PeerMessage,
+    RecoveryReport, WorkerCall, WorkerChange, WorkerResult,
+};
+use turmericfold_jobs::JobId;
+use turmericfold_platform::{PollReply, StoreCall, StoreReply, StoreVersion, WorkerEntry};
+use turmericfold_tests::fleet_world::{SERVICE, configuration};
+use turmericfold_tests::node_parts::{member, owner_change, process};
+use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources, ServiceName};
+
+const WORKER: &str = "worker-00";
+const WORKER_EPOCH: StoreVersion = StoreVersion(5);
+
+/// The query of a peer.
+const QUERY_ID: u64 = 1;
+
+/// A node that has taken over a worker which has never answered it. The test answers in
+/// place of the store and of the other worker at the address.
+struct NewOwner {
+    node: FleetNode,
+    out: Outbox,
+    now_ms: u64,
+}
+
+impl NewOwner {
+    fn new() -> Self {
+        let mut owner = Self {
+            node: FleetNode::new(&FleetSettings::new(member(process(0, 1)))),
+            out: Outbox::new(process(0, 1)),
+            now_ms: 1_000,
+        };
+        owner.deliver(Event::Configuration(configuration().into()));
+        let registered = WorkerChange::Registered(entry("10.1.0.1:8000"));
+        owner.deliver(Event::WorkersChanged(vec![registered]));
+        let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
+        let acquired = owner_change(&worker_key, process(0, 1), WORKER_EPOCH);
+        owner.deliver(Event::KeysChanged(vec![acquired]));
+        owner.answer_reads();
+        owner
+    }
+
+    fn deliver(&mut self, event: Event) {
+        self.now_ms += 10;
+        let moment = Moment {
+            now: MonotonicMs(self.now_ms),
+            unix_ms: self.now_ms,
+        };
+        self.node.handle(moment, event, &mut self.out);
+    }
+
+    /// Answers all reads as empty.
+    fn answer_reads(&mut self) {
+        for request in std::mem::take(&mut self.out.store) {
+            if !matches!(request.store_call, StoreCall::Range { .. }) {
+                continue;
+            }
+            let reply = StoreReply::Page {
+                keys: Vec::new(),
+                more: false,
+                version: StoreVersion(self.now_ms),
+            };
+            self.deliver(Event::Store {
+                call: request.call,
+                result: Ok(reply),
+            });
+        }
+    }
+
+    /// Answers the polls in progress as another worker.
+    fn answer_as_other(&mut self) {
+        for request in std::mem::take(&mut self.out.workers) {
+            assert!(matches!(request.worker_call, WorkerCall::Poll(_)));
+            self.deliver(Event::Worker {
+                worker: request.worker.id,
+                call: request.call,
+                result: WorkerResult::Poll(Ok(PollReply::OtherWorker)),
+            });
+        }
+    }
+
+    /// Returns the report on the worker that a peer receives, if any.
+    fn report(&mut self) -> Option<RecoveryReport> {
+        self.out.messages.clear();
+        let shard = JobShard::of(JobId(5));
+        let epoch = StoreVersion(6);
+        let query = PeerMessage::RecoveryQuery {
+            query_id: QUERY_ID,
+            shards: vec![Authority { shard, epoch }],
+        };
+        self.deliver(Event::Peer {
+            from: process(1, 1),
+            messages: vec![query],
+        });
+        let messages = std::mem::take(&mut self.out.messages);
+        messages.into_values().flatten().find_map(|message| {
+            let PeerMessage::RecoveryReport(report) = message else {
+                return None;
+            };
+            Some(report)
+        })
+    }
+
+    /// Returns whether it removes the stored owner of the worker.
+    fn removes_owner(&self) -> bool {
+        let removes = |call: &StoreCall| match call {
+            StoreCall::Transact(transaction) => !transaction.remove.is_empty(),
+            _ => false,
+        };
+        self.out
+            .store
+            .iter()
+            .any(|request| removes(&request.store_call))
+    }
+}
+
+fn entry(address: &str) -> WorkerEntry {
+    WorkerEntry {
+        id: InstanceName::new(WORKER),
+        address: address.into(),
+        service: ServiceName::new(SERVICE),
+        domain: FailureDomain::new("west"),
+        draining: false,
+        remaining_ms: None,
+        capacity: Resources::new(8_000, 32 << 30),
+        labels: Vec::new(),
+    }
+}
+
+/// Guards against shards that start no task as they wait for a report on a replaced worker.
+#[test]
+fn report_has_no_runs() {
+    let mut owner = NewOwner::new();
+    assert_eq!(owner.report(), None, "nothing is known of the worker");
+    owner.answer_as_other();
+    let report = owner.report().expect("the worker is gone");
+    assert_eq!(report.worker_epoch, WORKER_EPOCH);
+    assert_eq!(report.runs, []);
+    assert_eq!(report.ends, []);
+}
+
+/// Guards against a replaced worker that its new owner keeps.
+#[test]
+fn owner_is_removed() {
+    let mut owner = NewOwner::new();
+    owner.answer_as_other();
+    assert!(!owner.removes_owner(), "the worker may register again");
+    let gone = WorkerChange::Unregistered(InstanceName::new(WORKER));
+    owner.deliver(Event::WorkersChanged(vec![gone]));
+    assert!(owner.removes_owner(), "the replaced worker is kept");
+}
+
+/// Guards against taking the answer at a former address for one at the new address.
+#[test]
+fn moved_worker_is_unknown() {
+    let mut owner = NewOwner::new();
+    let moved = WorkerChange::Registered(entry("10.1.0.2:8000"));
+    let former_polls = std::mem::take(&mut owner.out.workers);
+    owner.deliver(Event::WorkersChanged(vec![moved]));
+    owner.out.workers = former_polls;
+    owner.answer_as_other();
+    assert_eq!(owner.report(), None, "nothing is known of the worker");
+}
