--- /dev/null
+++ b/tests/features/odd_entries.rs
@@ -0,0 +1,61 @@
+//! Entries of other writers among the registrations of the workers: each is skipped alone.
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use turmericfold_adapter::decode_worker;
+use turmericfold_platform::WorkerEntry;
+
+fn good_entry() -> Value {
+    json!({
+        "service": "s", "address": "10.0.0.1:80", "zone": "west", "version": "v1", "slots": 8,
+        "state": "draining", "remaining_ms": 900, "cold_left_ms": 0,
+        "capacity": {"cpu": 16_000, "mem_mb": 2, "gpu": 1}, "labels": ["a", "r1"],
+        "sequence": 4,
+    })
+}
+
+/// Decodes the good entry, in which the field at `path` is `text`, which need not be valid.
+fn decode_with(path: &str, text: &str) -> Option<WorkerEntry> {
+    let mut entry = good_entry();
+    let mut field = &mut entry;
+    for name in path.split('.') {
+        field = &mut field[name];
+    }
+    *field = json!("REPLACED");
+    decode_worker(
+        "servers/i-1",
+        &entry.to_string().replace("\"REPLACED\"", text),
+    )
+}
+
+/// Guards against amounts that overflow when they are converted or added.
+#[rstest]
+fn large_amount_is_skipped(
+    #[values("capacity.cpu", "capacity.mem_mb", "capacity.gpu", "remaining_ms")] path: &str,
+    #[values(
+        "4294967297",
+        "17592186044416",
+        "9223372036854775807",
+        "18446744073709551615",
+        "18446744073709551616",
+        "340282366920938463463374607431768211456",
+        "-1",
+        "1.5"
+    )]
+    number: &str,
+) {
+    assert_eq!(decode_with(path, number), None);
+}
+
+#[test]
+fn largest_amounts_add_up() {
+    let largest = decode_with(
+        "capacity",
+        r#"{"cpu":1000000000,"mem_mb":4294967296,"gpu":65536}"#,
+    );
+    let capacity = largest.unwrap().capacity;
+    let thousand = (0..1_000).fold(capacity.minus(&capacity), |sum, _| sum.plus(&capacity));
+    assert_eq!(thousand.cpu_millicores, 1_000_000_000_000);
+    assert_eq!(thousand.memory_bytes, 1_000 << 52);
+    assert_eq!(thousand.accelerators, 65_536_000);
+}
