--- a/tests/features/odd_entries.rs
+++ b/tests/features/odd_entries.rs
@@ -2,8 +2,9 @@
 
 use rstest::rstest;
 use serde_json::{Value, json};
-use turmericfold_adapter::decode_worker;
-use turmericfold_platform::WorkerEntry;
+use turmericfold_adapter::{HttpPool, SiteWorkers, decode_worker};
+use turmericfold_platform::{Effect, PollCall, TaskWorkers, WorkerEntry};
+use turmericfold_tests::task_worker_server::worker_entry;
 
 fn good_entry() -> Value {
     json!({
@@ -59,3 +60,65 @@
     assert_eq!(thousand.memory_bytes, 1_000 << 52);
     assert_eq!(thousand.accelerators, 65_536_000);
 }
+
+#[rstest]
+fn odd_address_is_skipped(
+    #[values(
+        "10.0.0.1:99999",
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        ":0",
+        ":80",
+        "",
+        " ",
+        "10.0.0.1",
+        "10.0.0.1:",
+        "10.0.0.1:-1",
+        "10.0.0.1:80x",
+        "10.0.0.1:80 ",
+        "10.0.0.1:80/-/hold",
+        "10.0.0.1:1e3",
+        "10.0.0:80",
+        "256.0.0.1:80",
+        "0.0.0.0:80",
+        "nobody:80",
+        "http://10.0.0.1:80",
+        "10.0.0.1:80\\r\\nHost: a",
+        "\\u0000:80"
+    )]
+    address: &str,
+) {
+    assert_eq!(decode_with("address", &format!("\"{address}\"")), None);
+}
+
+#[rstest]
+fn address_is_used(#[values("10.0.0.1:1", "10.0.0.1:65535", "[fd00::1]:80")] address: &str) {
+    let entry = decode_with("address", &format!("\"{address}\"")).unwrap();
+    assert_eq!(entry.address, address);
+}
+
+/// The addresses don't get this far, but a call to one must fail and not panic.
+#[rstest]
+#[tokio::test]
+async fn call_to_odd_address_fails(
+    #[values(
+        "10.0.0.1:99999",
+        "127.0.0.1:0",
+        "10.0.0.1",
+        "10.0.0.1:x",
+        "",
+        "a\r\nb:80"
+    )]
+    address: &str,
+) {
+    let mut worker = worker_entry("127.0.0.1:1");
+    worker.address = address.into();
+    let call = PollCall {
+        token: 1,
+        lease_until_ms: None,
+        acknowledged_up_to: 0,
+        wait_ms: 0,
+    };
+    let error = SiteWorkers::new(HttpPool::new()).poll(&worker, call).await;
+    assert_eq!(error.unwrap_err().effect, Effect::None);
+}
