Skip registrations whose identifier cannot be used

Cause: any text after the prefix became the identifier of a worker. The key of its owner is 34 bytes longer than the identifier and the store takes at most 200 bytes, so a long one would have the store refuse the claims of all units in the same transaction. An empty identifier, or one with spaces, line breaks or other letters, is of no use in a key or a header. Change: identifiers have 1 to 128 visible ASCII characters. That the store refuses the claims follows from its page; no test plays it.

--- a/tests/features/odd_entries.rs
+++ b/tests/features/odd_entries.rs
@@ -2,10 +2,13 @@
 
 use rstest::rstest;
 use serde_json::{Value, json};
-use turmericfold_adapter::{HttpPool, SiteWorkers, decode_worker};
+use turmericfold_adapter::{HttpPool, SiteWorkers, decode_worker, worker_id_from_key};
 use turmericfold_platform::{Effect, PollCall, TaskWorkers, WorkerEntry};
 use turmericfold_tests::task_worker_server::worker_entry;
 
+/// The longest identifier of a worker, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
 fn good_entry() -> Value {
     json!({
         "service": "s", "address": "10.0.0.1:80", "zone": "west", "version": "v1", "slots": 8,
@@ -122,3 +125,17 @@
     let error = SiteWorkers::new(HttpPool::new()).poll(&worker, call).await;
     assert_eq!(error.unwrap_err().effect, Effect::None);
 }
+
+/// Guards against keys of owners that are too long for the store, which refuses the claims
+/// of all units in one transaction.
+#[rstest]
+fn odd_name_is_skipped(
+    #[values(
+        String::new(), "x".repeat(MAX_ID_BYTES + 1), "i 1".into(), "i\r\n1".into(), "ñ".into()
+    )]
+    id: String,
+) {
+    let key = format!("servers/{id}");
+    assert_eq!(worker_id_from_key(&key), None);
+    assert_eq!(decode_worker(&key, &good_entry().to_string()), None);
+}
