Skip registrations that no worker writes: nested deeply or of other types

Cause: fields without a use here were passed over whatever their value, and a list in place of an object was read as its fields in order. An entry that another writer left could so name a worker to own and to wait for.

--- a/tests/features/odd_entries.rs
+++ b/tests/features/odd_entries.rs
@@ -1,11 +1,16 @@
 //! Entries of other writers among the registrations of the workers: each is skipped alone.
 
+use std::collections::BTreeMap;
+
 use rstest::rstest;
 use serde_json::{Value, json};
 use turmericfold_adapter::{HttpPool, SiteWorkers, decode_worker, worker_id_from_key};
 use turmericfold_platform::{Effect, PollCall, TaskWorkers, WorkerEntry};
 use turmericfold_tests::task_worker_server::worker_entry;
 
+/// The levels of a very deeply nested value.
+const DEEP: usize = 100_000;
+
 /// The longest identifier of a worker, in bytes.
 const MAX_ID_BYTES: usize = 128;
 
@@ -32,6 +37,69 @@
     )
 }
 
+fn nested_list(levels: usize) -> String {
+    format!("{}{}", "[".repeat(levels), "]".repeat(levels))
+}
+
+fn nested_object(levels: usize) -> String {
+    format!("{}1{}", "{\"a\":".repeat(levels), "}".repeat(levels))
+}
+
+#[test]
+fn good_entry_is_used() {
+    assert!(decode_worker("servers/i-1", &good_entry().to_string()).is_some());
+    assert!(decode_with("new_field", r#"{"a":[1,{"b":2.5}]}"#).is_some());
+}
+
+#[rstest]
+fn deep_field_is_skipped(
+    #[values(
+        "unknown",
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "remaining_ms",
+        "cold_left_ms",
+        "capacity",
+        "capacity.cpu",
+        "capacity.unknown",
+        "labels",
+        "sequence"
+    )]
+    path: &str,
+    #[values(nested_list(DEEP), nested_object(DEEP))] value: String,
+) {
+    assert_eq!(decode_with(path, &value), None);
+}
+
+#[rstest]
+fn deep_value_is_skipped(
+    #[values(nested_list(DEEP), nested_object(DEEP), "[".repeat(DEEP))] value: String,
+) {
+    assert_eq!(decode_worker("servers/i-1", &value), None);
+}
+
+/// Guards against amounts that overflow when they are converted or added.
+#[rstest]
+fn large_number_is_skipped(
+    #[values(
+        "capacity.cpu",
+        "capacity.mem_mb",
+        "capacity.gpu",
+        "remaining_ms",
+        "sequence",
+        "slots",
+        "unknown"
+    )]
+    path: &str,
+    #[values("1e400", "-1e400")] number: &str,
+) {
+    assert_eq!(decode_with(path, number), None);
+}
+
 /// Guards against amounts that overflow when they are converted or added.
 #[rstest]
 fn large_amount_is_skipped(
@@ -126,6 +194,45 @@
     assert_eq!(error.unwrap_err().effect, Effect::None);
 }
 
+#[rstest]
+fn odd_type_is_skipped(
+    #[values(
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "remaining_ms",
+        "cold_left_ms",
+        "capacity",
+        "capacity.cpu",
+        "labels",
+        "sequence"
+    )]
+    path: &str,
+    #[values("[16000,2,0]", "{}", "true", "[[]]")] value: &str,
+) {
+    assert_eq!(decode_with(path, value), None);
+}
+
+#[rstest]
+fn missing_field_is_skipped(
+    #[values("service", "address", "zone", "state", "capacity")] name: &str,
+) {
+    let fields: BTreeMap<String, Value> = serde_json::from_value(good_entry()).unwrap();
+    let rest: BTreeMap<_, _> = fields.iter().filter(|(key, _)| *key != name).collect();
+    let text = serde_json::to_string(&rest).unwrap();
+    assert_eq!(decode_worker("servers/i-1", &text), None);
+}
+
+/// Guards against a list that is read as the fields in the order of their declaration.
+#[test]
+fn list_is_skipped() {
+    let list = r#"["s","10.0.0.1:80","west","ready",null,{"cpu":1,"mem_mb":1},["a","r1"]]"#;
+    assert_eq!(decode_worker("servers/i-1", list), None);
+}
+
 /// Guards against keys of owners that are too long for the store, which refuses the claims
 /// of all units in one transaction.
 #[rstest]
