--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -36,6 +36,7 @@
 mod long_lists;
 mod lost_registrations;
 mod lost_stops;
+mod odd_answers;
 mod odd_entries;
 mod ownership_fuzz;
 mod ownership_searches;
