Claim no workers of services that the configuration does not name

Cause: every registered worker became a unit with an owner, also one of a service that is not configured. No task can run on it, but recoveries wait for a report on it; if nothing answers there, until its owner gives it up. Change: once a process has a configuration, it claims only registered workers of a configured service. Workers that have an owner in the store stay units, as runs may be on them; without a configuration all are claimed as before.

--- a/crates/turmericfold-fleet/src/configuration.rs
+++ b/crates/turmericfold-fleet/src/configuration.rs
@@ -79,6 +79,11 @@
         configured.map_or(&queue.service, |configured| &configured.service)
     }
 
+    /// Returns whether the service is configured, by itself or as that of a queue.
+    pub fn names_service(&self, service: &ServiceName) -> bool {
+        self.services.contains_key(service) || self.uses(service)
+    }
+
     /// Returns whether any configured queue uses the service.
     pub fn uses(&self, service: &ServiceName) -> bool {
         self.queues.values().any(|queue| queue.service == *service)
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -176,6 +176,7 @@
                 moment,
                 &self.membership,
                 &self.registrations,
+                self.configuration.as_deref(),
                 should_hand_over,
                 out,
             );
--- a/crates/turmericfold-fleet/src/ownership/claims.rs
+++ b/crates/turmericfold-fleet/src/ownership/claims.rs
@@ -17,7 +17,7 @@
     pub(super) fn claims(
         &self,
         membership: &Membership,
-        registered_workers: &BTreeSet<InstanceName>,
+        claimable_workers: &BTreeSet<InstanceName>,
     ) -> Vec<Transfer> {
         let mut jobs = Shares::new(
             membership.assignable_members(),
@@ -28,7 +28,7 @@
             &self.counts(membership, is_worker),
         );
         let mut units: BTreeSet<Unit> = JobShard::all().map(Unit::Jobs).collect();
-        units.extend(registered_workers.iter().cloned().map(Unit::Worker));
+        units.extend(claimable_workers.iter().cloned().map(Unit::Worker));
         units.extend(self.owners.keys().cloned());
         let mut claims = Vec::new();
         for unit in units {
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -10,7 +10,7 @@
 use crate::keys;
 use crate::membership::Membership;
 use crate::registrations::Registrations;
-use crate::{CallId, Moment, Outbox, Unit};
+use crate::{CallId, Configuration, Moment, Outbox, Unit};
 
 /// The delay between the registration of a process and its first claim, in
 /// milliseconds, so that processes that start together get even shares.
@@ -149,6 +149,7 @@
         moment: Moment,
         membership: &Membership,
         registrations: &Registrations,
+        configuration: Option<&Configuration>,
         should_hand_over: bool,
         out: &mut Outbox,
     ) {
@@ -173,7 +174,7 @@
         {
             return;
         }
-        let claims = self.claims(membership, &registrations.names());
+        let claims = self.claims(membership, &registrations.claimable(configuration));
         if !claims.is_empty() {
             self.send_transfers(claims, out);
         } else if self.may_balance(moment) {
--- a/crates/turmericfold-fleet/src/registrations.rs
+++ b/crates/turmericfold-fleet/src/registrations.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use turmericfold_platform::WorkerEntry;
-use turmericfold_types::{InstanceName, MonotonicMs};
+use turmericfold_types::{InstanceName, MonotonicMs, ServiceName};
 
-use crate::Moment;
+use crate::{Configuration, Moment};
 
 /// The assumed remaining time of a draining worker that does not report one, in
 /// milliseconds.
@@ -90,6 +90,22 @@
         self.by_name.keys().cloned().collect()
     }
 
+    /// Returns the names of the registered workers that a process may claim: those of a
+    /// configured service, or all if there is no configuration yet.
+    pub(crate) fn claimable(
+        &self,
+        configuration: Option<&Configuration>,
+    ) -> BTreeSet<InstanceName> {
+        let is_claimable = |service: &ServiceName| {
+            configuration.is_none_or(|configuration| configuration.names_service(service))
+        };
+        let registered = self.by_name.iter();
+        registered
+            .filter(|(_, known)| is_claimable(&known.entry.service))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Returns the registration of a worker, if it is registered.
     pub(crate) fn entry(&self, name: &InstanceName) -> Option<&WorkerEntry> {
         self.by_name.get(name).map(|known| &known.entry)
--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -1,20 +1,27 @@
 //! How a process handles acquiring, losing and reacquiring a shard of jobs.
 
+use rstest::rstest;
 use serde::Serialize;
 use turmericfold_fleet::{
     CallId, CallerRequest, Configuration, Event, FleetNode, FleetSettings, JobShard, Moment,
-    Outbox, Owner,
+    Outbox, Owner, WorkerChange,
 };
 use turmericfold_jobs::{JobId, JobSpec, QueueName};
 use turmericfold_platform::{
     ExpectedKey, KeyChange, LeaseId, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue,
+    WorkerEntry,
 };
-use turmericfold_tests::fleet_world::{QUEUE, configuration};
+use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
 use turmericfold_tests::node_parts::{member, process};
-use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
+use turmericfold_types::{
+    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
+};
 
 const JOB: JobId = JobId(5);
 
+/// The number of workers, of which each of both processes claims some.
+const WORKERS: u32 = 8;
+
 /// A node whose store calls the test answers itself.
 struct NodeHarness {
     node: FleetNode,
@@ -150,6 +157,20 @@
         found.map(|order| order.call)
     }
 
+    /// Waits until this process claims units and returns the keys of their owners.
+    fn take_claimed_keys(&mut self) -> Vec<String> {
+        let claim = (0..10).find_map(|_| {
+            self.deliver(Event::Tick);
+            let mut orders = std::mem::take(&mut self.out.store).into_iter();
+            orders.find_map(|order| match order.store_call {
+                StoreCall::Transact(transaction) => Some(transaction),
+                _ => None,
+            })
+        });
+        let writes = claim.unwrap().write;
+        writes.iter().map(|write| write.key.to_string()).collect()
+    }
+
     /// Takes all store calls and returns the read of the keys in a folder, if any.
     fn take_range(&mut self, folder: &str) -> Option<CallId> {
         self.take_call(
@@ -250,3 +271,32 @@
     let load = harness.take_range("/jobs/");
     assert_eq!(load, None, "a deleted owner is back");
 }
+
+fn worker_of(service: &str, number: u32) -> WorkerEntry {
+    WorkerEntry {
+        id: InstanceName::new(format!("{service}-{number}")),
+        address: "10.1.0.1:8000".into(),
+        service: ServiceName::new(service),
+        domain: FailureDomain::new("west"),
+        draining: false,
+        remaining_ms: None,
+        capacity: Resources::new(8_000, 32 << 30),
+        labels: Vec::new(),
+    }
+}
+
+/// Guards against a unit that no process can use, but for whose owner all recoveries wait.
+#[rstest]
+#[case::configured(SERVICE, true)]
+#[case::unknown("nobody", false)]
+fn workers_of_services_are_claimed(#[case] service: &str, #[case] is_claimed: bool) {
+    let mut harness = NodeHarness::new();
+    harness.register();
+    let workers = (0..WORKERS).map(|number| worker_of(service, number));
+    let changes = workers.map(WorkerChange::Registered);
+    harness.deliver(Event::WorkersChanged(changes.collect()));
+    let claimed = harness.take_claimed_keys();
+    assert!(claimed.contains(&NodeHarness::key()), "{claimed:?}");
+    let claims_workers = claimed.iter().any(|key| key.contains("/workers/"));
+    assert_eq!(claims_workers, is_claimed, "{claimed:?}");
+}
