Guard the refusal of configurations with odd numbers or deep nesting

No fault was found: decode_configuration returned an error in all 5 cases before as well, and the process ignores the configuration with a log line.

--- a/tests/features/odd_entries.rs
+++ b/tests/features/odd_entries.rs
@@ -4,7 +4,9 @@
 
 use rstest::rstest;
 use serde_json::{Value, json};
-use turmericfold_adapter::{HttpPool, SiteWorkers, decode_worker, worker_id_from_key};
+use turmericfold_adapter::{
+    HttpPool, SiteWorkers, decode_configuration, decode_worker, worker_id_from_key,
+};
 use turmericfold_platform::{Effect, PollCall, TaskWorkers, WorkerEntry};
 use turmericfold_tests::task_worker_server::worker_entry;
 
@@ -246,3 +248,19 @@
     assert_eq!(worker_id_from_key(&key), None);
     assert_eq!(decode_worker(&key, &good_entry().to_string()), None);
 }
+
+#[rstest]
+#[case::number_beyond_u64(r#"{"version":18446744073709551616}"#)]
+#[case::number_beyond_f64(
+    r#"{"version":1,"routes":[{"name":"a","host":"h","prefix":"/","service":"s",
+        "slack_factor":1e400}]}"#
+)]
+#[case::negative(r#"{"version":1,"limits":{"max_body_bytes":-1}}"#)]
+#[case::deep_value(nested_list(DEEP))]
+#[case::deep_field(format!(r#"{{"version":1,"routes":{}}}"#, nested_list(DEEP)))]
+fn odd_configuration_is_refused<Text>(#[case] text: Text)
+where
+    Text: AsRef<str>,
+{
+    decode_configuration(text.as_ref()).unwrap_err();
+}
