Bound the wait of lasting tasks in the simulated fleet

Change: a lasting task must run if it has had no run for more than 6 s, the fleet has been calm for 7 s, and for 3 s the registered workers had room for it twice over, by the runs in progress there. Calm ends with each fault, a process that is down or shutting down, a late call and a changed registration. Gangs, fillers and recurring jobs are not covered.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -30,6 +30,7 @@
 mod graceful_shutdown;
 mod journal_ring;
 mod large_messages;
+mod lasting_waits;
 mod late_completions;
 mod late_reports;
 mod late_watches;
--- a/tests/src/fleet_world/faults.rs
+++ b/tests/src/fleet_world/faults.rs
@@ -45,6 +45,11 @@
         self.active.retain(|active| active.until > now);
     }
 
+    /// Returns whether any fault is active.
+    pub(super) fn is_any_active(&self) -> bool {
+        !self.active.is_empty()
+    }
+
     fn has_active<Predicate>(&self, matches_kind: Predicate) -> bool
     where
         Predicate: Fn(&FaultKind) -> bool,
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -2,13 +2,16 @@
 //! whose faults follow a seeded plan. The nodes run the production decision code.
 
 mod callers;
+mod calm;
 mod configuration_copies;
 mod configurations;
 mod faults;
 mod network;
 mod nodes;
 mod oracle;
+mod room;
 mod schedule;
+mod waiting;
 mod watches;
 mod workers;
 
@@ -30,6 +33,7 @@
 pub use oracle::{Oracle, Violation};
 pub use schedule::{FaultKind, FaultPlan};
 
+use calm::Calm;
 use configuration_copies::ConfigurationCopies;
 use schedule::Scheduled;
 
@@ -87,6 +91,8 @@
     /// The registrations of workers that its watch has reported, once it has.
     reported_entries: Option<BTreeMap<InstanceName, WorkerEntry>>,
     workers_reported_at: MonotonicMs,
+    /// Whether the process is shutting down.
+    stopping: bool,
 }
 
 /// A job as seen by its caller.
@@ -120,6 +126,7 @@
     sequence: u64,
     faults: Faults,
     plan: FaultPlan,
+    calm: Calm,
     jobs: BTreeMap<JobId, Submitted>,
     calls: BTreeMap<CallId, JobId>,
     count_calls: BTreeSet<CallId>,
@@ -147,6 +154,7 @@
             sequence: 0,
             faults: Faults::default(),
             plan: FaultPlan::default(),
+            calm: Calm::default(),
             jobs: BTreeMap::new(),
             calls: BTreeMap::new(),
             count_calls: BTreeSet::new(),
@@ -235,6 +243,7 @@
         self.now = self.now + STEP_MS;
         self.store.expire_leases(self.now);
         self.apply_plan();
+        self.record_disturbances();
         let names: Vec<InstanceName> = self.workers.keys().cloned().collect();
         for name in &names {
             if let Some(worker) = self.workers.get_mut(name) {
@@ -256,6 +265,7 @@
                 self.handle_event(index, Event::Tick);
             }
         }
+        self.check_waiting_tasks();
     }
 
     fn deliver(&mut self, delivery: Delivery) {
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -54,6 +54,7 @@
                 store_call,
                 answered: !lost,
             };
+            self.record_late_call(extra_delay_ms);
             self.schedule(delay_ms + extra_delay_ms, delivery);
         }
     }
@@ -87,10 +88,18 @@
                 worker_call,
                 answered: !lost,
             };
+            self.record_late_call(extra_delay_ms);
             self.schedule(delay_ms + extra_delay_ms, delivery);
         }
     }
 
+    /// Records that a call arrives late, if it does.
+    fn record_late_call(&mut self, extra_delay_ms: u64) {
+        if extra_delay_ms > 0 {
+            self.calm.disturb_until(self.now + extra_delay_ms);
+        }
+    }
+
     /// Reports a call to a worker as timed out; its effect is unknown to the node.
     pub(super) fn fail_worker_call(
         &mut self,
@@ -112,6 +121,7 @@
             result,
         };
         let process = process.clone();
+        self.calm.disturb_until(self.now + TIMEOUT_MS);
         self.schedule(TIMEOUT_MS, Delivery::Node { process, event });
     }
 
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -17,6 +17,7 @@
     pub fn restart_worker(&mut self, number: usize) {
         let name = worker_name(number);
         let now = self.now;
+        self.disturb();
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.restart(now);
         }
@@ -25,11 +26,13 @@
 
     /// Removes the registration of a worker, of which the nodes learn from their watches.
     pub fn unregister_worker(&mut self, number: usize) {
+        self.disturb();
         self.entries.remove(&worker_name(number));
     }
 
     /// Registers a worker, of which the nodes learn from their watches.
     pub fn register_worker(&mut self, number: usize) {
+        self.disturb();
         let name = worker_name(number);
         let entry = WorkerEntry {
             id: name.clone(),
