--- a/crates/turmericfold-fleet/src/jobs/requests.rs
+++ b/crates/turmericfold-fleet/src/jobs/requests.rs
@@ -134,15 +134,24 @@
 
     /// Refuses and removes a job that is certainly not stored.
     pub(super) fn refuse_job(&mut self, id: JobId, out: &mut Outbox) {
-        if let Some(entry) = self.jobs.remove(&id) {
+        if let Some(entry) = self.remove_job(id) {
             log::info!(job:% = id; "refused a job: the store did not accept it");
             for caller in entry.submit_callers {
                 let reason = RefusalReason::StoreUnavailable;
                 refuse(&caller, reason, STORE_RETRY_AFTER_MS, out);
             }
+            for caller in entry.cancel_callers {
+                caller.answer(CallerAnswer::Unknown, out);
+            }
         }
     }
 
+    /// Removes a job and its queued progress.
+    pub(super) fn remove_job(&mut self, id: JobId) -> Option<JobEntry> {
+        self.write_queue.discard_progress(id);
+        self.jobs.remove(&id)
+    }
+
     /// Answers the waiting callers of a job whose shard this process has lost.
     pub(super) fn answer_waiting_callers(&self, entry: JobEntry, out: &mut Outbox) {
         let is_outcome_unknown = entry.may_be_stored || entry.is_writing;
--- a/crates/turmericfold-fleet/src/jobs/write_outcome.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_outcome.rs
@@ -118,7 +118,7 @@
                 send_ends_recorded(ends, out);
             }
             Change::Remove => {
-                self.jobs.remove(&write.job);
+                self.remove_job(write.job);
             }
         }
     }
--- a/crates/turmericfold-fleet/src/jobs/write_queue.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_queue.rs
@@ -67,6 +67,12 @@
         self.changed_jobs.insert(job);
     }
 
+    /// Removes the progress of a job that this process no longer knows, so that the queue does
+    /// not count as busy with a write that is never made.
+    pub(super) fn discard_progress(&mut self, job: JobId) {
+        self.changed_jobs.remove(&job);
+    }
+
     /// Removes all jobs of a shard from the queue.
     pub(crate) fn discard_shard(&mut self, shard: JobShard) {
         self.new_jobs.retain(|job| JobShard::of(*job) != shard);
--- a/tests/features/fleet_jobs.rs
+++ b/tests/features/fleet_jobs.rs
@@ -216,9 +216,36 @@
     assert_all_ended(&world);
 }
 
+/// Guards against an owner that refuses all jobs after the refusal of a cancelled one.
+#[test]
+fn refused_cancellation_blocks_nothing() {
+    let outage = FaultKind::StoreDown { for_ms: 3_000 };
+    let mut world = settled(61, FaultPlan::new().with_fault(4_000, outage));
+    world.run_for(1_500);
+    let (refused, later) = (JobId(1), JobId(2));
+    world.submit(
+        0,
+        refused,
+        two_steps(),
+        vec![behaviour(200), behaviour(200)],
+    );
+    world.run_for(100);
+    world.cancel(0, refused);
+    world.run_for(3_500);
+    world.submit(
+        0,
+        refused,
+        two_steps(),
+        vec![behaviour(200), behaviour(200)],
+    );
+    world.submit(0, later, two_steps(), vec![behaviour(200), behaviour(200)]);
+    world.run_for(500);
+    assert!(world.jobs()[&refused].accepted);
+    assert!(world.jobs()[&later].accepted);
+}
+
 /// Guards against a job that no process ever accepts.
 #[test]
-#[ignore = "KNOWN-RED: 8"]
 fn all_jobs_accepted() {
     let seed = 254;
     let mut world = settled(seed, random_plan(seed));
