Log why tasks of lasting jobs wait to be ordered

What was seen: an interrupted task of a lasting job had no run for 20 to 35 s while 75 to 240 batch orders a second were made; the logs did not say why it was not ordered. Each lasting job with waiting tasks is now logged every 2 s at most: job, step, number of waiting tasks, waited_ms and a typed reason. The scan is part of the review each 200 ms; offers are only computed if a line is due, and the pass over the tasks is not touched. Offers of workers that have just refused a run for want of room are kept and marked instead of left out, so that the log can tell a backoff from missing room; placement, gangs and evacuation pass over them as before.

--- a/crates/turmericfold-fleet/src/jobs/evacuate.rs
+++ b/crates/turmericfold-fleet/src/jobs/evacuate.rs
@@ -68,6 +68,8 @@
 /// Returns the index of an offer of another worker on which the run fits.
 fn offer_elsewhere(tracked: &TrackedRun, offers: &[Offer]) -> Option<usize> {
     offers.iter().position(|offer| {
-        offer.worker.worker != tracked.worker && tracked.resources.fits_in(&offer.worker.free)
+        !offer.is_backed_off
+            && offer.worker.worker != tracked.worker
+            && tracked.resources.fits_in(&offer.worker.free)
     })
 }
--- a/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
+++ b/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
@@ -1,6 +1,6 @@
 //! The free resources of the workers in the whole fleet.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
@@ -9,7 +9,7 @@
 use crate::context::Context;
 use crate::policy::offer::Offer;
 use crate::workers::WorkerOwner;
-use crate::{Moment, Summary, Unit, WorkerSummary};
+use crate::{Moment, StartRefusal, Summary, Unit, WorkerSummary};
 
 /// The age from which a peer's summary is ignored, so that its workers get no runs, in
 /// milliseconds; four intervals between summaries.
@@ -30,7 +30,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetResources {
     peers: BTreeMap<ProcessId, PeerResources>,
-    backoff_until: BTreeMap<InstanceName, MonotonicMs>,
+    backoffs: BTreeMap<InstanceName, Backoff>,
+}
+
+/// The time for which a worker that has refused a run gets no more runs.
+#[derive(Debug, Clone, Copy)]
+struct Backoff {
+    until: MonotonicMs,
+    refusal: StartRefusal,
 }
 
 impl FleetResources {
@@ -44,13 +51,21 @@
     }
 
     /// Excludes a worker from the offers for a while, as it has refused a run.
-    pub(crate) fn on_refusal(&mut self, moment: Moment, worker: &InstanceName) {
-        self.backoff_until
-            .insert(worker.clone(), moment + REFUSAL_BACKOFF_MS);
+    pub(crate) fn on_refusal(
+        &mut self,
+        moment: Moment,
+        worker: &InstanceName,
+        refusal: StartRefusal,
+    ) {
+        let until = moment + REFUSAL_BACKOFF_MS;
+        let backoff = Backoff { until, refusal };
+        self.backoffs.insert(worker.clone(), backoff);
     }
 
     /// Returns the current offers of all usable workers, less the resources of
     /// unconfirmed runs.
+    ///
+    /// They include the workers that have just refused a run for want of room, as backed off.
     pub(crate) fn offers(
         &mut self,
         context: Context<'_>,
@@ -58,7 +73,8 @@
         runs: &TrackedRuns,
     ) -> Vec<Offer> {
         let moment = context.moment;
-        self.backoff_until.retain(|_, until| *until > moment.now);
+        self.backoffs
+            .retain(|_, backoff| backoff.until > moment.now);
         self.peers
             .retain(|_, peer| moment.since_ms(peer.received_at) < MAX_SUMMARY_AGE_MS);
         let own_offers = workers
@@ -73,15 +89,25 @@
                 worker.usable && owns(context, process, &worker.worker, worker.epoch)
             })
             .map(|(_, worker)| Offer::new(worker.clone(), false));
-        let backed_off: BTreeSet<&InstanceName> = self.backoff_until.keys().collect();
         let mut offers: Vec<Offer> = own_offers
             .chain(peer_offers)
-            .filter(|offer| !backed_off.contains(&offer.worker.worker))
+            .filter_map(|offer| self.with_backoff(offer))
             .filter(|offer| !is_draining(context, &offer.worker.worker))
             .collect();
         deduct_unconfirmed(&mut offers, runs);
         offers
     }
+
+    /// Marks the offer of a worker that has just refused a run for want of room; returns
+    /// `None` if it has refused one for another reason.
+    fn with_backoff(&self, mut offer: Offer) -> Option<Offer> {
+        let backoff = self.backoffs.get(&offer.worker.worker);
+        if backoff.is_some_and(|backoff| backoff.refusal != StartRefusal::NoRoom) {
+            return None;
+        }
+        offer.is_backed_off = backoff.is_some();
+        Some(offer)
+    }
 }
 
 fn owns(
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod shard;
 mod tracked_runs;
 mod waiting;
+mod waiting_steps;
 mod write_draft;
 mod write_outcome;
 mod write_queue;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -11,6 +11,7 @@
 use super::job_entry::{JobEntry, ReceivedEnd};
 use super::shard::Shard;
 use super::tracked_runs::TrackedRuns;
+use super::waiting_steps::WaitingSteps;
 use super::write_outcome::send_ends_recorded;
 use super::write_queue::WriteQueue;
 use crate::context::Context;
@@ -40,6 +41,7 @@
     pub(super) runs: TrackedRuns,
     pub(super) fleet_resources: FleetResources,
     pub(super) write_queue: WriteQueue,
+    pub(super) waiting_steps: WaitingSteps,
     pub(super) job_retention_ms: u64,
     /// Whether a change since the last attempt may allow more tasks to start.
     pub(super) should_start_tasks: bool,
@@ -69,6 +71,7 @@
             runs: TrackedRuns::default(),
             fleet_resources: FleetResources::default(),
             write_queue: WriteQueue::default(),
+            waiting_steps: WaitingSteps::default(),
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
             query_numbers: PeerCallNumbers::new(&settings.member.process),
@@ -193,6 +196,7 @@
             self.evacuate(context, workers, out);
             self.open_due_occurrences(context.moment);
             self.expire_waiting_callers(context.moment, out);
+            self.log_waiting_steps(context, workers, configuration);
         }
         self.write_due(context.moment, out);
         if self.should_start_tasks
@@ -351,7 +355,8 @@
                     "run was refused; its task waits for another offer"
                 );
                 self.runs.remove(&run);
-                self.fleet_resources.on_refusal(context.moment, worker);
+                self.fleet_resources
+                    .on_refusal(context.moment, worker, refusal);
                 if let Some(entry) = self.jobs.get_mut(&run.task.job) {
                     entry.job.discard_refused_run(run);
                 }
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -49,7 +49,7 @@
         jobs
     }
 
-    fn is_startable(&self, entry: &JobEntry) -> bool {
+    pub(super) fn is_startable(&self, entry: &JobEntry) -> bool {
         let shard = self.shards.get(&JobShard::of(entry.job.id));
         let is_shard_ready = shard.is_some_and(|shard| !entry.is_recovered || shard.is_ready());
         entry.is_stored && is_shard_ready && entry.job.has_startable()
@@ -107,7 +107,7 @@
         Some(RunKey { task, number })
     }
 
-    fn choose_offer(
+    pub(super) fn choose_offer(
         &self,
         interference: &InterferenceModel,
         service: &ServiceName,
--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -23,12 +23,18 @@
     pub worker: WorkerSummary,
     /// Whether this process owns the worker.
     pub is_own: bool,
+    /// Whether the worker has just refused a run of this process for want of room.
+    pub is_backed_off: bool,
 }
 
 impl Offer {
     /// Creates the offer of a worker.
     pub fn new(worker: WorkerSummary, is_own: bool) -> Self {
-        Self { worker, is_own }
+        Self {
+            worker,
+            is_own,
+            is_backed_off: false,
+        }
     }
 
     /// Reserves the resources of a run, and spare processor time if it is a filler.
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -104,11 +104,14 @@
 }
 
 fn fits(demand: Demand<'_>, offer: &Offer) -> bool {
+    let resources = demand.step.counted_resources();
+    !offer.is_backed_off && resources.fits_in(&offer.worker.free) && is_allowed(demand, offer)
+}
+
+/// Returns whether a task may run on the worker of an offer, if there is room.
+fn is_allowed(demand: Demand<'_>, offer: &Offer) -> bool {
     let worker = &offer.worker;
     let step = demand.step;
-    if worker.service != *demand.service || !step.counted_resources().fits_in(&worker.free) {
-        return false;
-    }
     let has_label = step
         .required_label
         .as_ref()
@@ -119,7 +122,7 @@
         .copied()
         .unwrap_or(0);
     let is_below_limit = step.max_per_worker.is_none_or(|max| siblings < max);
-    has_label && is_below_limit
+    worker.service == *demand.service && has_label && is_below_limit
 }
 
 /// Returns the score of an offer, or `None` if a filler should not be started there.
