Start interrupted tasks of lasting jobs before batch work

What users saw: LOST, a task of a lasting job without a run for 16 s and more. Cause: jobs are ordered by priority and then by the least remaining work, and the work of a lasting job is the greatest. A task that had lost its run went behind all waiting batch tasks, and each core that fell free went to them. Now one pass over the startable jobs starts the interrupted tasks only (they last and had a run), and the second is as before. Steps count such tasks, so the extra pass costs one look at each startable job. After a takeover the new owner can't know which tasks had a run, so it takes all open tasks of a lasting job as interrupted. Evidence: interrupted_tasks::restored_before_batch (4 nodes, 8 workers, batch jobs keep the rest full).

--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -93,10 +93,11 @@
 
     /// Creates the entry of a job that was read from the store.
     pub(crate) fn from_store(
-        job: Job,
+        mut job: Job,
         progress_version: Option<StoreVersion>,
         now: MonotonicMs,
     ) -> Self {
+        job.assume_earlier_runs();
         let stored_state = job.state();
         Self {
             is_stored: true,
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -1,4 +1,7 @@
 //! Starts tasks in order of urgency, each on the worker that suits it best.
+//!
+//! The tasks of lasting jobs that have lost their run go first, as a service that was running
+//! is restored before new work starts.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -32,8 +35,13 @@
             return;
         }
         let mut offers = self.fleet_resources.offers(context, workers, &self.runs);
-        for (_, job) in jobs {
-            self.start_job_tasks(context, workers, configuration, job, &mut offers, out);
+        for (_, job) in &jobs {
+            let tasks = self.interrupted_tasks(*job);
+            self.start_job_tasks(context, workers, configuration, &tasks, &mut offers, out);
+        }
+        for (_, job) in &jobs {
+            let tasks = self.startable_tasks(*job);
+            self.start_job_tasks(context, workers, configuration, &tasks, &mut offers, out);
         }
     }
 
@@ -55,26 +63,42 @@
         entry.is_stored && is_shard_ready && entry.job.has_startable()
     }
 
+    fn startable_tasks(&self, job: JobId) -> Vec<TaskKey> {
+        let entry = self.jobs.get(&job);
+        entry.map_or_else(Vec::new, |entry| entry.job.startable())
+    }
+
+    /// Returns the startable tasks of a job that last and had a run before.
+    fn interrupted_tasks(&self, job: JobId) -> Vec<TaskKey> {
+        let entry = self.jobs.get(&job);
+        let Some(entry) = entry.filter(|entry| entry.job.has_interrupted()) else {
+            return Vec::new();
+        };
+        let mut tasks = entry.job.startable();
+        tasks.retain(|task| entry.job.is_interrupted(*task));
+        tasks
+    }
+
     /// Starts the tasks of a job for which there are offers.
     fn start_job_tasks(
         &mut self,
         context: Context<'_>,
         workers: &WorkerOwner,
         configuration: &Arc<Configuration>,
-        id: JobId,
+        tasks: &[TaskKey],
         offers: &mut [Offer],
         out: &mut Outbox,
     ) {
-        let Some(entry) = self.jobs.get(&id) else {
+        let entry = tasks.first().and_then(|task| self.jobs.get(&task.job));
+        let Some(entry) = entry else {
             return;
         };
         let service = configuration.service_of(&entry.job.record.queue).clone();
         if !configuration.uses(&service) {
             return;
         }
-        let tasks = entry.job.startable();
         let mut skipped_step = None;
-        for task in tasks {
+        for task in tasks.iter().copied() {
             let step = Some((task.occurrence, task.step));
             if skipped_step == step {
                 continue;
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -268,6 +268,38 @@
         !self.state().is_final() && self.occurrences.values().any(startable)
     }
 
+    /// Returns whether a task that runs until the job is cancelled has lost its run and may be
+    /// started again.
+    pub fn has_interrupted(&self) -> bool {
+        if !self.spec().is_long_running() || self.state().is_final() {
+            return false;
+        }
+        let is_interrupted =
+            |(spec, step): (&StepSpec, &Step)| spec.long_running && step.interrupted_count > 0;
+        let mut occurrences = self.occurrences.values();
+        occurrences.any(|occurrence| {
+            let mut steps = self.spec().steps.iter().zip(&occurrence.steps);
+            steps.any(is_interrupted)
+        })
+    }
+
+    /// Returns whether a task runs until the job is cancelled and had a run before.
+    pub fn is_interrupted(&self, key: TaskKey) -> bool {
+        let is_lasting = self.step_spec(key).is_some_and(|step| step.long_running);
+        is_lasting && self.task(key).is_some_and(Task::is_interrupted)
+    }
+
+    /// Assumes that every open task had a run before, as under an earlier owner of the job it
+    /// may have had one.
+    pub fn assume_earlier_runs(&mut self) {
+        for step in self.occurrences.values_mut().flat_map(|it| &mut it.steps) {
+            for task in &mut step.tasks {
+                task.has_run = true;
+            }
+            step.recount();
+        }
+    }
+
     /// Returns all runs that may be in progress, with their workers.
     pub fn active_runs(&self) -> Vec<(RunKey, InstanceName)> {
         let mut runs = Vec::new();
@@ -384,6 +416,7 @@
         self.update_task(key, |task| {
             task.last_number = task.last_number.max(ended.run.number);
             task.remove_run(ended.run.number);
+            task.has_run = true;
             if ended.checkpoint.is_some() {
                 task.checkpoint.clone_from(&ended.checkpoint);
             }
--- a/crates/turmericfold-jobs/src/step.rs
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -11,6 +11,8 @@
     pub done_count: u32,
     /// The number of tasks that are not done and have no active run.
     pub waiting_count: u32,
+    /// The number of waiting tasks that had a run before.
+    pub interrupted_count: u32,
 }
 
 impl Step {
@@ -20,6 +22,7 @@
             tasks: (0..task_count).map(|_| Task::default()).collect(),
             done_count: 0,
             waiting_count: task_count,
+            interrupted_count: 0,
         }
     }
 
@@ -76,5 +79,6 @@
         };
         self.done_count = count(|task| task.done, &self.tasks);
         self.waiting_count = count(Task::is_waiting, &self.tasks);
+        self.interrupted_count = count(Task::is_interrupted, &self.tasks);
     }
 }
--- a/crates/turmericfold-jobs/src/task.rs
+++ b/crates/turmericfold-jobs/src/task.rs
@@ -30,6 +30,8 @@
     pub checkpoint: Option<EcoString>,
     /// The runs that may be in progress.
     pub active: Vec<ActiveRun>,
+    /// Whether a run of the task has ended, as far as the owner of the job knows.
+    pub has_run: bool,
 }
 
 impl Task {
@@ -38,6 +40,11 @@
         !self.done && self.active.is_empty()
     }
 
+    /// Returns whether the task waits for another run after an earlier one.
+    pub fn is_interrupted(&self) -> bool {
+        self.has_run && self.is_waiting()
+    }
+
     /// Adds a run that may be in progress; does nothing if the run is known.
     pub(crate) fn add_run(&mut self, number: RunNumber, worker: InstanceName) {
         self.last_number = self.last_number.max(number);
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -28,6 +28,7 @@
 mod forwarding;
 mod gangs;
 mod graceful_shutdown;
+mod interrupted_tasks;
 mod journal_ring;
 mod large_messages;
 mod late_completions;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -5,6 +5,7 @@
 mod configuration_copies;
 mod configurations;
 mod faults;
+mod idle_spans;
 mod network;
 mod nodes;
 mod oracle;
@@ -27,10 +28,12 @@
 
 pub use configurations::configuration;
 pub use faults::Faults;
+pub use idle_spans::IdleSpan;
 pub use oracle::{Oracle, Violation};
 pub use schedule::{FaultKind, FaultPlan};
 
 use configuration_copies::ConfigurationCopies;
+use idle_spans::IdleSpans;
 use schedule::Scheduled;
 
 /// The time of day at the start of the world, in milliseconds since 1970.
@@ -126,6 +129,7 @@
     counts: Vec<CallerAnswer>,
     last_call: u64,
     oracle: Oracle,
+    idle_spans: IdleSpans,
 }
 
 impl FleetWorld {
@@ -153,6 +157,7 @@
             counts: Vec::new(),
             last_call: 0,
             oracle: Oracle::default(),
+            idle_spans: IdleSpans::default(),
         };
         for number in 0..workers {
             world.add_worker(number);
@@ -180,6 +185,11 @@
         self.oracle.violations()
     }
 
+    /// Returns the spans in which a task of a job had no run after one of its runs.
+    pub fn idle_spans(&self, job: JobId) -> Vec<IdleSpan> {
+        self.idle_spans.of_job(self.now, job)
+    }
+
     /// Returns the number of runs started so far.
     pub fn runs_begun(&self) -> usize {
         self.oracle.runs_begun()
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -133,6 +133,7 @@
         let is_over_capacity = !worker.used().fits_in(&worker.capacity());
         self.oracle
             .check_worker(self.now, name, &events, is_over_capacity);
+        self.idle_spans.record(self.now, &events);
         for event in events {
             if let WorkerEvent::Ended { run, end } = event
                 && end != RunEnd::Done
