Let orders of interrupted lasting tasks wait for room on a worker

What users saw: LOST, a task of a lasting job without a run for 16 s and more while batch orders were made. Cause: room for a lasting task comes in pieces, and each piece went to a batch order. Summaries are up to 300 ms old, and a refused order excluded the worker for all tasks of the job's owner for 300 ms. The order of an interrupted lasting task (no gang, no filler) is now sent as StartWhenRoom, if need be to a worker that has too little room. The worker's owner keeps it for at most 2,000 ms, half of START_TIMEOUT_MS, with its resources reserved, so later orders are refused and summaries show less room; it starts as soon as ended runs leave enough. It is refused at once if it and the other waiting orders and the runs with a latency target exceed the worker. A waiting order is no run: no recovery report lists it, and a stop, an unusable or draining worker, a later owner of the shard or the end of the time bar its run and refuse it. The job's owner prefers workers that have refused the task least often and lack least room; a batch refusal does not keep such orders away. Wire: the processes use bincode, which ignores serde defaults, so a field would have misdecoded each start. The new variant comes last and all else is unchanged, but a process of an older version can't decode a delivery that contains it. New: room_waits (7 cases) and waits_start_once (24 cases with killed processes), all pass. Not good yet: the tasks wait 2 s on each worker that other lasting tasks fill, if these have no latency target.

--- a/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
+++ b/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
@@ -38,6 +38,8 @@
 struct Backoff {
     until: MonotonicMs,
     refusal: StartRefusal,
+    /// Until when it gets no orders that wait for room either.
+    no_waiting_until: MonotonicMs,
 }
 
 impl FleetResources {
@@ -56,9 +58,19 @@
         moment: Moment,
         worker: &InstanceName,
         refusal: StartRefusal,
+        waits_for_room: bool,
     ) {
         let until = moment + REFUSAL_BACKOFF_MS;
-        let backoff = Backoff { until, refusal };
+        let earlier = self.backoffs.get(worker);
+        let no_waiting_until = match waits_for_room {
+            true => until,
+            false => earlier.map_or(moment.now, |earlier| earlier.no_waiting_until),
+        };
+        let backoff = Backoff {
+            until,
+            refusal,
+            no_waiting_until,
+        };
         self.backoffs.insert(worker.clone(), backoff);
     }
 
@@ -91,7 +103,7 @@
             .map(|(_, worker)| Offer::new(worker.clone(), false));
         let mut offers: Vec<Offer> = own_offers
             .chain(peer_offers)
-            .filter_map(|offer| self.with_backoff(offer))
+            .filter_map(|offer| self.with_backoff(moment, offer))
             .filter(|offer| !is_draining(context, &offer.worker.worker))
             .collect();
         deduct_unconfirmed(&mut offers, runs);
@@ -100,12 +112,14 @@
 
     /// Marks the offer of a worker that has just refused a run for want of room; returns
     /// `None` if it has refused one for another reason.
-    fn with_backoff(&self, mut offer: Offer) -> Option<Offer> {
+    fn with_backoff(&self, moment: Moment, mut offer: Offer) -> Option<Offer> {
         let backoff = self.backoffs.get(&offer.worker.worker);
         if backoff.is_some_and(|backoff| backoff.refusal != StartRefusal::NoRoom) {
             return None;
         }
         offer.is_backed_off = backoff.is_some();
+        offer.refuses_waiting =
+            backoff.is_some_and(|backoff| backoff.no_waiting_until > moment.now);
         Some(offer)
     }
 }
--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -8,6 +8,7 @@
 
 use super::caller::Caller;
 use crate::ReportedEnd;
+use crate::policy::room_wait::RefusalCounts;
 
 /// An end of a run that was reported to the owner of its job.
 ///
@@ -62,6 +63,8 @@
     pub(crate) is_writing: bool,
     /// The workers on which runs have failed, by task.
     pub(crate) failed_on: BTreeMap<TaskKey, Vec<InstanceName>>,
+    /// How often workers have refused each interrupted task for want of room.
+    pub(crate) room_refusals: BTreeMap<TaskKey, RefusalCounts>,
     /// The ends that will be recorded with the next write of the progress.
     pub(crate) unrecorded_ends: Vec<ReceivedEnd>,
     /// The callers that wait for the job to be stored.
@@ -85,6 +88,7 @@
             dirty_since: None,
             is_writing: false,
             failed_on: BTreeMap::new(),
+            room_refusals: BTreeMap::new(),
             unrecorded_ends: Vec::new(),
             submit_callers: Vec::new(),
             cancel_callers: Vec::new(),
@@ -118,6 +122,12 @@
         self.unrecorded_ends.iter().any(is_same)
     }
 
+    /// Counts that a worker has refused to start an interrupted task for want of room.
+    pub(crate) fn count_room_refusal(&mut self, task: TaskKey, worker: &InstanceName) {
+        let counts = self.room_refusals.entry(task).or_default();
+        *counts.entry(worker.clone()).or_default() += 1;
+    }
+
     /// Marks the progress as different from the stored progress.
     pub(crate) fn mark_dirty(&mut self, now: MonotonicMs) {
         self.dirty_since.get_or_insert(now);
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -344,6 +344,7 @@
                 tracked.is_confirmed = true;
                 if let Some(entry) = self.jobs.get_mut(&run.task.job) {
                     entry.job.record_start();
+                    entry.room_refusals.remove(&run.task);
                 }
             }
             StartOutcome::Refused(refusal) => {
@@ -354,10 +355,14 @@
                     refusal:? = refusal;
                     "run was refused; its task waits for another offer"
                 );
+                let waits_for_room = tracked.waits_for_room;
                 self.runs.remove(&run);
                 self.fleet_resources
-                    .on_refusal(context.moment, worker, refusal);
+                    .on_refusal(context.moment, worker, refusal, waits_for_room);
                 if let Some(entry) = self.jobs.get_mut(&run.task.job) {
+                    if waits_for_room {
+                        entry.count_room_refusal(run.task, worker);
+                    }
                     entry.job.discard_refused_run(run);
                 }
                 self.stop_gang(context, run, out);
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -327,6 +327,7 @@
                 resources: details.resources,
                 filler_millicores: details.filler_millicores(),
                 tracked_since: context.moment.now,
+                waits_for_room: false,
                 is_confirmed: true,
                 expiry_logged: false,
                 is_stopping: false,
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -17,6 +17,7 @@
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 use crate::policy::placement::{Demand, choose_offer};
+use crate::policy::room_wait::{RefusalCounts, choose_room_wait};
 use crate::policy::urgency::{Urgency, urgency};
 use crate::workers::WorkerOwner;
 use crate::{Configuration, JobShard, Outbox, PeerMessage, StartOrder, Unit};
@@ -109,7 +110,7 @@
                 self.start_gang(context, interference, &service, task, offers, out);
                 continue;
             }
-            let Some(chosen) = self.choose_offer(interference, &service, task, offers) else {
+            let Some(chosen) = self.choose_worker(interference, &service, task, offers) else {
                 // All tasks of a step have the same requirements, so if there is no offer
                 // for one, there is none for the others.
                 skipped_step = step;
@@ -131,6 +132,39 @@
         Some(RunKey { task, number })
     }
 
+    /// Returns the index of the offer of the worker on which a run of a task is ordered: one
+    /// with room, or the one on which the order waits for room.
+    fn choose_worker(
+        &self,
+        interference: &InterferenceModel,
+        service: &ServiceName,
+        task: TaskKey,
+        offers: &[Offer],
+    ) -> Option<usize> {
+        let with_room = self.choose_offer(interference, service, task, offers);
+        if with_room.is_some() || !self.may_wait_for_room(task) {
+            return with_room;
+        }
+        let no_refusals = RefusalCounts::new();
+        let entry = self.jobs.get(&task.job)?;
+        let refusals = entry.room_refusals.get(&task).unwrap_or(&no_refusals);
+        self.choose_by_demand(service, task, |demand| {
+            choose_room_wait(demand, refusals, offers)
+        })
+    }
+
+    /// Returns whether the order of a task's next run may wait for room: a lasting task that
+    /// has lost its run is restored first. The members of a gang start all at once instead.
+    fn may_wait_for_room(&self, task: TaskKey) -> bool {
+        let entry = self.jobs.get(&task.job);
+        entry.is_some_and(|entry| {
+            let step = entry.job.step_spec(task);
+            let is_alone = step.is_some_and(|step| !step.gang && !step.filler);
+            is_alone && entry.job.is_interrupted(task)
+        })
+    }
+
+    /// Returns the index of the best offer with room for a task.
     pub(super) fn choose_offer(
         &self,
         interference: &InterferenceModel,
@@ -138,6 +172,20 @@
         task: TaskKey,
         offers: &[Offer],
     ) -> Option<usize> {
+        self.choose_by_demand(service, task, |demand| {
+            choose_offer(interference, demand, offers)
+        })
+    }
+
+    fn choose_by_demand<Choose>(
+        &self,
+        service: &ServiceName,
+        task: TaskKey,
+        choose: Choose,
+    ) -> Option<usize>
+    where
+        Choose: FnOnce(Demand<'_>) -> Option<usize>,
+    {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step_spec(task)?;
         let counts_siblings = step.max_per_worker.is_some() || step.latency_target_ms.is_some();
@@ -152,7 +200,7 @@
             siblings_by_worker: &siblings_by_worker,
             failed_on,
         };
-        choose_offer(interference, demand, offers)
+        choose(demand)
     }
 
     /// Orders a run on the worker of an offer and starts to track it.
@@ -173,6 +221,7 @@
             return;
         };
         let authority = shard.authority;
+        let waits_for_room = self.may_wait_for_room(task);
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -189,6 +238,7 @@
             owner:% = owned.owner.process,
             epoch = authority.epoch.0,
             free_millicores = offer.worker.free.cpu_millicores,
+            waits_for_room = waits_for_room,
             resumes = checkpoint.is_some();
             "ordering a run"
         );
@@ -200,6 +250,7 @@
             resources: details.resources,
             filler_millicores,
             tracked_since: context.moment.now,
+            waits_for_room,
             is_confirmed: false,
             expiry_logged: false,
             is_stopping: false,
@@ -215,7 +266,11 @@
             checkpoint,
             details,
         };
-        out.send(&owned.owner.process, PeerMessage::Start(Box::new(message)));
+        let message = match waits_for_room {
+            true => PeerMessage::StartWhenRoom(Box::new(message)),
+            false => PeerMessage::Start(Box::new(message)),
+        };
+        out.send(&owned.owner.process, message);
         self.runs.insert(run, tracked);
     }
 }
--- a/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
@@ -20,6 +20,8 @@
     pub(crate) filler_millicores: u64,
     /// The time at which the run was ordered or found.
     pub(crate) tracked_since: MonotonicMs,
+    /// Whether the order may wait for room on the worker.
+    pub(crate) waits_for_room: bool,
     /// Whether the run is known to be on the worker.
     pub(crate) is_confirmed: bool,
     /// Whether it was logged that the lease of the run has expired without a known end.
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -137,6 +137,8 @@
         /// The version that the sender has; 0 if it has none.
         version: u64,
     },
+    /// Orders a run that waits for room on the worker for a while if it has none now.
+    StartWhenRoom(Box<StartOrder>),
 }
 
 impl PeerMessage {
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -8,4 +8,5 @@
 pub mod offer;
 pub mod pacing;
 pub mod placement;
+pub mod room_wait;
 pub mod urgency;
--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -25,6 +25,8 @@
     pub is_own: bool,
     /// Whether the worker has just refused a run of this process for want of room.
     pub is_backed_off: bool,
+    /// Whether the worker has just refused an order of this process that may wait for room.
+    pub refuses_waiting: bool,
 }
 
 impl Offer {
@@ -34,6 +36,7 @@
             worker,
             is_own,
             is_backed_off: false,
+            refuses_waiting: false,
         }
     }
 
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -109,7 +109,7 @@
 }
 
 /// Returns whether a task may run on the worker of an offer, if there is room.
-fn is_allowed(demand: Demand<'_>, offer: &Offer) -> bool {
+pub(super) fn is_allowed(demand: Demand<'_>, offer: &Offer) -> bool {
     let worker = &offer.worker;
     let step = demand.step;
     let has_label = step
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -14,6 +14,8 @@
 mod report;
 mod run;
 mod slack;
+mod waiting_orders;
+mod waiting_starts;
 mod worker;
 
 pub(crate) use owner::WorkerOwner;
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -26,12 +26,13 @@
 const STOP_RETRY_MARGIN_MS: u64 = 800;
 
 impl WorkerOwner {
-    /// Handles an order to start a run.
+    /// Handles an order to start a run, which waits for room if it is allowed to.
     pub(super) fn on_start(
         &mut self,
         context: Context<'_>,
         from: &ProcessId,
         order: StartOrder,
+        may_wait: bool,
         out: &mut Outbox,
     ) {
         let is_admitted = self.admits(context.ownership, order.authority);
@@ -54,6 +55,9 @@
             answer(refused, out);
             return;
         };
+        if worker.waiting_orders.contains(run) {
+            return;
+        }
         if let Some(known) = worker.runs.get(&run) {
             if matches!(known.phase, RunPhase::Running { .. }) {
                 answer(StartOutcome::Started, out);
@@ -64,7 +68,12 @@
             send_end(from, &name, worker.epoch, tracked.end.clone(), out);
             return;
         }
-        if let Some(refusal) = refusal(context, worker, self.interference(), &order, is_admitted) {
+        let refusal = refusal(context, worker, self.interference(), &order, is_admitted);
+        if refusal == Some(StartRefusal::NoRoom) && may_wait && worker.may_hold(&order) {
+            self.hold_order(context, &name, order);
+            return;
+        }
+        if let Some(refusal) = refusal {
             log::info!(
                 run:% = run,
                 worker:% = name,
@@ -97,6 +106,9 @@
         if !self.admits(context.ownership, authority) {
             return;
         }
+        if self.refuse_waiting(context, name, run, StartRefusal::NoRoom, out) {
+            return;
+        }
         let Some(worker) = self.worker(name) else {
             return;
         };
@@ -289,7 +301,7 @@
         }
     }
 
-    fn send_start(
+    pub(super) fn send_start(
         &mut self,
         context: Context<'_>,
         name: &InstanceName,
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -173,7 +173,8 @@
         out: &mut Outbox,
     ) -> Option<PeerMessage> {
         match message {
-            PeerMessage::Start(order) => self.on_start(context, from, *order, out),
+            PeerMessage::Start(order) => self.on_start(context, from, *order, false, out),
+            PeerMessage::StartWhenRoom(order) => self.on_start(context, from, *order, true, out),
             PeerMessage::Stop {
                 authority,
                 worker,
@@ -252,6 +253,7 @@
             self.handle_expiry(context, name, out);
             self.give_up_unheard(context, name);
             self.poll_if_due(context, name, out);
+            self.settle_waiting_orders(context, name, out);
             self.retry_calls(context, name, out);
             self.resend_reports(context, name, out);
         }
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -9,6 +9,7 @@
 use super::clock::WorkerClock;
 use super::fencing_token::FencingToken;
 use super::run::Run;
+use super::waiting_orders::WaitingOrders;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::pacing::MIN_SLACK;
 use crate::{CallId, Moment, RecoveryReport, ReportedEnd, ServingSlack, WorkerSummary};
@@ -110,6 +111,8 @@
     pub(crate) has_later_owner: bool,
     /// The runs that may be in progress.
     pub(crate) runs: BTreeMap<RunKey, Run>,
+    /// The start orders that wait for room.
+    pub(crate) waiting_orders: WaitingOrders,
     /// The ends that are not recorded yet, or are recorded but still listed.
     pub(crate) ends: BTreeMap<RunKey, TrackedEnd>,
     /// The runs that must not start any more, with the time until which each is kept.
@@ -150,6 +153,7 @@
             fenced: false,
             has_later_owner: false,
             runs: BTreeMap::new(),
+            waiting_orders: WaitingOrders::default(),
             ends: BTreeMap::new(),
             barred: BTreeMap::new(),
             paced_at: now,
@@ -204,8 +208,14 @@
             && self.runs.values().all(|run| run.details.is_some())
     }
 
-    /// Returns the resources that are not reserved by runs.
+    /// Returns the resources that are reserved neither by runs nor by waiting orders.
     pub(crate) fn free_resources(&self) -> Resources {
+        let reserved = self.waiting_orders.resources();
+        self.unused_resources().minus(&reserved)
+    }
+
+    /// Returns the resources that are not reserved by runs.
+    pub(crate) fn unused_resources(&self) -> Resources {
         let used = self
             .runs
             .values()
--- a/tests/features/interrupted_tasks.rs
+++ b/tests/features/interrupted_tasks.rs
@@ -1,6 +1,7 @@
 //! Tasks of lasting jobs that lose their run while batch jobs keep the fleet full.
 
 use rstest::rstest;
+use turmericfold_fleet::FleetSettings;
 use turmericfold_jobs::{JobId, JobSpec, StepSpec};
 use turmericfold_standin::TaskBehaviour;
 use turmericfold_tests::fleet_world::{FaultKind, FaultPlan, FleetWorld, IdleSpan};
@@ -15,6 +16,12 @@
 /// The time of the world at which the last worker restarts, in milliseconds.
 const LAST_RESTART_MS: u64 = 9_000;
 
+/// The time of the world at which a worker is lost, in milliseconds.
+const LOST_AT_MS: u64 = 4_000;
+
+/// The lease of the workers, in milliseconds.
+const LEASE_MS: u64 = FleetSettings::WORKER_LEASE_MS;
+
 /// The time after the last restart for which the stream of batch jobs goes on, in
 /// milliseconds.
 const CALM_MS: u64 = 20_000;
@@ -38,6 +45,8 @@
     WorkerRestarts,
     /// The runs of one job fail after a while.
     RunsFail,
+    /// No node reaches a worker any more, so that its lease expires and its room is gone.
+    WorkerLost,
 }
 
 /// The resources of a lasting task: half of a worker's processor time.
@@ -106,6 +115,7 @@
 fn plan(interruption: Interruption) -> FaultPlan {
     match interruption {
         Interruption::RunsFail => FaultPlan::new(),
+        Interruption::WorkerLost => (0..NODES).fold(FaultPlan::new(), with_lost_worker),
         Interruption::WorkerRestarts => FaultPlan::new()
             .with_fault(
                 LAST_RESTART_MS - 500,
@@ -116,6 +126,15 @@
     }
 }
 
+fn with_lost_worker(plan: FaultPlan, node: usize) -> FaultPlan {
+    let cut = FaultKind::CutWorker {
+        node,
+        worker: 6,
+        for_ms: 60_000,
+    };
+    plan.with_fault(LOST_AT_MS, cut)
+}
+
 fn lasting_idle_spans(world: &FleetWorld) -> Vec<IdleSpan> {
     let jobs = (1..=LASTING_JOBS).map(JobId);
     jobs.flat_map(|job| world.idle_spans(job)).collect()
@@ -125,7 +144,12 @@
 #[rstest]
 fn restored_before_batch(
     #[values(1, 2, 3, 4, 5)] seed: u64,
-    #[values(Interruption::WorkerRestarts, Interruption::RunsFail)] interruption: Interruption,
+    #[values(
+        Interruption::WorkerRestarts,
+        Interruption::RunsFail,
+        Interruption::WorkerLost
+    )]
+    interruption: Interruption,
 ) {
     let mut world = FleetWorld::new(seed, NODES, WORKERS).with_plan(plan(interruption));
     world.run_for(SETTLE_MS);
@@ -141,3 +165,24 @@
     );
     assert_eq!(world.violations(), [], "promises were broken");
 }
+
+/// Guards against a second run of a task whose order waits for room while processes die.
+#[rstest]
+fn waits_start_once(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(0, 1, 2, 3)] killed: usize,
+    #[values(100, 400)] wait_ms: u64,
+) {
+    let interruption = Interruption::WorkerLost;
+    let kill = |node: usize| FaultKind::KillNode { node, down_ms: 500 };
+    let killed_at_ms = LOST_AT_MS + LEASE_MS + wait_ms;
+    let plan = plan(interruption)
+        .with_fault(killed_at_ms, kill(killed))
+        .with_fault(killed_at_ms + 3_000, kill((killed + 1) % NODES));
+    let mut world = FleetWorld::new(seed, NODES, WORKERS).with_plan(plan);
+    world.run_for(SETTLE_MS);
+    start_lasting_jobs(&mut world, interruption);
+    stream_batch_jobs(&mut world, killed_at_ms + CALM_MS / 2);
+    assert!(!lasting_idle_spans(&world).is_empty());
+    assert_eq!(world.violations(), [], "promises were broken");
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -46,6 +46,7 @@
 mod restarted_workers;
 mod retries;
 mod rollout_changes;
+mod room_waits;
 mod scheduling;
 mod silent_takeovers;
 mod silent_workers;
