--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -11,6 +11,7 @@
 use super::job_entry::{JobEntry, ReceivedEnd};
 use super::shard::Shard;
 use super::tracked_runs::TrackedRuns;
+use super::waiting_steps::WaitingSteps;
 use super::write_outcome::send_ends_recorded;
 use super::write_queue::WriteQueue;
 use crate::context::Context;
@@ -40,6 +41,7 @@
     pub(super) runs: TrackedRuns,
     pub(super) fleet_resources: FleetResources,
     pub(super) write_queue: WriteQueue,
+    pub(super) waiting_steps: WaitingSteps,
     pub(super) job_retention_ms: u64,
     /// Whether a change since the last attempt may allow more tasks to start.
     pub(super) should_start_tasks: bool,
@@ -69,6 +71,7 @@
             runs: TrackedRuns::default(),
             fleet_resources: FleetResources::default(),
             write_queue: WriteQueue::default(),
+            waiting_steps: WaitingSteps::default(),
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
             query_numbers: PeerCallNumbers::new(&settings.member.process),
@@ -193,6 +196,7 @@
             self.evacuate(context, workers, out);
             self.open_due_occurrences(context.moment);
             self.expire_waiting_callers(context.moment, out);
+            self.log_waiting_steps(context, workers, configuration);
         }
         self.write_due(context.moment, out);
         if self.should_start_tasks
@@ -340,6 +344,7 @@
                 tracked.is_confirmed = true;
                 if let Some(entry) = self.jobs.get_mut(&run.task.job) {
                     entry.job.record_start();
+                    entry.room_refusals.remove(&run.task);
                 }
             }
             StartOutcome::Refused(refusal) => {
@@ -350,9 +355,14 @@
                     refusal:? = refusal;
                     "run was refused; its task waits for another offer"
                 );
+                let waits_for_room = tracked.waits_for_room;
                 self.runs.remove(&run);
-                self.fleet_resources.on_refusal(context.moment, worker);
+                self.fleet_resources
+                    .on_refusal(context.moment, worker, refusal, waits_for_room);
                 if let Some(entry) = self.jobs.get_mut(&run.task.job) {
+                    if waits_for_room {
+                        entry.count_room_refusal(run.task, worker);
+                    }
                     entry.job.discard_refused_run(run);
                 }
                 self.stop_gang(context, run, out);
