--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod fleet_resources;
 mod gang;
 mod job_entry;
+mod loading;
 mod owner;
 mod recovery;
 mod requests;
