Log what the recovery of a shard waits for, and workers that answer no new owner

Each line is written at most once in 2 s, by shard and by worker. The code of workers that have never answered their owner moves to unheard.rs.

--- a/crates/turmericfold-fleet/src/jobs/loading.rs
+++ b/crates/turmericfold-fleet/src/jobs/loading.rs
@@ -8,6 +8,7 @@
 
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
+use super::recovery_log::RECOVERY_LOG_INTERVAL_MS;
 use super::shard::{LoadedProgress, Loading, Phase, Recovering};
 use crate::context::Context;
 use crate::keys::JobKey;
@@ -115,6 +116,8 @@
             settled_workers: BTreeSet::new(),
             next_query_at: moment.now,
             since: moment.now,
+            answering_owners: BTreeSet::new(),
+            next_log_at: moment + RECOVERY_LOG_INTERVAL_MS,
         });
     }
 }
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod loading;
 mod owner;
 mod recovery;
+mod recovery_log;
 mod requests;
 mod schedule;
 mod shard;
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -6,6 +6,7 @@
 use turmericfold_types::{InstanceName, ProcessId};
 
 use super::owner::{JobOwner, WorkerQuery};
+use super::recovery_log::log_missing_reports;
 use super::shard::{Phase, Shard};
 use super::tracked_runs::TrackedRun;
 use crate::context::Context;
@@ -49,6 +50,9 @@
                 recovering.holds_starts = false;
                 finished = true;
             }
+            if recovering.holds_starts {
+                log_missing_reports(context, authority, recovering);
+            }
             let missing: Vec<&InstanceName> = context
                 .ownership
                 .workers()
@@ -153,6 +157,7 @@
             if let Phase::Recovering(recovering) = &mut shard.phase
                 && recovering.query_id <= query_id
             {
+                recovering.answering_owners.insert(from.clone());
                 recovering.reported_workers.insert(report.worker.clone());
                 if !unsettled.contains(name) {
                     recovering.settled_workers.insert(report.worker.clone());
--- a/crates/turmericfold-fleet/src/jobs/shard.rs
+++ b/crates/turmericfold-fleet/src/jobs/shard.rs
@@ -5,7 +5,7 @@
 use ecow::EcoString;
 use turmericfold_jobs::{JobId, JobProgress, JobRecord, RunNumber};
 use turmericfold_platform::StoreVersion;
-use turmericfold_types::{InstanceName, MonotonicMs};
+use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use crate::{Authority, CallId, JobShard};
 
@@ -64,6 +64,10 @@
     pub(crate) next_query_at: MonotonicMs,
     /// The time at which the recovery began.
     pub(crate) since: MonotonicMs,
+    /// The processes that have answered the query.
+    pub(crate) answering_owners: BTreeSet<ProcessId>,
+    /// The time at which it is logged that reports are missing.
+    pub(crate) next_log_at: MonotonicMs,
 }
 
 /// A shard of jobs that this process owns.
--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -14,7 +14,7 @@
 
 /// The time after the end of a lease, on the slowest clock that a worker may have, at
 /// which the runs of the worker have certainly ended, in milliseconds.
-const LEASE_EXPIRY_MARGIN_MS: u64 = 100;
+pub(super) const LEASE_EXPIRY_MARGIN_MS: u64 = 100;
 
 /// The time for which a worker may be unregistered before it counts as lost, in
 /// milliseconds: registrations that an outage of the store has ended are back by then.
@@ -22,7 +22,7 @@
 
 /// The time after the expiry of its lease at which a registered worker counts as lost, in
 /// milliseconds: a task that may have been completed waits no longer.
-const MAX_OUTCOME_WAIT_MS: u64 = 10_000;
+pub(super) const MAX_OUTCOME_WAIT_MS: u64 = 10_000;
 
 impl WorkerOwner {
     /// Handles the expiry of a worker's lease.
@@ -59,31 +59,6 @@
         }
     }
 
-    /// Gives up a worker that has not answered this process since its former owner may have
-    /// renewed its lease, so that the owners of jobs do not wait for ever for its report.
-    ///
-    /// This process does not know the worker's clock, but every owner grants leases of the
-    /// same length.
-    pub(super) fn give_up_unheard(&mut self, context: Context<'_>, name: &InstanceName) {
-        let max_silence_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS;
-        let Some(worker) = self.worker_mut(name) else {
-            return;
-        };
-        let is_unknown = worker.last_answer_at.is_none() && !worker.fenced && !worker.presumed_lost;
-        let waited_ms = context.moment.since_ms(worker.earlier_renewal_at);
-        if !is_unknown || !context.has_valid_registration || waited_ms < max_silence_ms {
-            return;
-        }
-        worker.presumed_lost = true;
-        log::warn!(
-            worker:% = name,
-            epoch = worker.epoch.0,
-            registered = worker.registered,
-            waited_ms = waited_ms;
-            "worker has never answered its new owner and counts as lost, as its lease has expired; reporting that it has no runs"
-        );
-    }
-
     /// Returns whether a worker with an expired lease counts as lost, with the ends of its
     /// runs.
     fn counts_as_lost(&self, worker: &Worker, expired_ms: u64) -> bool {
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -14,6 +14,7 @@
 mod report;
 mod run;
 mod slack;
+mod unheard;
 mod worker;
 
 pub(crate) use owner::WorkerOwner;
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -251,6 +251,7 @@
             self.end_departed(context, name, out);
             self.handle_expiry(context, name, out);
             self.give_up_unheard(context, name);
+            self.log_unheard(context, name);
             self.poll_if_due(context, name, out);
             self.retry_calls(context, name, out);
             self.resend_reports(context, name, out);
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -115,6 +115,7 @@
             }
             Err(error) => {
                 worker.unanswered_polls += 1;
+                worker.last_poll_error = ecow::eco_format!("{error}");
                 if worker.unanswered_polls == 2 {
                     log::warn!(worker:% = name, error:% = error; "worker did not answer two polls in a row; retrying with backoff without renewing its lease");
                 }
--- /dev/null
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -0,0 +1,63 @@
+//! Workers that have never answered this process, their new owner.
+
+use turmericfold_types::InstanceName;
+
+use super::expiry::{LEASE_EXPIRY_MARGIN_MS, MAX_OUTCOME_WAIT_MS};
+use super::owner::WorkerOwner;
+use crate::context::Context;
+
+/// The least time between two logs that a worker has not answered, in milliseconds.
+const UNHEARD_LOG_INTERVAL_MS: u64 = 2_000;
+
+impl WorkerOwner {
+    /// Gives up a worker that has not answered this process since its former owner may have
+    /// renewed its lease, so that the owners of jobs do not wait for ever for its report.
+    ///
+    /// This process does not know the worker's clock, but every owner grants leases of the
+    /// same length.
+    pub(super) fn give_up_unheard(&mut self, context: Context<'_>, name: &InstanceName) {
+        let max_silence_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS;
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let is_unknown = worker.last_answer_at.is_none() && !worker.fenced && !worker.presumed_lost;
+        let waited_ms = context.moment.since_ms(worker.earlier_renewal_at);
+        if !is_unknown || !context.has_valid_registration || waited_ms < max_silence_ms {
+            return;
+        }
+        worker.presumed_lost = true;
+        log::warn!(
+            worker:% = name,
+            epoch = worker.epoch.0,
+            registered = worker.registered,
+            waited_ms = waited_ms;
+            "worker has never answered its new owner and counts as lost, as its lease has expired; reporting that it has no runs"
+        );
+    }
+
+    /// Logs at intervals that a worker has not answered this process since it became the owner.
+    pub(super) fn log_unheard(&mut self, context: Context<'_>, name: &InstanceName) {
+        let moment = context.moment;
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let is_due = moment.since_ms(worker.unheard_logged_at) >= UNHEARD_LOG_INTERVAL_MS;
+        if worker.last_answer_at.is_some() || !is_due {
+            return;
+        }
+        worker.unheard_logged_at = moment.now;
+        log::info!(
+            worker:% = name,
+            epoch = worker.epoch.0,
+            registered = worker.registered,
+            address = worker.entry.address.as_str(),
+            waited_ms = moment.since_ms(worker.owned_since),
+            unanswered_polls = worker.unanswered_polls,
+            fenced = worker.fenced,
+            authorities_known = worker.authorities_known,
+            registration_valid = context.has_valid_registration,
+            error = worker.last_poll_error.as_str();
+            "worker has not answered its new owner yet; its runs are not known"
+        );
+    }
+}
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -96,6 +96,10 @@
     pub(crate) connection_refused: bool,
     /// The number of polls in a row without an answer.
     pub(crate) unanswered_polls: u32,
+    /// The error of the last poll without an answer; empty if there was none.
+    pub(crate) last_poll_error: EcoString,
+    /// When it was last logged that it has not answered this process.
+    pub(crate) unheard_logged_at: MonotonicMs,
     /// When it last answered a poll.
     pub(crate) last_answer_at: Option<MonotonicMs>,
     /// Whether it has listed all its unacknowledged ends in one answer, so that each run
@@ -144,6 +148,8 @@
             next_poll_at: now,
             connection_refused: false,
             unanswered_polls: 0,
+            last_poll_error: EcoString::new(),
+            unheard_logged_at: now,
             last_answer_at: None,
             has_listed_all: false,
             expiry_reported_at: None,
