Test the wait of lasting tasks for a worker that its new owner doesn't hear

unheard_workers: worker 0 answers no process for 14 s; its owner, or all processes, are killed meanwhile. Tasks that last must run 6 s after the end of its lease, as users ask; finite tasks beside them, which end as done on the silent worker, must not run twice.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -54,6 +54,7 @@
 mod slow_starts;
 mod start_doubts;
 mod successors;
+mod unheard_workers;
 mod waiting_counts;
 mod whole_path;
 mod world_fuzz;
--- a/tests/src/cut_fleet.rs
+++ b/tests/src/cut_fleet.rs
@@ -41,6 +41,14 @@
     job(StepSpec::new(2, resources(), work_ms))
 }
 
+/// Returns a job of two tasks that run until they are cancelled.
+pub fn lasting_job() -> JobSpec {
+    job(StepSpec {
+        long_running: true,
+        ..StepSpec::new(2, resources(), 0)
+    })
+}
+
 /// Returns a job of one step.
 pub fn job(step: StepSpec) -> JobSpec {
     JobSpec {
@@ -90,15 +98,29 @@
     spec: &JobSpec,
     work_ms: Option<u64>,
 ) -> FleetWorld {
+    cut_mixed_fleet(nodes, seed, plan, |_| (spec.clone(), work_ms))
+}
+
+/// Creates the same with a specification and a time of work for each job by its number.
+pub fn cut_mixed_fleet<Choose>(
+    nodes: usize,
+    seed: u64,
+    plan: FaultPlan,
+    choose: Choose,
+) -> FleetWorld
+where
+    Choose: Fn(JobId) -> (JobSpec, Option<u64>),
+{
     let mut world = FleetWorld::new(seed, nodes, WORKERS).with_plan(plan);
     world.run_for(SETTLE_MS);
-    let behaviour = TaskBehaviour {
-        resources: resources(),
-        work_ms,
-        always_fails: false,
-    };
-    for number in 1..=JOBS {
-        world.submit(0, JobId(number), spec.clone(), vec![behaviour]);
+    for job in (1..=JOBS).map(JobId) {
+        let (spec, work_ms) = choose(job);
+        let behaviour = TaskBehaviour {
+            resources: resources(),
+            work_ms,
+            always_fails: false,
+        };
+        world.submit(0, job, spec, vec![behaviour]);
     }
     world.run_for(CUT_AT_MS - SETTLE_MS);
     world
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -20,7 +20,7 @@
 use turmericfold_fleet::{
     CallId, CallerAnswer, Configuration, Event, FleetNode, Moment, Outbox, WorkerCall,
 };
-use turmericfold_jobs::{JobId, JobSpec};
+use turmericfold_jobs::{JobId, JobSpec, TaskKey};
 use turmericfold_platform::{StoreCall, StoreVersion, WorkerEntry};
 use turmericfold_standin::{StoreModel, TaskBehaviour, TaskWorkerModel};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
@@ -185,6 +185,11 @@
         self.oracle.runs_begun()
     }
 
+    /// Returns the tasks of a job of which a run is in progress.
+    pub fn running_tasks(&self, job: JobId) -> Vec<TaskKey> {
+        self.oracle.running_tasks(job)
+    }
+
     /// Returns the active faults for modification.
     pub fn faults_mut(&mut self) -> &mut Faults {
         &mut self.faults
--- a/tests/src/fleet_world/oracle.rs
+++ b/tests/src/fleet_world/oracle.rs
@@ -91,6 +91,14 @@
         self.runs_begun
     }
 
+    pub(super) fn running_tasks(&self, job: JobId) -> Vec<TaskKey> {
+        let tasks = self.tasks.iter().filter(|(task, _)| task.job == job);
+        tasks
+            .filter(|(_, history)| !history.running.is_empty())
+            .map(|(task, _)| *task)
+            .collect()
+    }
+
     pub(super) fn expect_job(&mut self, job: JobId, spec: &JobSpec) {
         self.specs.insert(job, spec.clone());
     }
