Start lasting tasks again once the leases of an unheard worker have expired

Cause: a worker that did not answer its new owner was reported on only when it was given up, 15.1 s after the acquisition. Until then its runs counted as active, and a recovering shard started nothing. That wait is for the outcome of a finite task; a task that no run completes needs only that its last run is over. Fix: the new owner answers recovery queries about such a worker with LeasesExpired, 5.7 s after the acquisition or the last sign of a former owner: the bound after which an unregistered worker already counts as departed. The sender must have a certain registration, must have read the owners of all jobs, and must know of no later owner. The job's owner ends the runs that it tracks under an earlier epoch and that can't complete their task; runs under the epoch of the answer stay, as a late answer may follow a new start. A recovering shard starts such tasks once each worker is reported on or idle; all others wait for all reports as before. A late report on the worker finds the old runs ended and records their ends. Why no second run: the owner that answers has granted no lease, those of former owners have expired on a clock that is 2% slow, and a late start bears an expired lease. cut_domains plays its cuts with lasting tasks as well now, silent_takeovers::lasting_runs_once is new. Known limit: like the departure of an unregistered worker, the bound does not cover a former owner that goes on renewing, as a majority cut off from the store does, while it and the new owner can't hear each other.

--- a/crates/turmericfold-fleet/src/jobs/loading.rs
+++ b/crates/turmericfold-fleet/src/jobs/loading.rs
@@ -9,7 +9,7 @@
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
 use super::recovery_log::RECOVERY_LOG_INTERVAL_MS;
-use super::shard::{LoadedProgress, Loading, Phase, Recovering};
+use super::shard::{HeldTasks, LoadedProgress, Loading, Phase, Recovering};
 use crate::context::Context;
 use crate::keys::JobKey;
 use crate::{Authority, CallId, Moment, Outbox, keys};
@@ -109,10 +109,15 @@
             shard.phase = Phase::Settled;
             return;
         }
+        let held_tasks = match open_jobs {
+            0 => HeldTasks::None,
+            _ => HeldTasks::All,
+        };
         shard.phase = Phase::Recovering(Recovering {
             query_id: self.query_numbers.next(),
-            holds_starts: open_jobs > 0,
+            held_tasks,
             reported_workers: BTreeSet::new(),
+            idle_workers: BTreeSet::new(),
             settled_workers: BTreeSet::new(),
             next_query_at: moment.now,
             since: moment.now,
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -171,6 +171,11 @@
                 }
             }
             PeerMessage::RecoveryReport(report) => self.on_report(context, from, &report, out),
+            PeerMessage::LeasesExpired {
+                worker,
+                worker_epoch,
+                query_id,
+            } => self.on_leases_expired(context, from, &worker, worker_epoch, query_id, out),
             other => return Some(other),
         }
         None
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use turmericfold_jobs::{EndedRun, Job, RunEnd, RunKey};
+use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, ProcessId};
 
 use super::owner::{JobOwner, WorkerQuery};
 use super::recovery_log::log_missing_reports;
-use super::shard::{Phase, Shard};
+use super::shard::{HeldTasks, Phase, Recovering, Shard};
 use super::tracked_runs::TrackedRun;
 use crate::context::Context;
 use crate::policy::urgency;
@@ -31,7 +32,7 @@
     /// lost.
     pub(super) fn recover_shards(&mut self, context: Context<'_>, out: &mut Outbox) {
         let moment = context.moment;
-        let mut finished = false;
+        let mut released = false;
         let authorities = self.authorities();
         let mut queries: BTreeMap<ProcessId, u64> = BTreeMap::new();
         for shard in self.shards.values_mut() {
@@ -39,18 +40,8 @@
             let Phase::Recovering(recovering) = &mut shard.phase else {
                 continue;
             };
-            let mut workers = context.ownership.workers();
-            let all_reported = workers.all(|worker| recovering.reported_workers.contains(worker));
-            if recovering.holds_starts && all_reported {
-                log::info!(
-                    shard:% = authority.shard,
-                    took_ms = moment.since_ms(recovering.since);
-                    "recovered the runs of a shard; it is ready"
-                );
-                recovering.holds_starts = false;
-                finished = true;
-            }
-            if recovering.holds_starts {
+            released |= release_tasks(context, authority, recovering);
+            if recovering.held_tasks != HeldTasks::None {
                 log_missing_reports(context, authority, recovering);
             }
             let missing: Vec<&InstanceName> = context
@@ -81,7 +72,7 @@
             let shards = authorities.clone();
             out.send(&owner, PeerMessage::RecoveryQuery { query_id, shards });
         }
-        self.should_start_tasks |= finished;
+        self.should_start_tasks |= released;
     }
 
     /// Requests recovery reports on those workers of tracked runs that have a new owner.
@@ -121,6 +112,21 @@
         }
     }
 
+    /// Returns whether an answer about a worker comes from its current owner and answers a
+    /// query of this process.
+    pub(super) fn is_current_answer(
+        &self,
+        context: Context<'_>,
+        worker: &InstanceName,
+        worker_epoch: StoreVersion,
+        query_id: u64,
+    ) -> bool {
+        let unit = Unit::Worker(worker.clone());
+        let owned = context.ownership.owner(&unit);
+        owned.is_some_and(|owned| owned.epoch == worker_epoch)
+            && self.query_numbers.contains(query_id)
+    }
+
     /// Handles the recovery report on a worker.
     pub(super) fn on_report(
         &mut self,
@@ -129,15 +135,9 @@
         report: &RecoveryReport,
         out: &mut Outbox,
     ) {
-        let unit = Unit::Worker(report.worker.clone());
-        let owned = context.ownership.owner(&unit);
-        if owned.is_none_or(|owned| owned.epoch != report.worker_epoch) {
-            return;
-        }
-        let Some(query_id) = report
-            .query_id
-            .filter(|id| self.query_numbers.contains(*id))
-        else {
+        let is_current =
+            |id: &u64| self.is_current_answer(context, &report.worker, report.worker_epoch, *id);
+        let Some(query_id) = report.query_id.filter(is_current) else {
             return;
         };
         let mut unsettled = BTreeSet::new();
@@ -154,9 +154,7 @@
         self.on_ends_reported(context, from, &report.worker, &report.ends, out);
         self.reconcile_runs(context, report, out);
         for (name, shard) in &mut self.shards {
-            if let Phase::Recovering(recovering) = &mut shard.phase
-                && recovering.query_id <= query_id
-            {
+            if let Some(recovering) = shard.recovering_since_query(query_id) {
                 recovering.answering_owners.insert(from.clone());
                 recovering.reported_workers.insert(report.worker.clone());
                 if !unsettled.contains(name) {
@@ -299,6 +297,33 @@
     }
 }
 
+/// Releases the tasks of a recovering shard that may start by now; returns whether there are
+/// more than before.
+fn release_tasks(context: Context<'_>, authority: Authority, recovering: &mut Recovering) -> bool {
+    let is_reported = |worker: &InstanceName| recovering.reported_workers.contains(worker);
+    let is_idle = |worker: &InstanceName| recovering.idle_workers.contains(worker);
+    let workers = || context.ownership.workers();
+    let took_ms = context.moment.since_ms(recovering.since);
+    let held_tasks = if workers().all(is_reported) {
+        HeldTasks::None
+    } else if workers().all(|worker| is_reported(worker) || is_idle(worker)) {
+        HeldTasks::MayBeCompleted
+    } else {
+        HeldTasks::All
+    };
+    match (recovering.held_tasks, held_tasks) {
+        (HeldTasks::All | HeldTasks::MayBeCompleted, HeldTasks::None) => {
+            log::info!(shard:% = authority.shard, took_ms = took_ms; "recovered the runs of a shard; it is ready");
+        }
+        (HeldTasks::All, HeldTasks::MayBeCompleted) => {
+            log::info!(shard:% = authority.shard, took_ms = took_ms; "leases of the workers without a report have expired; tasks of a shard that no run completes may start");
+        }
+        _ => return false,
+    }
+    recovering.held_tasks = held_tasks;
+    true
+}
+
 /// Returns the details of the runs of a step, for the owner of their worker.
 pub(super) fn details_of(job: &Job, step: &turmericfold_jobs::StepSpec) -> RunDetails {
     RunDetails {
--- a/crates/turmericfold-fleet/src/jobs/recovery_log.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery_log.rs
@@ -34,13 +34,15 @@
     log::info!(
         shard:% = authority.shard,
         epoch = authority.epoch.0,
+        held:? = recovering.held_tasks,
+        idle = recovering.idle_workers.len(),
         waited_ms = moment.since_ms(recovering.since),
         unreported = 1 + missing.count(),
         worker:% = worker,
         owner:? = owner,
         owner_is_member = owner.is_some_and(is_member),
         owner_answered = owner.is_some_and(has_answered);
-        "recovery of a shard waits for reports on workers; its tasks do not start"
+        "recovery of a shard waits for reports on workers"
     );
 }
 
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -51,8 +51,19 @@
 
     fn is_startable(&self, entry: &JobEntry) -> bool {
         let shard = self.shards.get(&JobShard::of(entry.job.id));
-        let is_shard_ready = shard.is_some_and(|shard| !entry.is_recovered || shard.is_ready());
-        entry.is_stored && is_shard_ready && entry.job.has_startable()
+        let may_start = shard.is_some_and(|shard| !entry.is_recovered || shard.may_start(false));
+        entry.is_stored && may_start && entry.job.has_startable()
+    }
+
+    /// Returns the tasks of a job that the recovery of its shard does not hold.
+    fn startable_tasks(&self, entry: &JobEntry) -> Vec<TaskKey> {
+        let shard = self.shards.get(&JobShard::of(entry.job.id));
+        let may_start = |task: &TaskKey| {
+            let may_complete = entry.job.may_complete(*task);
+            shard.is_some_and(|shard| !entry.is_recovered || shard.may_start(may_complete))
+        };
+        let tasks = entry.job.startable();
+        tasks.into_iter().filter(may_start).collect()
     }
 
     /// Starts the tasks of a job for which there are offers.
@@ -72,7 +83,7 @@
         if !configuration.uses(&service) {
             return;
         }
-        let tasks = entry.job.startable();
+        let tasks = self.startable_tasks(entry);
         let mut skipped_step = None;
         for task in tasks {
             let step = Some((task.occurrence, task.step));
--- a/crates/turmericfold-fleet/src/jobs/shard.rs
+++ b/crates/turmericfold-fleet/src/jobs/shard.rs
@@ -48,16 +48,31 @@
     pub(crate) version: StoreVersion,
 }
 
+/// Which tasks of the recovered jobs of a shard may not start yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HeldTasks {
+    /// No task may start, as a run of it may be in progress on a worker.
+    All,
+    /// No run of a former owner is in progress on a worker without a report, but one may have
+    /// completed its task there: only tasks that no run completes may start.
+    MayBeCompleted,
+    /// All tasks may start.
+    None,
+}
+
 /// The state of querying the runs of a shard.
 #[derive(Debug)]
 pub(crate) struct Recovering {
     /// The identifier of the recovery query, which the reports repeat.
     pub(crate) query_id: u64,
-    /// Whether no task may start yet: a job was open at the takeover, and a report on a worker
-    /// is missing.
-    pub(crate) holds_starts: bool,
+    /// The tasks that may not start yet, as a report on a worker is missing; none if no job
+    /// was open at the takeover.
+    pub(crate) held_tasks: HeldTasks,
     /// The workers on which a recovery report has arrived.
     pub(crate) reported_workers: BTreeSet<InstanceName>,
+    /// The workers on which no run of a former owner is in progress, though a report on them
+    /// may be missing.
+    pub(crate) idle_workers: BTreeSet<InstanceName>,
     /// The workers on which a report has listed no unwanted run of the shard.
     pub(crate) settled_workers: BTreeSet<InstanceName>,
     /// The time at which the query is repeated for the other workers.
@@ -101,11 +116,34 @@
     pub(crate) fn is_ready(&self) -> bool {
         match &self.phase {
             Phase::Loading(_) => false,
-            Phase::Recovering(recovering) => !recovering.holds_starts,
+            Phase::Recovering(recovering) => recovering.held_tasks == HeldTasks::None,
             Phase::Settled => true,
         }
     }
 
+    /// Returns whether a task of a recovered job may start, as far as the recovery is concerned;
+    /// `may_complete` tells whether a run can complete the task.
+    pub(crate) fn may_start(&self, may_complete: bool) -> bool {
+        match &self.phase {
+            Phase::Loading(_) => false,
+            Phase::Recovering(recovering) => match recovering.held_tasks {
+                HeldTasks::All => false,
+                HeldTasks::MayBeCompleted => !may_complete,
+                HeldTasks::None => true,
+            },
+            Phase::Settled => true,
+        }
+    }
+
+    /// Returns the state of the recovery, if one is in progress that a reply to the query
+    /// `query_id` concerns.
+    pub(crate) fn recovering_since_query(&mut self, query_id: u64) -> Option<&mut Recovering> {
+        match &mut self.phase {
+            Phase::Recovering(recovering) if recovering.query_id <= query_id => Some(recovering),
+            _ => None,
+        }
+    }
+
     /// Returns a number that no run of a former owner exceeds; the runs of this owner
     /// have higher numbers.
     pub(crate) fn run_number_floor(&self) -> RunNumber {
--- a/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
@@ -69,6 +69,18 @@
         self.by_run.iter_mut()
     }
 
+    /// Returns the runs on a worker that are known only to its owners before `worker_epoch`.
+    pub(crate) fn of_earlier_owners(
+        &self,
+        worker: &InstanceName,
+        worker_epoch: StoreVersion,
+    ) -> Vec<RunKey> {
+        let is_earlier =
+            |tracked: &TrackedRun| tracked.worker == *worker && tracked.worker_epoch < worker_epoch;
+        let earlier = self.by_run.iter().filter(|(_, run)| is_earlier(run));
+        earlier.map(|(run, _)| *run).collect()
+    }
+
     /// Removes the runs for which `keep` returns false.
     pub(crate) fn retain<Keep>(&mut self, keep: Keep)
     where
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -137,6 +137,17 @@
         /// The version that the sender has; 0 if it has none.
         version: u64,
     },
+    /// Reports that all leases of a worker have expired, so that none of the runs that former
+    /// owners started is in progress, though their ends are not known. Answers a recovery
+    /// query before the worker has answered its new owner.
+    LeasesExpired {
+        /// The worker.
+        worker: InstanceName,
+        /// The epoch of the sender's ownership of the worker.
+        worker_epoch: StoreVersion,
+        /// The identifier of the query that the message answers.
+        query_id: u64,
+    },
 }
 
 impl PeerMessage {
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -13,10 +13,6 @@
 /// message between processes can be in transit.
 const BARRED_RUN_RETENTION_MS: u64 = 60_000;
 
-/// The time beyond a lease after which an unregistered worker that never answered counts
-/// as departed, in milliseconds.
-const DEPARTURE_MARGIN_MS: u64 = 700;
-
 impl WorkerOwner {
     /// Moves a run of a worker to the worker's ends, and reports the end to the owner of the
     /// run's job.
@@ -169,10 +165,7 @@
         if !is_unresponsive && !has_left(worker) {
             return false;
         }
-        // Every owner grants leases of the same length, so one of a former owner has expired
-        // as well.
-        let is_lease_expired =
-            moment.since_ms(departed_since) > self.lease_ms + DEPARTURE_MARGIN_MS;
+        let is_lease_expired = self.have_earlier_leases_expired(moment, departed_since);
         let has_nothing_to_report =
             worker.runs.is_empty() && worker.ends.values().all(|tracked| tracked.is_recorded);
         match worker.last_answer_at {
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -191,7 +191,7 @@
                 details,
             } => self.on_run_details(&worker, run, details),
             PeerMessage::RecoveryQuery { query_id, shards } => {
-                self.on_recovery_query(from, query_id, &shards, out);
+                self.on_recovery_query(context, from, query_id, &shards, out);
             }
             other => return Some(other),
         }
@@ -290,6 +290,7 @@
 
     fn on_recovery_query(
         &mut self,
+        context: Context<'_>,
         from: &ProcessId,
         query_id: u64,
         shards: &[Authority],
@@ -301,6 +302,13 @@
         for worker in self.workers.values() {
             if let Some(report) = worker.recovery_report(Some(query_id)) {
                 out.send(from, PeerMessage::RecoveryReport(report));
+            } else if self.is_idle_unheard(context, worker) {
+                let message = PeerMessage::LeasesExpired {
+                    worker: worker.id.clone(),
+                    worker_epoch: worker.epoch,
+                    query_id,
+                };
+                out.send(from, message);
             }
         }
     }
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -1,15 +1,43 @@
 //! Workers that have never answered this process, their new owner.
 
-use turmericfold_types::InstanceName;
+use turmericfold_types::{InstanceName, MonotonicMs};
 
 use super::expiry::{LEASE_EXPIRY_MARGIN_MS, MAX_OUTCOME_WAIT_MS};
 use super::owner::WorkerOwner;
+use super::worker::Worker;
+use crate::Moment;
 use crate::context::Context;
 
+/// The time beyond the length of a lease after which those that former owners have granted
+/// have certainly expired, in milliseconds: it covers their last renewals after the worker was
+/// claimed (see [`super::isolation`]) and a clock of the worker that is 2% slow.
+const EARLIER_LEASE_MARGIN_MS: u64 = 700;
+
 /// The least time between two logs that a worker has not answered, in milliseconds.
 const UNHEARD_LOG_INTERVAL_MS: u64 = 2_000;
 
 impl WorkerOwner {
+    /// Returns whether the leases that former owners have granted have certainly expired, if
+    /// none was renewed after `renewed_at`: every owner grants leases of the same length.
+    pub(super) fn have_earlier_leases_expired(
+        &self,
+        moment: Moment,
+        renewed_at: MonotonicMs,
+    ) -> bool {
+        moment.since_ms(renewed_at) > self.lease_ms + EARLIER_LEASE_MARGIN_MS
+    }
+
+    /// Returns whether no run is in progress on a worker that has never answered this process,
+    /// as all leases of former owners have expired and this process has granted none.
+    pub(super) fn is_idle_unheard(&self, context: Context<'_>, worker: &Worker) -> bool {
+        let is_certain_owner =
+            context.has_valid_registration && !worker.fenced && !worker.has_later_owner;
+        is_certain_owner
+            && worker.authorities_known
+            && worker.last_answer_at.is_none()
+            && self.have_earlier_leases_expired(context.moment, worker.earlier_renewal_at)
+    }
+
     /// Gives up a worker that has not answered this process since its former owner may have
     /// renewed its lease, so that the owners of jobs do not wait for ever for its report.
     ///
--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -3,7 +3,7 @@
 
 use rstest::rstest;
 use turmericfold_tests::cut_fleet::{
-    CUT_AT_MS, NODES, WORKERS, cut_fleet_of, finite_job, with_cut_workers,
+    CUT_AT_MS, NODES, WORKERS, cut_fleet_of, finite_job, lasting_job, with_cut_workers,
 };
 use turmericfold_tests::fleet_world::{FaultKind, FaultPlan, FleetWorld};
 
@@ -16,6 +16,15 @@
 /// How long the store is out, in milliseconds: longer than the lease of the workers.
 const OUTAGE_MS: u64 = 14_000;
 
+/// How long the tasks work.
+#[derive(Debug, Clone, Copy)]
+enum Work {
+    /// For `WORK_MS`.
+    Finite,
+    /// Until they are cancelled.
+    Lasting,
+}
+
 /// Returns a plan in which `former` reaches only worker 0, and no other node reaches it.
 fn cut(former: usize, for_ms: u64) -> FaultPlan {
     cut_group(NODES, &[former], 0, for_ms)
@@ -55,8 +64,9 @@
     #[values(1, 2)] seed: u64,
     #[values(0, 1, 2)] former: usize,
     #[values(12_000, 20_000)] for_ms: u64,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
 ) {
-    assert_runs_once(seed, former, for_ms, false);
+    assert_runs_once(seed, former, for_ms, false, work);
 }
 
 /// Guards against a second run of the cut owner beside an unregistered worker of another.
@@ -65,8 +75,9 @@
     #[values(1, 2)] seed: u64,
     #[values(0, 1)] former: usize,
     #[values(12_000, 20_000)] for_ms: u64,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
 ) {
-    assert_runs_once(seed, former, for_ms, true);
+    assert_runs_once(seed, former, for_ms, true, work);
 }
 
 /// Guards against a second run beside one that a cut owner renews on an unregistered worker.
@@ -75,8 +86,9 @@
     #[values(1, 2)] seed: u64,
     #[values(2)] former: usize,
     #[values(12_000, 20_000)] for_ms: u64,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
 ) {
-    assert_runs_once(seed, former, for_ms, true);
+    assert_runs_once(seed, former, for_ms, true, work);
 }
 
 /// Guards against a second run beside one whose lease a cut-off group of processes renews.
@@ -85,10 +97,11 @@
     #[values(1, 2)] seed: u64,
     #[values(0, 1, 2, 3, 4)] first: usize,
     #[values(false, true)] unregistered: bool,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
 ) {
     let group = [first, (first + 1) % GROUP_NODES];
     let plan = cut_group(GROUP_NODES, &group, 0, 24_000);
-    let world = cut_world(GROUP_NODES, seed, plan, unregistered);
+    let world = cut_world(GROUP_NODES, seed, plan, unregistered, work);
     assert_no_violations(world, 26_000);
 }
 
@@ -98,9 +111,10 @@
     #[values(1, 2)] seed: u64,
     #[values(0, 1, 2)] former: usize,
     #[values(1_300, 1_600, 1_900, 2_200)] lead_ms: u64,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
 ) {
     let plan = cut_group(NODES, &[former], lead_ms, 12_000);
-    let world = cut_world(NODES, seed, plan, true);
+    let world = cut_world(NODES, seed, plan, true, work);
     assert_no_violations(world, lead_ms + 14_000);
 }
 
@@ -110,6 +124,7 @@
     #[values(1, 2)] seed: u64,
     #[values(0, 1, 2)] former: usize,
     #[values(1, 2)] offset: usize,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
 ) {
     let for_ms = 30_000;
     let successor = (former + offset) % NODES;
@@ -120,7 +135,7 @@
     for node in (0..NODES).filter(|node| *node != former) {
         plan = with_cut_workers(plan, node, 1, for_ms);
     }
-    let world = cut_world(NODES, seed, plan, true);
+    let world = cut_world(NODES, seed, plan, true, work);
     assert_no_violations(world, 20_000);
 }
 
@@ -145,7 +160,7 @@
     if let Some(node) = killed {
         plan = plan.with_fault(CUT_AT_MS + 1_500, FaultKind::KillNode { node, down_ms });
     }
-    let mut world = cut_world(nodes, seed, plan, false);
+    let mut world = cut_world(nodes, seed, plan, false, Work::Finite);
     let lost = killed.map_or_else(Vec::new, |node| world.workers_of(node));
     let runs = runs_beside(&world, &lost);
     assert!(runs.iter().sum::<usize>() > 0, "no run could be lost");
@@ -160,15 +175,25 @@
     kept.map(|worker| world.runs_on(worker)).collect()
 }
 
-fn assert_runs_once(seed: u64, former: usize, for_ms: u64, unregistered: bool) {
-    let world = cut_world(NODES, seed, cut(former, for_ms), unregistered);
+fn assert_runs_once(seed: u64, former: usize, for_ms: u64, unregistered: bool, work: Work) {
+    let world = cut_world(NODES, seed, cut(former, for_ms), unregistered, work);
     assert_no_violations(world, for_ms + 2_000);
 }
 
 /// Creates a fleet whose jobs run when the plan begins, if need be without the registration
 /// of worker 0.
-fn cut_world(nodes: usize, seed: u64, plan: FaultPlan, unregistered: bool) -> FleetWorld {
-    let mut world = cut_fleet_of(nodes, seed, plan, &finite_job(WORK_MS), Some(WORK_MS));
+fn cut_world(
+    nodes: usize,
+    seed: u64,
+    plan: FaultPlan,
+    unregistered: bool,
+    work: Work,
+) -> FleetWorld {
+    let (spec, work_ms) = match work {
+        Work::Finite => (finite_job(WORK_MS), Some(WORK_MS)),
+        Work::Lasting => (lasting_job(), None),
+    };
+    let mut world = cut_fleet_of(nodes, seed, plan, &spec, work_ms);
     if unregistered {
         world.unregister_worker(0);
     }
--- a/tests/features/silent_takeovers.rs
+++ b/tests/features/silent_takeovers.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use turmericfold_tests::cut_fleet::{
     CUT_AT_MS, LEASE_MS, MAX_OUTCOME_WAIT_MS, NODES, RESTART_MS, WORKERS, assert_all_completed,
-    cut_fleet, finite_job, silence, with_cut_workers,
+    cut_fleet, finite_job, lasting_job, silence, with_cut_workers,
 };
 use turmericfold_tests::fleet_world::{FaultKind, FaultPlan};
 
@@ -66,20 +66,34 @@
     assert_all_completed(&mut world);
 }
 
-/// Guards against a second run beside one whose lease a cut-off former owner still renews.
-#[rstest]
-fn former_owner_renews(#[values(1, 2)] seed: u64, #[values(0, 1, 2)] former: usize) {
-    let for_ms = 30_000;
+/// Returns a plan in which `former` loses the store and the other nodes lose worker 0.
+fn renewing_former(former: usize, for_ms: u64) -> FaultPlan {
     let cut_store = FaultKind::CutStore {
         node: former,
         for_ms,
     };
-    let mut plan = FaultPlan::new().with_fault(CUT_AT_MS, cut_store);
-    for node in (0..NODES).filter(|node| *node != former) {
-        plan = with_cut_workers(plan, node, 1, for_ms);
-    }
+    let plan = FaultPlan::new().with_fault(CUT_AT_MS, cut_store);
+    let others = (0..NODES).filter(|node| *node != former);
+    others.fold(plan, |plan, node| with_cut_workers(plan, node, 1, for_ms))
+}
+
+/// Guards against a second run beside one whose lease a cut-off former owner still renews.
+#[rstest]
+fn former_owner_renews(#[values(1, 2)] seed: u64, #[values(0, 1, 2)] former: usize) {
+    let for_ms = 30_000;
+    let plan = renewing_former(former, for_ms);
     let work_ms = 20_000;
     let mut world = cut_fleet(seed, plan, &finite_job(work_ms), Some(work_ms));
     world.run_for(for_ms + work_ms + RESTART_MS);
     assert_all_completed(&mut world);
 }
+
+/// Guards against a second run of a lasting task whose former owner still renews its lease.
+#[rstest]
+fn lasting_runs_once(#[values(1, 2)] seed: u64, #[values(0, 1, 2)] former: usize) {
+    let for_ms = 30_000;
+    let plan = renewing_former(former, for_ms);
+    let mut world = cut_fleet(seed, plan, &lasting_job(), None);
+    world.run_for(for_ms + RESTART_MS);
+    assert_eq!(world.violations(), [], "promises were broken");
+}
--- a/tests/features/unheard_workers.rs
+++ b/tests/features/unheard_workers.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use turmericfold_jobs::{JobId, JobSpec, JobState};
 use turmericfold_tests::cut_fleet::{
-    CUT_AT_MS, LEASE_MS, NODES, cut_mixed_fleet, finite_job, lasting_job, silence,
+    LEASE_MS, NODES, cut_mixed_fleet, finite_job, lasting_job, silence,
 };
 use turmericfold_tests::fleet_world::{FaultKind, FaultPlan, FleetWorld};
 
