Let a minority not take leases for expired that a cut-off majority renews

Cause: processes that hear most members renew leases without a registration, so a majority that is cut off from the store and from the others goes on. Fix: LeasesExpired is sent only if this process has heard most of the processes for the whole wait: members, and those heard in the last 30 s, each at most 1 s ago. The wait is 0.6 s longer (6.3 s after the acquisition) to cover a gap that is not noticed. Known price: in a fleet of which half has just died, lasting tasks wait as before until the worker is given up. A process that restarts during the cut does not know the majority.

--- a/crates/turmericfold-fleet/src/workers/isolation.rs
+++ b/crates/turmericfold-fleet/src/workers/isolation.rs
@@ -1,6 +1,6 @@
 //! Decides whether this process may renew the leases of its workers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use turmericfold_types::{InstanceName, MonotonicMs};
 
@@ -18,6 +18,22 @@
 /// then the new owner's summary ends the renewals.
 const MAX_SUMMARY_AGE_MS: u64 = 400;
 
+/// The time for which a peer that is not heard any more counts as a process that may be cut off
+/// together with others, in milliseconds: longer than a worker's new owner takes to claim a
+/// worker and to give it up.
+const PEER_RETENTION_MS: u64 = 30_000;
+
+/// The age up to which a peer's summary shows that this process was not cut off from the peer, in
+/// milliseconds: some intervals of the summaries.
+const MAX_GAP_MS: u64 = 1_000;
+
+/// The time for which former owners may have renewed leases unnoticed, beyond that for which one
+/// does so that hears no summaries, in milliseconds.
+pub(super) const UNNOTICED_GAP_MS: u64 = MAX_GAP_MS - MAX_SUMMARY_AGE_MS;
+
+/// The interval between counts of the peers that are heard, in milliseconds.
+const COUNT_INTERVAL_MS: u64 = 100;
+
 /// The peers that this process hears, without which it renews leases only while its
 /// registration is valid.
 ///
@@ -33,6 +49,11 @@
     /// When this process last continued after a suspension.
     resumed_at: MonotonicMs,
     is_isolated: bool,
+    /// When this process last may have been part of a minority.
+    last_in_minority_at: MonotonicMs,
+    is_in_minority: bool,
+    /// When the peers that are heard are counted again.
+    next_count_at: MonotonicMs,
 }
 
 impl Isolation {
@@ -48,6 +69,7 @@
     /// Updates the state, and logs when this process stops and starts renewing leases.
     pub(super) fn update(&mut self, context: Context<'_>, has_workers: bool) {
         self.detect_suspension(context.moment);
+        self.update_minority(context);
         let is_isolated = has_workers && !self.may_renew(context);
         if is_isolated && !self.is_isolated {
             log::warn!(
@@ -80,6 +102,42 @@
         heard * 2 > known
     }
 
+    /// Returns when this process last may have been part of a minority: it had not heard most of
+    /// the processes that are members or were heard lately, itself included. Those may have been
+    /// cut off together from the store and from this process, and have renewed the leases of
+    /// their former workers until [`MAX_GAP_MS`] after the returned time.
+    pub(super) fn last_in_minority_at(&self) -> MonotonicMs {
+        self.last_in_minority_at
+    }
+
+    fn update_minority(&mut self, context: Context<'_>) {
+        let moment = context.moment;
+        if moment.has_reached(self.next_count_at) {
+            self.next_count_at = moment + COUNT_INTERVAL_MS;
+            self.is_in_minority = !self.has_heard_most(context);
+        }
+        if self.is_in_minority {
+            self.last_in_minority_at = moment.now;
+        }
+    }
+
+    fn has_heard_most(&self, context: Context<'_>) -> bool {
+        let heard_within = |instance: &InstanceName, age_ms: u64| {
+            let heard_at = self.heard_at.get(instance);
+            heard_at.is_some_and(|at| context.moment.since_ms(*at) < age_ms)
+        };
+        let members = context.membership.members();
+        let members = members.map(|member| &member.process.instance);
+        let retained = self.heard_at.keys();
+        let retained = retained.filter(|instance| heard_within(instance, PEER_RETENTION_MS));
+        let peers: BTreeSet<&InstanceName> = members
+            .chain(retained)
+            .filter(|instance| *instance != context.ownership.instance())
+            .collect();
+        let heard = peers.iter().filter(|peer| heard_within(peer, MAX_GAP_MS));
+        (1 + heard.count()) * 2 > 1 + peers.len()
+    }
+
     fn hears(&self, moment: Moment, peer: &InstanceName) -> bool {
         let heard_at = self.heard_at.get(peer);
         heard_at.is_some_and(|at| moment.since_ms(*at) < MAX_SUMMARY_AGE_MS)
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -3,6 +3,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs};
 
 use super::expiry::{LEASE_EXPIRY_MARGIN_MS, MAX_OUTCOME_WAIT_MS};
+use super::isolation::UNNOTICED_GAP_MS;
 use super::owner::WorkerOwner;
 use super::worker::Worker;
 use crate::Moment;
@@ -29,13 +30,18 @@
 
     /// Returns whether no run is in progress on a worker that has never answered this process,
     /// as all leases of former owners have expired and this process has granted none.
+    ///
+    /// A majority of processes that is cut off from the store renews its leases, so this process
+    /// must have heard most of the others for the whole length of a lease.
     pub(super) fn is_idle_unheard(&self, context: Context<'_>, worker: &Worker) -> bool {
         let is_certain_owner =
             context.has_valid_registration && !worker.fenced && !worker.has_later_owner;
+        let in_minority_at = self.isolation.last_in_minority_at();
+        let renewed_at = worker.earlier_renewal_at.max(in_minority_at) + UNNOTICED_GAP_MS;
         is_certain_owner
             && worker.authorities_known
             && worker.last_answer_at.is_none()
-            && self.have_earlier_leases_expired(context.moment, worker.earlier_renewal_at)
+            && self.have_earlier_leases_expired(context.moment, renewed_at)
     }
 
     /// Gives up a worker that has not answered this process since its former owner may have
--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -105,6 +105,19 @@
     assert_no_violations(world, 26_000);
 }
 
+/// Guards against a second run of a lasting task whose lease a cut-off majority renews.
+#[rstest]
+fn majority_keeps_lasting_runs(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2, 3, 4)] first: usize,
+    #[values(8_000, 14_000)] for_ms: u64,
+) {
+    let group = [0, 1, 2].map(|offset| (first + offset) % GROUP_NODES);
+    let plan = cut_group(GROUP_NODES, &group, 0, for_ms);
+    let world = cut_world(GROUP_NODES, seed, plan, false, Work::Lasting);
+    assert_no_violations(world, for_ms + 2_000);
+}
+
 /// Guards against a second run beside one of an owner that loses the store before its peers.
 #[rstest]
 fn late_cut_stops_renewing(
