--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -1,133 +1,26 @@
-//! Takes over jobs: reads them from the store and requests their runs from worker owners.
+//! Recovers the runs of jobs that were taken over: requests them from the owners of workers.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
-use turmericfold_jobs::{EndedRun, Job, JobId, RunEnd, RunKey};
-use turmericfold_platform::{PlatformError, StoreCall, StoreReply, StoredKey};
+use turmericfold_jobs::{EndedRun, Job, RunEnd, RunKey};
+use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, ProcessId};
 
-use super::job_entry::JobEntry;
 use super::owner::{JobOwner, WorkerQuery};
-use super::shard::{LoadedProgress, Loading, Phase, Recovering, Shard};
+use super::recovery_log::log_missing_reports;
+use super::shard::{HeldTasks, Phase, Recovering, Shard};
 use super::tracked_runs::TrackedRun;
 use crate::context::Context;
-use crate::keys::JobKey;
 use crate::policy::urgency;
 use crate::{
-    Authority, CallId, JobShard, Moment, Outbox, PeerMessage, RecoveryReport, ReportedEnd,
-    RunDetails, Unit, keys,
+    Authority, JobShard, Outbox, PeerMessage, RecoveryReport, ReportedEnd, RunDetails, Unit,
 };
 
-/// The maximum number of keys read by one call.
-const MAX_KEYS_PER_PAGE: u32 = 500;
-
-/// The delay before a failed read is retried, in milliseconds.
-const READ_RETRY_MS: u64 = 150;
-
 /// The time after which a recovery query is repeated to the owners of workers that have
 /// not answered, in milliseconds.
 const QUERY_RETRY_MS: u64 = 350;
 
 impl JobOwner {
-    /// Reads the jobs of newly acquired shards.
-    pub(super) fn load_shards(&mut self, context: Context<'_>, out: &mut Outbox) {
-        for (shard, state) in &mut self.shards {
-            let Phase::Loading(loading) = &mut state.phase else {
-                continue;
-            };
-            if loading.call.is_some() || !context.moment.has_reached(loading.next_call_at) {
-                continue;
-            }
-            let call = StoreCall::Range {
-                prefix: keys::jobs_prefix(*shard),
-                after: loading.after.clone(),
-                limit: MAX_KEYS_PER_PAGE,
-            };
-            loading.call = Some(out.call_store(call));
-        }
-    }
-
-    /// Handles a page of jobs; returns false if the call was not made to load a shard.
-    pub(crate) fn on_page(
-        &mut self,
-        moment: Moment,
-        id: CallId,
-        result: &Result<StoreReply, PlatformError>,
-    ) -> bool {
-        let found = self.shards.values_mut().find_map(|shard| {
-            let authority = shard.authority;
-            match &mut shard.phase {
-                Phase::Loading(loading) if loading.call == Some(id) => Some((authority, loading)),
-                _ => None,
-            }
-        });
-        let Some((authority, loading)) = found else {
-            return false;
-        };
-        loading.call = None;
-        let Ok(StoreReply::Page { keys, more, .. }) = result else {
-            loading.next_call_at = moment + READ_RETRY_MS;
-            return true;
-        };
-        for key in keys {
-            load_key(loading, key);
-        }
-        if *more {
-            loading.after = keys.last().map(|key| key.key.clone());
-            return true;
-        }
-        self.finish_loading(moment, authority);
-        true
-    }
-
-    fn finish_loading(&mut self, moment: Moment, authority: Authority) {
-        let Some(shard) = self.shards.get_mut(&authority.shard) else {
-            return;
-        };
-        let Phase::Loading(loading) = &mut shard.phase else {
-            return;
-        };
-        let records = std::mem::take(&mut loading.records);
-        let mut progress = std::mem::take(&mut loading.progress);
-        let mut open_jobs = 0_usize;
-        let is_empty = records.is_empty();
-        for (id, record) in records {
-            let loaded = progress.remove(&id);
-            let mut job = Job::new(id, Arc::new(record));
-            let version = loaded.as_ref().map(|loaded| loaded.version);
-            if let Some(loaded) = loaded {
-                job = job.with_progress(&loaded.progress);
-            }
-            let entry = JobEntry::from_store(job, version, moment.now);
-            if entry.stored_state.is_final() {
-                self.finished_jobs.push_back(id);
-            } else {
-                open_jobs += 1;
-            }
-            self.jobs.insert(id, entry);
-        }
-        log::info!(
-            shard:% = authority.shard,
-            epoch = authority.epoch.0,
-            term = shard.term,
-            open_jobs = open_jobs;
-            "loaded the jobs of a shard; recovering the runs of its open jobs"
-        );
-        if is_empty {
-            shard.phase = Phase::Settled;
-            return;
-        }
-        shard.phase = Phase::Recovering(Recovering {
-            query_id: self.query_numbers.next(),
-            holds_starts: open_jobs > 0,
-            reported_workers: BTreeSet::new(),
-            settled_workers: BTreeSet::new(),
-            next_query_at: moment.now,
-            since: moment.now,
-        });
-    }
-
     /// Returns the ownerships of all shards; every recovery query contains them, so that
     /// its receiver refuses the former owners.
     fn authorities(&self) -> Vec<Authority> {
@@ -139,7 +32,7 @@
     /// lost.
     pub(super) fn recover_shards(&mut self, context: Context<'_>, out: &mut Outbox) {
         let moment = context.moment;
-        let mut finished = false;
+        let mut released = false;
         let authorities = self.authorities();
         let mut queries: BTreeMap<ProcessId, u64> = BTreeMap::new();
         for shard in self.shards.values_mut() {
@@ -147,16 +40,9 @@
             let Phase::Recovering(recovering) = &mut shard.phase else {
                 continue;
             };
-            let mut workers = context.ownership.workers();
-            let all_reported = workers.all(|worker| recovering.reported_workers.contains(worker));
-            if recovering.holds_starts && all_reported {
-                log::info!(
-                    shard:% = authority.shard,
-                    took_ms = moment.since_ms(recovering.since);
-                    "recovered the runs of a shard; it is ready"
-                );
-                recovering.holds_starts = false;
-                finished = true;
+            released |= release_tasks(context, authority, recovering);
+            if recovering.held_tasks != HeldTasks::None {
+                log_missing_reports(context, authority, recovering);
             }
             let missing: Vec<&InstanceName> = context
                 .ownership
@@ -186,7 +72,7 @@
             let shards = authorities.clone();
             out.send(&owner, PeerMessage::RecoveryQuery { query_id, shards });
         }
-        self.should_start_tasks |= finished;
+        self.should_start_tasks |= released;
     }
 
     /// Requests recovery reports on those workers of tracked runs that have a new owner.
@@ -226,6 +112,21 @@
         }
     }
 
+    /// Returns whether an answer about a worker comes from its current owner and answers a
+    /// query of this process.
+    pub(super) fn is_current_answer(
+        &self,
+        context: Context<'_>,
+        worker: &InstanceName,
+        worker_epoch: StoreVersion,
+        query_id: u64,
+    ) -> bool {
+        let unit = Unit::Worker(worker.clone());
+        let owned = context.ownership.owner(&unit);
+        owned.is_some_and(|owned| owned.epoch == worker_epoch)
+            && self.query_numbers.contains(query_id)
+    }
+
     /// Handles the recovery report on a worker.
     pub(super) fn on_report(
         &mut self,
@@ -234,15 +135,9 @@
         report: &RecoveryReport,
         out: &mut Outbox,
     ) {
-        let unit = Unit::Worker(report.worker.clone());
-        let owned = context.ownership.owner(&unit);
-        if owned.is_none_or(|owned| owned.epoch != report.worker_epoch) {
-            return;
-        }
-        let Some(query_id) = report
-            .query_id
-            .filter(|id| self.query_numbers.contains(*id))
-        else {
+        let is_current =
+            |id: &u64| self.is_current_answer(context, &report.worker, report.worker_epoch, *id);
+        let Some(query_id) = report.query_id.filter(is_current) else {
             return;
         };
         let mut unsettled = BTreeSet::new();
@@ -259,9 +154,8 @@
         self.on_ends_reported(context, from, &report.worker, &report.ends, out);
         self.reconcile_runs(context, report, out);
         for (name, shard) in &mut self.shards {
-            if let Phase::Recovering(recovering) = &mut shard.phase
-                && recovering.query_id <= query_id
-            {
+            if let Some(recovering) = shard.recovering_since_query(query_id) {
+                recovering.answering_owners.insert(from.clone());
                 recovering.reported_workers.insert(report.worker.clone());
                 if !unsettled.contains(name) {
                     recovering.settled_workers.insert(report.worker.clone());
@@ -404,6 +298,33 @@
     }
 }
 
+/// Releases the tasks of a recovering shard that may start by now; returns whether there are
+/// more than before.
+fn release_tasks(context: Context<'_>, authority: Authority, recovering: &mut Recovering) -> bool {
+    let is_reported = |worker: &InstanceName| recovering.reported_workers.contains(worker);
+    let is_idle = |worker: &InstanceName| recovering.idle_workers.contains(worker);
+    let workers = || context.ownership.workers();
+    let took_ms = context.moment.since_ms(recovering.since);
+    let held_tasks = if workers().all(is_reported) {
+        HeldTasks::None
+    } else if workers().all(|worker| is_reported(worker) || is_idle(worker)) {
+        HeldTasks::MayBeCompleted
+    } else {
+        HeldTasks::All
+    };
+    match (recovering.held_tasks, held_tasks) {
+        (HeldTasks::All | HeldTasks::MayBeCompleted, HeldTasks::None) => {
+            log::info!(shard:% = authority.shard, took_ms = took_ms; "recovered the runs of a shard; it is ready");
+        }
+        (HeldTasks::All, HeldTasks::MayBeCompleted) => {
+            log::info!(shard:% = authority.shard, took_ms = took_ms; "leases of the workers without a report have expired; tasks of a shard that no run completes may start");
+        }
+        _ => return false,
+    }
+    recovering.held_tasks = held_tasks;
+    true
+}
+
 /// Returns the details of the runs of a step, for the owner of their worker.
 pub(super) fn details_of(job: &Job, step: &turmericfold_jobs::StepSpec) -> RunDetails {
     RunDetails {
@@ -415,27 +336,3 @@
         due_ms: urgency::due_ms(job),
     }
 }
-
-fn load_key(loading: &mut Loading, key: &StoredKey) {
-    let Some(job_key) = keys::parse_job(&key.key) else {
-        log::warn!(key = key.key.as_str(); "stored key below the prefix of the jobs is unknown; ignoring it");
-        return;
-    };
-    let decoded = match job_key {
-        JobKey::Record(job) => serde_json::from_str(&key.stored.value)
-            .map(|record| insert_record(loading, job, record)),
-        JobKey::Progress(job) => serde_json::from_str(&key.stored.value).map(|progress| {
-            let version = key.stored.version;
-            loading
-                .progress
-                .insert(job, LoadedProgress { progress, version });
-        }),
-    };
-    if let Err(error) = decoded {
-        log::error!(key = key.key.as_str(), error:% = error; "stored job can't be decoded; ignoring it");
-    }
-}
-
-fn insert_record(loading: &mut Loading, job: JobId, record: turmericfold_jobs::JobRecord) {
-    loading.records.insert(job, record);
-}
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -60,13 +60,22 @@
 
     pub(super) fn is_startable(&self, entry: &JobEntry) -> bool {
         let shard = self.shards.get(&JobShard::of(entry.job.id));
-        let is_shard_ready = shard.is_some_and(|shard| !entry.is_recovered || shard.is_ready());
-        entry.is_stored && is_shard_ready && entry.job.has_startable()
+        let may_start = shard.is_some_and(|shard| !entry.is_recovered || shard.may_start(false));
+        entry.is_stored && may_start && entry.job.has_startable()
     }
 
+    /// Returns the startable tasks of a job that the recovery of its shard does not hold.
     fn startable_tasks(&self, job: JobId) -> Vec<TaskKey> {
-        let entry = self.jobs.get(&job);
-        entry.map_or_else(Vec::new, |entry| entry.job.startable())
+        let Some(entry) = self.jobs.get(&job) else {
+            return Vec::new();
+        };
+        let shard = self.shards.get(&JobShard::of(job));
+        let may_start = |task: &TaskKey| {
+            let may_complete = entry.job.may_complete(*task);
+            shard.is_some_and(|shard| !entry.is_recovered || shard.may_start(may_complete))
+        };
+        let tasks = entry.job.startable();
+        tasks.into_iter().filter(may_start).collect()
     }
 
     /// Returns the startable tasks of a job that last and had a run before.
@@ -75,7 +84,7 @@
         let Some(entry) = entry.filter(|entry| entry.job.has_interrupted()) else {
             return Vec::new();
         };
-        let mut tasks = entry.job.startable();
+        let mut tasks = self.startable_tasks(job);
         tasks.retain(|task| entry.job.is_interrupted(*task));
         tasks
     }
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -139,6 +139,17 @@
     },
     /// Orders a run that waits for room on the worker for a while if it has none now.
     StartWhenRoom(Box<StartOrder>),
+    /// Reports that all leases of a worker have expired, so that none of the runs that former
+    /// owners started is in progress, though their ends are not known. Answers a recovery
+    /// query before the worker has answered its new owner.
+    LeasesExpired {
+        /// The worker.
+        worker: InstanceName,
+        /// The epoch of the sender's ownership of the worker.
+        worker_epoch: StoreVersion,
+        /// The identifier of the query that the message answers.
+        query_id: u64,
+    },
 }
 
 impl PeerMessage {
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -14,6 +14,7 @@
 mod report;
 mod run;
 mod slack;
+mod unheard;
 mod waiting_orders;
 mod waiting_starts;
 mod worker;
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -195,7 +195,7 @@
                 details,
             } => self.on_run_details(&worker, run, details),
             PeerMessage::RecoveryQuery { query_id, shards } => {
-                self.on_recovery_query(from, query_id, &shards, out);
+                self.on_recovery_query(context, from, query_id, &shards, out);
             }
             other => return Some(other),
         }
@@ -255,6 +255,7 @@
             self.end_departed(context, name, out);
             self.handle_expiry(context, name, out);
             self.give_up_unheard(context, name);
+            self.log_unheard(context, name);
             self.poll_if_due(context, name, out);
             self.settle_waiting_orders(context, name, out);
             self.retry_calls(context, name, out);
@@ -294,6 +295,7 @@
 
     fn on_recovery_query(
         &mut self,
+        context: Context<'_>,
         from: &ProcessId,
         query_id: u64,
         shards: &[Authority],
@@ -305,6 +307,13 @@
         for worker in self.workers.values() {
             if let Some(report) = worker.recovery_report(Some(query_id)) {
                 out.send(from, PeerMessage::RecoveryReport(report));
+            } else if self.is_idle_unheard(context, worker) {
+                let message = PeerMessage::LeasesExpired {
+                    worker: worker.id.clone(),
+                    worker_epoch: worker.epoch,
+                    query_id,
+                };
+                out.send(from, message);
             }
         }
     }
