Hand over for balance only units whose takeover is complete

What callers saw: lasting tasks that wait for the recovery of their shard.

Cause: a unit that a process has just taken over may be handed on for balance. The next owner begins anew: the wait for a worker that has not answered since the former owner's leases, or the recovery of a shard.

Change: for balance a worker is handed over once it has listed all its ends, a shard once its runs are recovered. A stopping process hands over all.

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -111,6 +111,11 @@
         (self.shards.len(), ready.count())
     }
 
+    /// Returns whether this process owns a shard and has recovered its runs.
+    pub(crate) fn has_recovered(&self, shard: JobShard) -> bool {
+        self.shards.get(&shard).is_some_and(Shard::is_ready)
+    }
+
     /// Returns whether all jobs and all changes of their progress are stored, so that no
     /// caller or worker waits for a write.
     pub(crate) fn has_persisted_all(&self) -> bool {
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -172,11 +172,17 @@
         // A stopping process writes all pending changes before it hands over its units.
         let should_hand_over = self.stopping && self.jobs.has_persisted_all();
         if self.workers_loaded {
+            let (jobs, workers) = (&self.jobs, &self.workers);
+            let is_complete = |unit: &Unit| match unit {
+                Unit::Jobs(shard) => jobs.has_recovered(*shard),
+                Unit::Worker(worker) => workers.has_heard(worker),
+            };
             self.ownership.tick(
                 moment,
                 &self.membership,
                 &self.registrations,
                 should_hand_over,
+                is_complete,
                 out,
             );
         }
--- a/crates/turmericfold-fleet/src/ownership/handover.rs
+++ b/crates/turmericfold-fleet/src/ownership/handover.rs
@@ -7,7 +7,7 @@
 use super::state::Ownership;
 use crate::assignment::Shares;
 use crate::membership::Membership;
-use crate::{Moment, Outbox};
+use crate::{Moment, Outbox, Unit};
 
 /// The minimum interval between two units handed over for balance, in milliseconds,
 /// so that few units are without a ready owner at a time.
@@ -53,7 +53,17 @@
     }
 
     /// Hands over one unit to a member that owns less than its share, if there is one.
-    pub(super) fn balance(&mut self, moment: Moment, membership: &Membership, out: &mut Outbox) {
+    ///
+    /// A unit stays while its takeover is not complete, as that would begin anew.
+    pub(super) fn balance<IsComplete>(
+        &mut self,
+        moment: Moment,
+        membership: &Membership,
+        is_complete: IsComplete,
+        out: &mut Outbox,
+    ) where
+        IsComplete: Fn(&Unit) -> bool,
+    {
         self.next_balance_at = moment + MIN_BALANCE_INTERVAL_MS;
         for kind in [is_job_shard, is_worker] {
             let counts = self.counts(membership, kind);
@@ -63,7 +73,8 @@
                     .assignable_members()
                     .find(|it| it.process.instance == name)
             });
-            let unit = self.owned_units.keys().rfind(|unit| kind(unit));
+            let mut units = self.owned_units.keys();
+            let unit = units.rfind(|unit| kind(unit) && is_complete(unit));
             if let (Some(receiver), Some(unit)) = (receiver, unit) {
                 let transfer = self.transfer(unit.clone(), receiver.process.clone());
                 self.send_transfers(vec![transfer], out);
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -143,15 +143,18 @@
     /// Claims units without a live owner, or hands over units to other members.
     ///
     /// Hands over all units of this process if `should_hand_over` is set, and otherwise
-    /// only single units for balance.
-    pub(crate) fn tick(
+    /// for balance only single units whose takeover `is_complete`.
+    pub(crate) fn tick<IsComplete>(
         &mut self,
         moment: Moment,
         membership: &Membership,
         registrations: &Registrations,
         should_hand_over: bool,
+        is_complete: IsComplete,
         out: &mut Outbox,
-    ) {
+    ) where
+        IsComplete: Fn(&Unit) -> bool,
+    {
         self.track_members(moment, membership);
         let is_ready = self.loaded && membership.is_loaded() && self.claim_call.is_none();
         if !is_ready || !moment.has_reached(self.next_claim_at) {
@@ -177,7 +180,7 @@
         if !claims.is_empty() {
             self.send_transfers(claims, out);
         } else if self.may_balance(moment) {
-            self.balance(moment, membership, out);
+            self.balance(moment, membership, is_complete, out);
         }
     }
 
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -107,6 +107,12 @@
         self.workers.get(name)
     }
 
+    /// Returns whether this process owns a worker and has all of its unacknowledged ends.
+    pub(crate) fn has_heard(&self, name: &InstanceName) -> bool {
+        self.worker(name)
+            .is_some_and(|worker| worker.has_listed_all)
+    }
+
     pub(super) fn worker_mut(&mut self, name: &InstanceName) -> Option<&mut Worker> {
         self.workers.get_mut(name)
     }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -55,6 +55,7 @@
 mod slow_starts;
 mod start_doubts;
 mod successors;
+mod unheard_handovers;
 mod waiting_counts;
 mod whole_path;
 mod world_fuzz;
