--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -62,6 +62,7 @@
 mod start_doubts;
 mod successors;
 mod unheard_workers;
+mod unheard_handovers;
 mod waiting_counts;
 mod whole_path;
 mod world_fuzz;
