--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -38,6 +38,7 @@
 mod lost_stops;
 mod odd_answers;
 mod odd_entries;
+mod odd_jobs;
 mod odd_lists;
 mod ownership_fuzz;
 mod ownership_searches;
