Read only the tasks of one job when a lasting task is checked

Cause: each check of a lasting task without a run read the histories of all tasks, so tests with many waiting tasks were slow.

Change: it reads the tasks of its job only.

Measured: cargo test -p turmericfold-tests: 540 passed, none failed, 1 ignored. The effect on the duration was not measured.

--- a/tests/src/fleet_world/waiting.rs
+++ b/tests/src/fleet_world/waiting.rs
@@ -149,7 +149,8 @@
 
     /// Returns the number of runs on a worker of the tasks of the same step.
     pub(super) fn siblings_on(&self, worker: &InstanceName, task: TaskKey) -> u32 {
-        let siblings = self.tasks.iter().filter(|(key, _)| is_sibling(task, **key));
+        let tasks = self.histories_of(task.job);
+        let siblings = tasks.filter(|(key, _)| is_sibling(task, **key));
         let running = siblings.flat_map(|(_, history)| history.running.values());
         let count = running.filter(|used| *used == worker).count();
         u32::try_from(count).unwrap_or(u32::MAX)
@@ -167,13 +168,24 @@
         let state = self.last_states.get(&job);
         let is_final = state.is_some_and(|state| state.is_final());
         let has_failed = |(key, history): (&TaskKey, &TaskHistory)| {
-            let is_finite = key.job == job && !self.is_lasting(*key);
-            is_finite && history.failed.len() >= MAX_ATTEMPTS
+            !self.is_lasting(*key) && history.failed.len() >= MAX_ATTEMPTS
         };
-        is_final || self.tasks.iter().any(has_failed)
+        is_final || self.histories_of(job).any(has_failed)
+    }
+
+    fn histories_of(&self, job: JobId) -> impl Iterator<Item = (&TaskKey, &TaskHistory)> {
+        let first = TaskKey {
+            job,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let from_first = self.tasks.range(first..);
+        from_first.take_while(move |(key, _)| key.job == job)
     }
 }
 
+/// Returns whether two tasks of a job belong to the same step.
 fn is_sibling(task: TaskKey, other: TaskKey) -> bool {
-    task.job == other.job && task.occurrence == other.occurrence && task.step == other.step
+    task.occurrence == other.occurrence && task.step == other.step
 }
