Tell the owners of workers which runs last

What was seen: with a lost worker, interrupted tasks ran again only after 4.8 to 4.9 s of the 6 s that are allowed: their orders waited 2 s each on workers that other lasting tasks filled. Cause: the owner of a worker knew only runs with a latency target as lasting, so it expected the others to leave room. An order that needs the room of lasting runs is refused at once and goes to another worker. Runs that a later owner finds on a worker still count as lasting only if they have a latency target. Wire: the variant comes last; a process of an older version can't decode a delivery with it, and now every start of a lasting task is one, not only those of interrupted tasks. New: room_waits::lasting_runs_leave_nothing.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -228,6 +228,7 @@
         let Some(step) = entry.job.step_spec(task) else {
             return;
         };
+        let is_lasting = step.long_running;
         let details = details_of(&entry.job, step);
         let filler_millicores = details.filler_millicores();
         let checkpoint = entry.job.checkpoint(task);
@@ -266,9 +267,13 @@
             checkpoint,
             details,
         };
-        let message = match waits_for_room {
-            true => PeerMessage::StartWhenRoom(Box::new(message)),
-            false => PeerMessage::Start(Box::new(message)),
+        let order = Box::new(message);
+        let message = match is_lasting {
+            true => PeerMessage::StartLasting {
+                order,
+                waits_for_room,
+            },
+            false => PeerMessage::Start(order),
         };
         out.send(&owned.owner.process, message);
         self.runs.insert(run, tracked);
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -137,8 +137,13 @@
         /// The version that the sender has; 0 if it has none.
         version: u64,
     },
-    /// Orders a run that waits for room on the worker for a while if it has none now.
-    StartWhenRoom(Box<StartOrder>),
+    /// Orders a run of a task that runs until its job is cancelled.
+    StartLasting {
+        /// The order.
+        order: Box<StartOrder>,
+        /// Whether the order waits for room on the worker for a while if it has none now.
+        waits_for_room: bool,
+    },
 }
 
 impl PeerMessage {
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -8,7 +8,7 @@
 
 use super::owner::{WorkerOwner, keys_where};
 use super::refusal::{refusal, refusal_of};
-use super::run::{Run, RunPhase};
+use super::run::{OrderKind, Run, RunPhase};
 use crate::context::Context;
 use crate::{
     Authority, CallId, Outbox, PeerMessage, ReportedEnd, StartOrder, StartOutcome, StartRefusal,
@@ -32,7 +32,7 @@
         context: Context<'_>,
         from: &ProcessId,
         order: StartOrder,
-        may_wait: bool,
+        kind: OrderKind,
         out: &mut Outbox,
     ) {
         let is_admitted = self.admits(context.ownership, order.authority);
@@ -69,7 +69,7 @@
             return;
         }
         let refusal = refusal(context, worker, self.interference(), &order, is_admitted);
-        if refusal == Some(StartRefusal::NoRoom) && may_wait && worker.may_hold(&order) {
+        if refusal == Some(StartRefusal::NoRoom) && kind.waits_for_room && worker.may_hold(&order) {
             self.hold_order(context, &name, order);
             return;
         }
@@ -87,7 +87,8 @@
         }
         let order = Arc::new(order);
         if let Some(worker) = self.worker_mut(&name) {
-            let ordered = Run::ordered(order, context.moment.now);
+            let mut ordered = Run::ordered(order, context.moment.now);
+            ordered.is_lasting = kind.is_lasting;
             worker.runs.insert(run, ordered);
         }
         self.send_start(context, &name, run, out);
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -7,7 +7,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::isolation::Isolation;
-use super::run::Run;
+use super::run::{OrderKind, Run};
 use super::worker::Worker;
 use crate::context::Context;
 use crate::ownership::Ownership;
@@ -173,8 +173,19 @@
         out: &mut Outbox,
     ) -> Option<PeerMessage> {
         match message {
-            PeerMessage::Start(order) => self.on_start(context, from, *order, false, out),
-            PeerMessage::StartWhenRoom(order) => self.on_start(context, from, *order, true, out),
+            PeerMessage::Start(order) => {
+                self.on_start(context, from, *order, OrderKind::default(), out);
+            }
+            PeerMessage::StartLasting {
+                order,
+                waits_for_room,
+            } => {
+                let kind = OrderKind {
+                    is_lasting: true,
+                    waits_for_room,
+                };
+                self.on_start(context, from, *order, kind, out);
+            }
             PeerMessage::Stop {
                 authority,
                 worker,
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -26,6 +26,15 @@
     },
 }
 
+/// How the owner of a worker treats a start order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct OrderKind {
+    /// Whether the run lasts until its job is cancelled.
+    pub(crate) is_lasting: bool,
+    /// Whether the order waits for room if there is none.
+    pub(crate) waits_for_room: bool,
+}
+
 /// A run on a worker, as the worker's owner sees it.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Run {
@@ -33,6 +42,8 @@
     pub(crate) details: Option<RunDetails>,
     /// The start order, if this process has ordered the run.
     pub(crate) order: Option<Arc<StartOrder>>,
+    /// Whether it is known to run until its job is cancelled.
+    pub(crate) is_lasting: bool,
     /// Its phase.
     pub(crate) phase: RunPhase,
     /// The start or stop call in progress.
@@ -79,6 +90,7 @@
         Self {
             details: None,
             order: None,
+            is_lasting: false,
             phase: RunPhase::Running { since: now },
             call: None,
             start_token: None,
@@ -113,6 +125,11 @@
         self.details.as_ref().is_some_and(|details| details.filler)
     }
 
+    /// Returns whether the run is likely to last: a run with a latency target serves requests.
+    pub(crate) fn is_likely_lasting(&self) -> bool {
+        self.is_lasting || self.latency_target_ms().is_some()
+    }
+
     /// Returns the processor time that the run would use, in millicores; 0 if not known.
     pub(crate) fn wanted_millicores(&self) -> u64 {
         let details = self.details.as_ref();
--- a/crates/turmericfold-fleet/src/workers/waiting_starts.rs
+++ b/crates/turmericfold-fleet/src/workers/waiting_starts.rs
@@ -121,7 +121,8 @@
         let run = waiting.order.run;
         if let Some(worker) = self.worker_mut(name) {
             worker.waiting_orders.remove(run);
-            let ordered = Run::ordered(Arc::clone(&waiting.order), context.moment.now);
+            let mut ordered = Run::ordered(Arc::clone(&waiting.order), context.moment.now);
+            ordered.is_lasting = true;
             worker.runs.insert(run, ordered);
         }
         log::info!(
@@ -139,16 +140,16 @@
     /// enough room for it and for the orders that wait already.
     pub(super) fn may_hold(&self, order: &StartOrder) -> bool {
         let held = self.waiting_orders.resources();
-        let serving = self.serving_resources();
-        let needed = order.details.resources.plus(&held).plus(&serving);
+        let lasting = self.lasting_resources();
+        let needed = order.details.resources.plus(&held).plus(&lasting);
         !order.details.filler && needed.fits_in(&self.entry.capacity)
     }
 
-    /// Returns the resources that runs with a latency target reserve; they last.
-    fn serving_resources(&self) -> Resources {
-        let details = self.runs.values().filter_map(|run| run.details.as_ref());
-        details
-            .filter(|details| details.latency_target_ms.is_some())
+    /// Returns the resources that the runs that are likely to last reserve.
+    fn lasting_resources(&self) -> Resources {
+        let lasting = self.runs.values().filter(|run| run.is_likely_lasting());
+        lasting
+            .filter_map(|run| run.details.as_ref())
             .fold(Resources::default(), |sum, details| {
                 sum.plus(&details.resources)
             })
--- a/tests/features/room_waits.rs
+++ b/tests/features/room_waits.rs
@@ -35,6 +35,7 @@
     out: Outbox,
     worker: TaskWorkerModel,
     batch_work_ms: Option<u64>,
+    lasting_millicores: u64,
     now_ms: u64,
     started: Vec<RunKey>,
     messages: Vec<PeerMessage>,
@@ -48,6 +49,7 @@
             out: Outbox::new(process(0, 1)),
             worker: TaskWorkerModel::new(capacity, MonotonicMs(1_000)),
             batch_work_ms,
+            lasting_millicores: 4_000,
             now_ms: 1_000,
             started: Vec::new(),
             messages: Vec::new(),
@@ -71,7 +73,7 @@
     /// Orders a run that needs half of the worker and waits for room.
     fn order_lasting(&mut self) {
         let lasting = order(LASTING_JOB, 1, 4_000);
-        self.send(PeerMessage::StartWhenRoom(Box::new(lasting)));
+        self.send(start_when_room(lasting));
         self.run_for(REACTION_MS);
         assert!(!self.has_started_lasting(), "there is no room");
         assert_eq!(self.outcome_of(LASTING_JOB), None);
@@ -153,7 +155,10 @@
 
     fn behaviour(&self, run: RunKey) -> TaskBehaviour {
         let is_batch = run.task.job == BATCH_JOB;
-        let millicores = if is_batch { 6_000 } else { 4_000 };
+        let millicores = match is_batch {
+            true => 6_000,
+            false => self.lasting_millicores,
+        };
         TaskBehaviour {
             resources: Resources::new(millicores, 1 << 30),
             work_ms: self.batch_work_ms.filter(|_| is_batch),
@@ -203,6 +208,13 @@
     }
 }
 
+fn start_when_room(order: StartOrder) -> PeerMessage {
+    PeerMessage::StartLasting {
+        order: Box::new(order),
+        waits_for_room: true,
+    }
+}
+
 fn entry(draining: bool) -> WorkerEntry {
     WorkerEntry {
         id: InstanceName::new(WORKER),
@@ -289,7 +301,22 @@
     let mut harness = RoomWaitHarness::new(Some(BATCH_WORK_MS));
     harness.order_lasting();
     let excess = order(BATCH_JOB, 2, 6_000);
-    harness.send(PeerMessage::StartWhenRoom(Box::new(excess)));
+    harness.send(start_when_room(excess));
+    let refused = StartOutcome::Refused(StartRefusal::NoRoom);
+    assert_eq!(harness.outcome_of(BATCH_JOB), Some(refused));
+}
+
+/// Guards against orders that wait for room that lasting runs never leave.
+#[test]
+fn lasting_runs_leave_nothing() {
+    let mut harness = RoomWaitHarness::new(Some(BATCH_WORK_MS));
+    harness.lasting_millicores = 2_000;
+    let first = order(LASTING_JOB, 1, harness.lasting_millicores);
+    harness.send(start_when_room(first));
+    harness.run_for(REACTION_MS);
+    assert!(harness.has_started_lasting());
+    let second = order(BATCH_JOB, 2, 7_000);
+    harness.send(start_when_room(second));
     let refused = StartOutcome::Refused(StartRefusal::NoRoom);
     assert_eq!(harness.outcome_of(BATCH_JOB), Some(refused));
 }
@@ -309,7 +336,7 @@
     harness.order_lasting();
     harness.deliver(obstacle.event());
     let lasting = order(LASTING_JOB, 1, 4_000);
-    harness.send(PeerMessage::StartWhenRoom(Box::new(lasting)));
+    harness.send(start_when_room(lasting));
     harness.run_for(2 * BATCH_WORK_MS);
     assert!(!harness.has_started_lasting(), "the run has started");
     let outcome = harness.outcome_of(LASTING_JOB);
