--- a/tests/features/unheard_workers.rs
+++ b/tests/features/unheard_workers.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use turmericfold_jobs::{JobId, JobSpec, JobState};
 use turmericfold_tests::cut_fleet::{
-    LEASE_MS, NODES, cut_mixed_fleet, finite_job, lasting_job, silence,
+    CUT_AT_MS, LEASE_MS, NODES, cut_mixed_fleet, finite_job, lasting_job, silence,
 };
 use turmericfold_tests::fleet_world::{FaultKind, FaultPlan, FleetWorld};
 
@@ -92,3 +92,39 @@
         .with_fault(RESTARTED_AT_MS, restart);
     assert_lasting_tasks_run(seed, plan);
 }
+
+/// Guards against lasting tasks that wait for a worker whose registration is gone and unknown.
+#[rstest]
+fn unregistered_worker_delays_none(#[values(1, 2, 3, 4)] seed: u64) {
+    let kill = FaultKind::KillAll { down_ms: DOWN_MS };
+    let restart = FaultKind::RestartWorker { worker: 1 };
+    let plan = silence(1, SILENT_MS)
+        .with_fault(KILLED_AT_MS, kill)
+        .with_fault(RESTARTED_AT_MS, restart);
+    let mut world = cut_mixed_fleet(NODES, seed, plan, spec_of);
+    world.unregister_worker(0);
+    world.run_for(LEASE_MS + IDLE_LIMIT_MS);
+    for job in (2..=6).step_by(2).map(JobId) {
+        let running = world.running_tasks(job).len();
+        assert_eq!(running, 2, "running tasks of the lasting job {job}");
+    }
+}
+
+/// Guards against a takeover that waits for a process which is suspended and owns workers.
+#[rstest]
+fn frozen_owner_delays_none(
+    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(0, 1, 2)] frozen: usize,
+    #[values(1, 2)] offset: usize,
+) {
+    let freeze = FaultKind::Freeze {
+        node: frozen,
+        for_ms: SILENT_MS,
+    };
+    let restart = FaultKind::RestartWorker { worker: 1 };
+    let plan = FaultPlan::new()
+        .with_fault(CUT_AT_MS, freeze)
+        .with_fault(KILLED_AT_MS, kill((frozen + offset) % NODES))
+        .with_fault(RESTARTED_AT_MS, restart);
+    assert_lasting_tasks_run(seed, plan);
+}
