--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -16,7 +16,7 @@
 use crate::context::Context;
 use crate::jobs::{Caller, JobOwner};
 use crate::membership::Membership;
-use crate::ownership::Ownership;
+use crate::ownership::{FleetState, Ownership};
 use crate::peer_call_numbers::PeerCallNumbers;
 use crate::registrations::Registrations;
 use crate::workers::WorkerOwner;
@@ -177,15 +177,13 @@
                 Unit::Jobs(shard) => jobs.has_recovered(*shard),
                 Unit::Worker(worker) => workers.has_heard(worker),
             };
-            self.ownership.tick(
-                moment,
-                &self.membership,
-                &self.registrations,
-                self.configuration.as_deref(),
-                should_hand_over,
-                is_complete,
-                out,
-            );
+            let fleet = FleetState {
+                membership: &self.membership,
+                registrations: &self.registrations,
+                configuration: self.configuration.as_deref(),
+            };
+            self.ownership
+                .tick(moment, fleet, should_hand_over, is_complete, out);
         }
         self.apply_ownership_changes(moment, out);
         self.handle_own_messages(moment, out);
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -5,12 +5,12 @@
 use turmericfold_platform::{PlatformError, StoreCall, StoreReply, StoreVersion, Transaction};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
+use super::fleet_state::FleetState;
 use super::owned::{Owned, OwnershipChange};
 use super::search_pacing::SearchPacing;
 use crate::keys;
 use crate::membership::Membership;
-use crate::registrations::Registrations;
-use crate::{CallId, Configuration, Moment, Outbox, Unit};
+use crate::{CallId, Moment, Outbox, Unit};
 
 /// The delay between the registration of a process and its first claim, in
 /// milliseconds, so that processes that start together get even shares.
@@ -147,15 +147,18 @@
     pub(crate) fn tick<IsComplete>(
         &mut self,
         moment: Moment,
-        membership: &Membership,
-        registrations: &Registrations,
-        configuration: Option<&Configuration>,
+        fleet: FleetState<'_>,
         should_hand_over: bool,
         is_complete: IsComplete,
         out: &mut Outbox,
     ) where
         IsComplete: Fn(&Unit) -> bool,
     {
+        let FleetState {
+            membership,
+            registrations,
+            configuration,
+        } = fleet;
         self.track_members(moment, membership);
         let is_ready = self.loaded && membership.is_loaded() && self.claim_call.is_none();
         if !is_ready || !moment.has_reached(self.next_claim_at) {
