Pause orders that wait for room after a round of refusals

Cause: where lasting runs fill all workers, each refuses a waiting order at once, and the task was ordered on the next worker at once.

An offer with room is taken at any time.

--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -7,8 +7,8 @@
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::caller::Caller;
-use crate::ReportedEnd;
-use crate::policy::room_wait::RefusalCounts;
+use super::room_refusals::RoomRefusals;
+use crate::{Moment, ReportedEnd};
 
 /// An end of a run that was reported to the owner of its job.
 ///
@@ -63,8 +63,8 @@
     pub(crate) is_writing: bool,
     /// The workers on which runs have failed, by task.
     pub(crate) failed_on: BTreeMap<TaskKey, Vec<InstanceName>>,
-    /// How often workers have refused each interrupted task for want of room.
-    pub(crate) room_refusals: BTreeMap<TaskKey, RefusalCounts>,
+    /// The refusals of each interrupted task for want of room.
+    pub(crate) room_refusals: BTreeMap<TaskKey, RoomRefusals>,
     /// The ends that will be recorded with the next write of the progress.
     pub(crate) unrecorded_ends: Vec<ReceivedEnd>,
     /// The callers that wait for the job to be stored.
@@ -122,10 +122,15 @@
         self.unrecorded_ends.iter().any(is_same)
     }
 
-    /// Counts that a worker has refused to start an interrupted task for want of room.
-    pub(crate) fn count_room_refusal(&mut self, task: TaskKey, worker: &InstanceName) {
-        let counts = self.room_refusals.entry(task).or_default();
-        *counts.entry(worker.clone()).or_default() += 1;
+    /// Records that a worker has refused to start an interrupted task for want of room.
+    pub(crate) fn record_room_refusal(
+        &mut self,
+        moment: Moment,
+        task: TaskKey,
+        worker: &InstanceName,
+    ) {
+        let refusals = self.room_refusals.entry(task).or_default();
+        refusals.record(moment, worker);
     }
 
     /// Marks the progress as different from the stored progress.
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod recovery;
 mod recovery_log;
 mod requests;
+mod room_refusals;
 mod schedule;
 mod shard;
 mod tracked_runs;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -371,7 +371,7 @@
                     .on_refusal(context.moment, worker, refusal, waits_for_room);
                 if let Some(entry) = self.jobs.get_mut(&run.task.job) {
                     if waits_for_room {
-                        entry.count_room_refusal(run.task, worker);
+                        entry.record_room_refusal(context.moment, run.task, worker);
                     }
                     entry.job.discard_refused_run(run);
                 }
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -12,15 +12,16 @@
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
 use super::recovery::details_of;
+use super::room_refusals::RoomRefusals;
 use super::tracked_runs::TrackedRun;
 use crate::context::Context;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 use crate::policy::placement::{Demand, choose_offer};
-use crate::policy::room_wait::{RefusalCounts, choose_room_wait};
+use crate::policy::room_wait::choose_room_wait;
 use crate::policy::urgency::{Urgency, urgency};
 use crate::workers::WorkerOwner;
-use crate::{Configuration, JobShard, Outbox, PeerMessage, StartOrder, Unit};
+use crate::{Configuration, JobShard, Moment, Outbox, PeerMessage, StartOrder, Unit};
 
 impl JobOwner {
     /// Starts all tasks that can be started now.
@@ -119,7 +120,8 @@
                 self.start_gang(context, interference, &service, task, offers, out);
                 continue;
             }
-            let Some(chosen) = self.choose_worker(interference, &service, task, offers) else {
+            let chosen = self.choose_worker(context.moment, interference, &service, task, offers);
+            let Some(chosen) = chosen else {
                 // All tasks of a step have the same requirements, so if there is no offer
                 // for one, there is none for the others.
                 skipped_step = step;
@@ -145,6 +147,7 @@
     /// with room, or the one on which the order waits for room.
     fn choose_worker(
         &self,
+        moment: Moment,
         interference: &InterferenceModel,
         service: &ServiceName,
         task: TaskKey,
@@ -154,11 +157,14 @@
         if with_room.is_some() || !self.may_wait_for_room(task) {
             return with_room;
         }
-        let no_refusals = RefusalCounts::new();
+        let no_refusals = RoomRefusals::default();
         let entry = self.jobs.get(&task.job)?;
         let refusals = entry.room_refusals.get(&task).unwrap_or(&no_refusals);
+        if refusals.is_paused(moment) {
+            return None;
+        }
         self.choose_by_demand(service, task, |demand| {
-            choose_room_wait(demand, refusals, offers)
+            choose_room_wait(demand, refusals.counts(), offers)
         })
     }
 
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -26,6 +26,7 @@
 mod fleet_takeover;
 mod floods;
 mod forwarding;
+mod full_fleets;
 mod gangs;
 mod graceful_shutdown;
 mod interrupted_tasks;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -24,7 +24,7 @@
 use turmericfold_fleet::{
     CallId, CallerAnswer, Configuration, Event, FleetNode, Moment, Outbox, WorkerCall,
 };
-use turmericfold_jobs::{JobId, JobSpec, TaskKey};
+use turmericfold_jobs::{JobId, JobSpec, RunNumber, TaskKey};
 use turmericfold_platform::{StoreCall, StoreVersion, WorkerEntry};
 use turmericfold_standin::{StoreModel, TaskBehaviour, TaskWorkerModel};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
@@ -208,6 +208,11 @@
         self.oracle.running_tasks(job)
     }
 
+    /// Returns the highest number of a run in progress, if there is one.
+    pub fn highest_run_number(&self) -> Option<RunNumber> {
+        self.oracle.highest_run_number()
+    }
+
     /// Returns the active faults for modification.
     pub fn faults_mut(&mut self) -> &mut Faults {
         &mut self.faults
--- a/tests/src/fleet_world/oracle.rs
+++ b/tests/src/fleet_world/oracle.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use turmericfold_jobs::{JobId, JobSpec, JobState, RunEnd, RunKey, StepSpec, TaskKey};
+use turmericfold_jobs::{JobId, JobSpec, JobState, RunEnd, RunKey, RunNumber, StepSpec, TaskKey};
 use turmericfold_standin::WorkerEvent;
 use turmericfold_types::{InstanceName, MonotonicMs};
 
@@ -103,6 +103,12 @@
             .collect()
     }
 
+    /// Returns the highest number of a run in progress, if there is one.
+    pub fn highest_run_number(&self) -> Option<RunNumber> {
+        let running = self.tasks.values().flat_map(|task| task.running.keys());
+        running.map(|run| run.number).max()
+    }
+
     pub(super) fn expect_job(&mut self, job: JobId, spec: &JobSpec) {
         self.specs.insert(job, spec.clone());
     }
