Spread the orders of one pass that wait for room over the workers

Cause (found in review, by reading): an offer's free resources end at zero, so equally full workers tie, and one pass sent all its waiting orders to the same worker, which holds only as many as fit.

Change: the number of orders that the pass has placed on a worker beyond its free resources counts before its missing resources.

Measured: no test of its own; room_waits and interrupted_tasks pass.

--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -27,6 +27,8 @@
     pub is_backed_off: bool,
     /// Whether the worker has just refused an order of this process that may wait for room.
     pub refuses_waiting: bool,
+    /// The number of orders that this pass has placed beyond the free resources.
+    pub orders_beyond_free: u32,
 }
 
 impl Offer {
@@ -37,12 +39,14 @@
             is_own,
             is_backed_off: false,
             refuses_waiting: false,
+            orders_beyond_free: 0,
         }
     }
 
     /// Reserves the resources of a run, and spare processor time if it is a filler.
     pub fn reserve(&mut self, resources: &Resources, filler_millicores: u64) {
         let worker = &mut self.worker;
+        self.orders_beyond_free += u32::from(!resources.fits_in(&worker.free));
         worker.free = worker.free.minus(resources);
         let used = resources.cpu_millicores + filler_millicores;
         worker.spare_millicores = worker.spare_millicores.saturating_sub(used);
--- a/crates/turmericfold-fleet/src/policy/room_wait.rs
+++ b/crates/turmericfold-fleet/src/policy/room_wait.rs
@@ -17,6 +17,8 @@
 struct Score {
     /// How often the worker has refused the task.
     refusals: Reverse<u32>,
+    /// The number of orders that this pass has placed beyond its free resources.
+    orders_beyond_free: Reverse<u32>,
     /// Whether the task has not failed on the worker.
     has_not_failed: bool,
     /// The part of the worker that other runs must leave, in thousandths.
@@ -47,6 +49,7 @@
     let refused = refusals.get(&worker.worker).copied().unwrap_or_default();
     Score {
         refusals: Reverse(refused),
+        orders_beyond_free: Reverse(offer.orders_beyond_free),
         has_not_failed: !demand.failed_on.contains(&worker.worker),
         missing_permille: Reverse(missing_permille(&demand.step.counted_resources(), worker)),
         is_own: offer.is_own,
