Count a worker as replaced only after a later report of the watch

Cause (found in review, by reading): a worker may restart under its name at another address, of which a late watch has not told its owner yet; the answer of another worker at the old address then said that it has no runs.

Change: it counts once its registration is gone and the watch has reported since. It is not usable meanwhile.

--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -110,7 +110,7 @@
         name: &InstanceName,
         out: &mut Outbox,
     ) {
-        let worker = self.worker(name).filter(|worker| has_left(worker));
+        let worker = self.worker(name).filter(|worker| self.has_left(worker));
         if worker.is_some_and(|worker| !worker.runs.is_empty()) && context.has_valid_registration {
             self.end_all(context, name, EndEvidence::WorkerLeft, out);
         }
@@ -162,7 +162,7 @@
         let is_unresponsive = worker
             .last_answer_at
             .is_none_or(|last_answer_at| moment.since_ms(last_answer_at) > self.lease_ms);
-        if !is_unresponsive && !has_left(worker) {
+        if !is_unresponsive && !self.has_left(worker) {
             return false;
         }
         let is_lease_expired = self.have_earlier_leases_expired(moment, departed_since);
@@ -170,10 +170,18 @@
             worker.runs.is_empty() && worker.ends.values().all(|tracked| tracked.is_recorded);
         match worker.last_answer_at {
             Some(_) => has_nothing_to_report,
-            None => (is_lease_expired && self.is_gone(worker)) || has_left(worker),
+            None => (is_lease_expired && self.is_gone(worker)) || self.has_left(worker),
         }
     }
 
+    /// Returns whether a worker has certainly left: another worker has taken its place, or it
+    /// was draining, its registration is gone, and its address refuses connections.
+    fn has_left(&self, worker: &Worker) -> bool {
+        let has_left_as_announced =
+            !worker.registered && worker.entry.draining && worker.connection_refused;
+        has_left_as_announced || worker.is_replaced(self.registrations_reported_at)
+    }
+
     /// Returns the workers that have left for good and have nothing left to report.
     pub(crate) fn departed(&self, moment: Moment) -> Vec<InstanceName> {
         self.workers()
@@ -183,13 +191,6 @@
     }
 }
 
-/// Returns whether a worker has certainly left: its registration is gone, and another worker
-/// answers at its address, or it was draining and its address refuses connections.
-fn has_left(worker: &Worker) -> bool {
-    let has_left_as_announced = worker.entry.draining && worker.connection_refused;
-    !worker.registered && (worker.is_replaced || has_left_as_announced)
-}
-
 fn log_end(moment: Moment, worker: &Worker, end: &ReportedEnd, evidence: EndEvidence) {
     log::info!(
         run:% = end.ended.run,
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -321,8 +321,9 @@
         for authority in shards {
             self.raise_authority(*authority);
         }
+        let reported_at = self.registrations_reported_at;
         for worker in self.workers.values() {
-            if let Some(report) = worker.recovery_report(Some(query_id)) {
+            if let Some(report) = worker.recovery_report(Some(query_id), reported_at) {
                 out.send(from, PeerMessage::RecoveryReport(report));
             } else if self.is_idle_unheard(context, worker) {
                 let message = PeerMessage::LeasesExpired {
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -110,10 +110,10 @@
             }
             Ok(PollReply::OtherWorker) => {
                 worker.next_poll_at = context.moment + FENCED_RETRY_MS;
-                if !worker.is_replaced {
+                if worker.replaced_at.is_none() {
                     log::warn!(worker:% = name, epoch = worker.epoch.0, address = worker.entry.address.as_str(), runs = worker.runs.len(); "another worker answers at this address; the expected worker is gone, and its runs have ended");
                 }
-                worker.is_replaced = true;
+                worker.replaced_at.get_or_insert(context.moment.now);
                 self.end_all(context, name, EndEvidence::WorkerReplaced, out);
             }
             Err(error) => {
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -95,8 +95,8 @@
     pub(crate) next_poll_at: MonotonicMs,
     /// Whether its address refused the connection of the last poll.
     pub(crate) connection_refused: bool,
-    /// Whether another worker answered the last poll at its address, so that it is gone.
-    pub(crate) is_replaced: bool,
+    /// When another worker first answered a poll at its address, if the last answer was such.
+    pub(crate) replaced_at: Option<MonotonicMs>,
     /// The number of polls in a row without an answer.
     pub(crate) unanswered_polls: u32,
     /// The error of the last poll without an answer; empty if there was none.
@@ -152,7 +152,7 @@
             poll: None,
             next_poll_at: now,
             connection_refused: false,
-            is_replaced: false,
+            replaced_at: None,
             unanswered_polls: 0,
             last_poll_error: EcoString::new(),
             unheard_logged_at: now,
@@ -189,7 +189,7 @@
         self.fenced = false;
         self.expiry_reported_at = None;
         self.presumed_lost = false;
-        self.is_replaced = false;
+        self.replaced_at = None;
     }
 
     /// Resets what does not outlast a restart of the worker, and raises the token, as the
@@ -206,10 +206,17 @@
     /// Handles a new address: a poll of the former one says nothing about the worker now.
     pub(crate) fn on_moved(&mut self) {
         self.poll = None;
-        self.is_replaced = false;
+        self.replaced_at = None;
         self.connection_refused = false;
     }
 
+    /// Returns whether another worker has taken its place: one answers at its address, and the
+    /// watch of the workers, which last reported at `reported_at`, knows no new address.
+    pub(crate) fn is_replaced(&self, reported_at: MonotonicMs) -> bool {
+        let is_confirmed = |replaced_at: MonotonicMs| reported_at >= replaced_at;
+        !self.registered && self.replaced_at.is_some_and(is_confirmed)
+    }
+
     /// Returns whether the worker can take new runs.
     pub(crate) fn is_usable(&self, moment: Moment) -> bool {
         let answered_recently = self
@@ -219,6 +226,7 @@
             && self.authorities_known
             && !self.fenced
             && !self.has_later_owner
+            && self.replaced_at.is_none()
             && self.has_seen_token()
             && !self.entry.draining
             && answered_recently
@@ -356,9 +364,14 @@
     }
 
     /// Returns the runs that may be in progress and the ends not recorded yet, once both are
-    /// known; both are empty if the worker is gone or counts as lost without an answer.
-    pub(crate) fn recovery_report(&self, query_id: Option<u64>) -> Option<RecoveryReport> {
-        let is_known = self.has_listed_all || self.presumed_lost || self.is_replaced;
+    /// known; both are empty if the worker is replaced or counts as lost without an answer.
+    /// The watch of the workers last reported at `reported_at`.
+    pub(crate) fn recovery_report(
+        &self,
+        query_id: Option<u64>,
+        reported_at: MonotonicMs,
+    ) -> Option<RecoveryReport> {
+        let is_known = self.has_listed_all || self.presumed_lost || self.is_replaced(reported_at);
         (is_known && self.authorities_known).then(|| RecoveryReport {
             worker: self.id.clone(),
             worker_epoch: self.epoch,
--- a/tests/features/replaced_workers.rs
+++ b/tests/features/replaced_workers.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Reports that the registration of the worker is gone.
+    fn unregister(&mut self) {
+        let gone = WorkerChange::Unregistered(InstanceName::new(WORKER));
+        self.deliver(Event::WorkersChanged(vec![gone]));
+    }
+
     /// Returns the report on the worker that a peer receives, if any.
     fn report(&mut self) -> Option<RecoveryReport> {
         self.out.messages.clear();
@@ -134,6 +140,8 @@
     let mut owner = NewOwner::new();
     assert_eq!(owner.report(), None, "nothing is known of the worker");
     owner.answer_as_other();
+    assert_eq!(owner.report(), None, "it may have a new address");
+    owner.unregister();
     let report = owner.report().expect("the worker is gone");
     assert_eq!(report.worker_epoch, WORKER_EPOCH);
     assert_eq!(report.runs, []);
@@ -146,11 +154,21 @@
     let mut owner = NewOwner::new();
     owner.answer_as_other();
     assert!(!owner.removes_owner(), "the worker may register again");
-    let gone = WorkerChange::Unregistered(InstanceName::new(WORKER));
-    owner.deliver(Event::WorkersChanged(vec![gone]));
+    owner.unregister();
     assert!(owner.removes_owner(), "the replaced worker is kept");
 }
 
+/// Guards against a report on a worker whose new address the watch has not reported yet.
+#[test]
+fn late_watch_reports_nothing() {
+    let mut owner = NewOwner::new();
+    owner.unregister();
+    owner.answer_as_other();
+    assert_eq!(owner.report(), None, "it may have a new address");
+    owner.deliver(Event::WorkersChanged(Vec::new()));
+    assert!(owner.report().is_some(), "the worker is gone");
+}
+
 /// Guards against taking the answer at a former address for one at the new address.
 #[test]
 fn moved_worker_is_unknown() {
