--- a/crates/turmericfold-fleet/src/jobs/room_refusals.rs
+++ b/crates/turmericfold-fleet/src/jobs/room_refusals.rs
@@ -5,8 +5,8 @@
 use crate::Moment;
 use crate::policy::room_wait::RefusalCounts;
 
-/// The number of refusals in a row after which the task pauses: it is tried on some workers
-/// at once, as most refuse at once if lasting runs fill them.
+/// The number of refusals in a row after which the task pauses. A worker that lasting runs fill
+/// refuses immediately, so a few workers are tried in quick succession.
 const REFUSALS_PER_ROUND: u32 = 4;
 
 /// The first pause, in milliseconds; it doubles with every round.
