Send summaries to some peers a round, and search for room at intervals

Change: a round of summaries (300 ms) reaches 8 peers, in turns by weight; views from other rounds expire after 500 ms. A process that may lose its registration, or owns a worker that does not answer, sends to all and requests answers, so the argument on renewals in an outage of the store holds as before. Numbers of waiting jobs are asked for when a caller asks. Passes over the startable tasks follow each other after 40 ms at least; summaries are shared instead of copied; progress is reported for leaving workers only; estimates of peers are merged at intervals. The harness of late_reports lets the time of a pass go by.

--- a/crates/turmericfold-fleet/src/caller_messages.rs
+++ b/crates/turmericfold-fleet/src/caller_messages.rs
@@ -56,6 +56,10 @@
     StoreUnavailable,
     /// The owner of the job is unknown or not ready yet.
     OwnerUnavailable,
+    /// The process that received the request has no time for it.
+    ProcessBusy,
+    /// The process that received the request is about to end.
+    ProcessStopping,
 }
 
 impl RefusalReason {
@@ -65,6 +69,8 @@
             Self::Overloaded => "overloaded",
             Self::StoreUnavailable => "store_unavailable",
             Self::OwnerUnavailable => "owner_unavailable",
+            Self::ProcessBusy => "process_busy",
+            Self::ProcessStopping => "process_stopping",
         }
     }
 }
--- a/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
+++ b/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
@@ -1,29 +1,35 @@
 //! The free resources of the workers in the whole fleet.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::tracked_runs::TrackedRuns;
 use crate::context::Context;
+use crate::node::MAX_RECEIVERS;
 use crate::policy::offer::Offer;
 use crate::workers::WorkerOwner;
 use crate::{Moment, StartRefusal, Summary, Unit, WorkerSummary};
 
 /// The age from which a peer's summary is ignored, so that its workers get no runs, in
-/// milliseconds; four intervals between summaries.
+/// milliseconds, if every round of summaries reaches all peers; some rounds.
 const MAX_SUMMARY_AGE_MS: u64 = 1_500;
 
-/// The time for which a worker that has refused a run gets no more runs, in
-/// milliseconds; one interval between summaries, so that a newer summary is known then.
+/// The same if a round reaches only some peers: their orders would meet those of the peers
+/// that the next rounds reach.
+const MAX_ROUND_AGE_MS: u64 = 500;
+
+/// The time for which a worker that has refused a run gets no more runs, in milliseconds:
+/// until a newer summary is known, or this one is ignored.
 const REFUSAL_BACKOFF_MS: u64 = 300;
 
 /// The last summary of a peer about its workers.
 #[derive(Debug)]
 struct PeerResources {
     received_at: MonotonicMs,
-    workers: Vec<WorkerSummary>,
+    workers: Vec<Arc<WorkerSummary>>,
 }
 
 /// The free resources of the workers in the whole fleet.
@@ -87,12 +93,20 @@
         let moment = context.moment;
         self.backoffs
             .retain(|_, backoff| backoff.until > moment.now);
+        let peer_count = context.membership.members().count().saturating_sub(1);
+        let max_age_ms = match peer_count <= MAX_RECEIVERS {
+            true => MAX_SUMMARY_AGE_MS,
+            false => MAX_ROUND_AGE_MS,
+        };
         self.peers
-            .retain(|_, peer| moment.since_ms(peer.received_at) < MAX_SUMMARY_AGE_MS);
+            .retain(|_, peer| moment.since_ms(peer.received_at) < max_age_ms);
         let own_offers = workers
             .workers()
             .filter(|worker| worker.is_usable(moment))
-            .map(|worker| Offer::new(worker.summary(moment, workers.interference()), true));
+            .map(|worker| {
+                let summary = worker.summary(moment, workers.interference());
+                Offer::new(Arc::new(summary), true)
+            });
         let peer_offers = self
             .peers
             .iter()
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -26,6 +26,10 @@
 /// The interval between reviews of all runs and shards, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 200;
 
+/// The minimum interval between two passes over the startable tasks, in milliseconds: a pass
+/// reads the whole view of the fleet's resources, so it must not follow every event.
+const MIN_PASS_INTERVAL_MS: u64 = 40;
+
 /// The owner of jobs, which schedules their runs and persists their progress.
 #[derive(Debug)]
 pub(crate) struct JobOwner {
@@ -38,6 +42,9 @@
     pub(super) job_retention_ms: u64,
     /// Whether a change since the last attempt may allow more tasks to start.
     pub(super) should_start_tasks: bool,
+    /// When the next pass over the startable tasks may begin.
+    next_pass_at: MonotonicMs,
+    passes: u64,
     pub(super) query_numbers: PeerCallNumbers,
     /// The recovery queries about workers that have a new owner.
     pub(super) worker_queries: BTreeMap<InstanceName, WorkerQuery>,
@@ -67,6 +74,8 @@
             waiting_steps: WaitingSteps::default(),
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
+            next_pass_at: MonotonicMs::default(),
+            passes: 0,
             query_numbers: PeerCallNumbers::new(&settings.member.process),
             worker_queries: BTreeMap::new(),
             finished_jobs: VecDeque::new(),
@@ -122,6 +131,12 @@
                 .all(|entry| entry.is_stored && entry.dirty_since.is_none())
     }
 
+    /// Returns how often this process has searched the fleet's resources for room for the
+    /// startable tasks.
+    pub(crate) fn passes(&self) -> u64 {
+        self.passes
+    }
+
     /// Handles a peer's summary.
     pub(crate) fn on_summary(&mut self, moment: Moment, summary: &Summary) {
         self.fleet_resources.on_summary(moment, summary);
@@ -203,9 +218,12 @@
         }
         self.write_due(context.moment, out);
         if self.should_start_tasks
+            && context.moment.has_reached(self.next_pass_at)
             && let Some(configuration) = configuration
         {
             self.should_start_tasks = false;
+            self.next_pass_at = context.moment + MIN_PASS_INTERVAL_MS;
+            self.passes += 1;
             self.start_tasks(context, workers, configuration, out);
         }
     }
--- a/crates/turmericfold-fleet/src/membership.rs
+++ b/crates/turmericfold-fleet/src/membership.rs
@@ -18,6 +18,10 @@
 /// compared to the time to live.
 const REGISTRATION_RETRY_MS: u64 = 200;
 
+/// The remaining time from which a registration is not safe, in milliseconds: some renewals
+/// have failed, and exchanges with the peers take a while.
+const SAFE_REGISTRATION_MS: u64 = 700;
+
 /// The time for which units are not claimed after several registrations vanished at
 /// once, in milliseconds.
 ///
@@ -110,6 +114,13 @@
         self.registered && moment.now < self.lease_expires_at && self.has_read_registration()
     }
 
+    /// Returns whether the registration is valid and will be for a while, though no renewal of
+    /// it arrives any more.
+    pub(crate) fn is_safely_registered(&self, moment: Moment) -> bool {
+        let now = moment + SAFE_REGISTRATION_MS;
+        self.has_valid_registration(Moment { now, ..moment })
+    }
+
     /// Returns whether the watch has reported the current registration, and with it all
     /// earlier changes: those of owners are reported by the same watch.
     fn has_read_registration(&self) -> bool {
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -96,8 +96,8 @@
     /// Lists the runs that may be in progress on a worker and its unrecorded ends.
     #[serde(rename = "Account")]
     RecoveryReport(RecoveryReport),
-    /// Sends the free resources of the sender's workers and its number of waiting jobs.
-    Summary(Summary),
+    /// Sends the free resources of the sender's workers.
+    Summary(Arc<Summary>),
     /// Forwards a caller's request to the owner of its job.
     Forward {
         /// The identifier of the request, which the answer repeats.
@@ -155,9 +155,45 @@
         /// The identifier of the query that the message answers.
         query_id: u64,
     },
+    /// Requests a summary from a peer, as the sender must know whether it hears the peer.
+    SummaryRequest,
+    /// Asks for the numbers of waiting jobs of all shards that the receiver owns.
+    PendingQuery,
+    /// Sends the numbers of jobs that wait for their first start, for every shard that the
+    /// sender owns and has loaded.
+    PendingReport(Vec<ShardPending>),
 }
 
 impl PeerMessage {
+    /// Returns the kind of the message, as counted in logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Start(_) | Self::StartLasting { .. } => "start order",
+            Self::StartAnswer { outcome, .. } => match outcome {
+                StartOutcome::Started => "started",
+                StartOutcome::Refused(_) => "refused start",
+            },
+            Self::Stop { .. } => "stop order",
+            Self::EndsReported { .. } => "ends",
+            Self::EndsRecorded { .. } | Self::InferredEndsRecorded { .. } => "recorded ends",
+            Self::RunsFound { .. } => "found runs",
+            Self::RunDetails { .. } => "run details",
+            Self::RunsProgressed { .. } => "progress",
+            Self::RecoveryQuery { .. } => "recovery query",
+            Self::RecoveryReport(_) => "recovery report",
+            Self::Summary(_) => "summary",
+            Self::Forward { .. } => "forwarded request",
+            Self::Answer { .. } => "answer",
+            Self::Configuration(_) => "configuration",
+            Self::ConfigurationRequest { .. } => "configuration request",
+            Self::RunsExpired { .. } => "expired runs",
+            Self::LeasesExpired { .. } => "expired leases",
+            Self::SummaryRequest => "summary request",
+            Self::PendingQuery => "pending query",
+            Self::PendingReport(_) => "pending report",
+        }
+    }
+
     /// Returns whether the message may be so large that messages sent with it would be late.
     pub fn is_large(&self) -> bool {
         matches!(self, Self::Configuration(_))
@@ -286,7 +322,7 @@
     pub ends: Vec<ReportedEnd>,
 }
 
-/// The periodic report of a process to all its peers.
+/// The periodic report of a process to some of its peers, to all in turn.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// The process.
@@ -294,10 +330,8 @@
     /// The version of its configuration; 0 if it has none.
     pub configuration: u64,
     /// The workers that it owns.
-    pub workers: Vec<WorkerSummary>,
-    /// The jobs that wait for their first start, for every shard that it owns and has loaded.
-    pub pending: Vec<ShardPending>,
-    /// Its estimates of how fillers slow latency-critical tasks; empty in most summaries.
+    pub workers: Vec<Arc<WorkerSummary>>,
+    /// Its estimates of how fillers slow latency-critical tasks.
     pub effects: Vec<EffectEstimate>,
 }
 
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -2,16 +2,18 @@
 
 mod changes;
 mod configuration_sync;
+mod pending;
 mod pending_reports;
 mod requests;
 mod summary;
+mod summary_rounds;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use turmericfold_jobs::JobId;
 use turmericfold_platform::{PlatformError, StoreReply};
-use turmericfold_types::{MonotonicMs, ProcessId};
+use turmericfold_types::ProcessId;
 
 use crate::context::Context;
 use crate::jobs::{Caller, JobOwner};
@@ -26,6 +28,8 @@
 use configuration_sync::ConfigurationSync;
 use pending_reports::PendingReports;
 use requests::{ForwardedRequest, OwnershipCheck, WaitingRequest};
+use summary::OwnSummaries;
+pub(crate) use summary_rounds::MAX_RECEIVERS;
 
 /// The state machine of one process of the fleet.
 ///
@@ -46,8 +50,7 @@
     forward_numbers: PeerCallNumbers,
     ownership_checks: BTreeMap<CallId, OwnershipCheck>,
     pending_reports: PendingReports,
-    next_summary_at: MonotonicMs,
-    summaries_sent: u64,
+    summaries: OwnSummaries,
     stopping: bool,
     me: ProcessId,
 }
@@ -70,8 +73,7 @@
             forward_numbers: PeerCallNumbers::new(&me),
             ownership_checks: BTreeMap::new(),
             pending_reports: PendingReports::default(),
-            next_summary_at: MonotonicMs::default(),
-            summaries_sent: 0,
+            summaries: OwnSummaries::new(me.clone()),
             stopping: false,
             me,
         }
@@ -114,6 +116,12 @@
         self.ownership.searches()
     }
 
+    /// Returns how often this process has searched the fleet's resources for room for the
+    /// startable tasks, which takes time in proportion to the workers that it knows.
+    pub fn placement_passes(&self) -> u64 {
+        self.jobs.passes()
+    }
+
     /// Returns whether this process owns the shard of a job and has loaded it.
     pub fn owns_job(&self, job: JobId) -> bool {
         self.jobs.can_answer(job)
@@ -204,7 +212,7 @@
         self.retry_waiting(moment, out);
         self.expire_forwarded(moment, out);
         self.request_configuration(moment, out);
-        self.send_summary(moment, out);
+        self.send_summaries(moment, out);
     }
 
     /// Handles the messages from this process to itself.
@@ -257,7 +265,10 @@
             return;
         };
         match message {
-            PeerMessage::Summary(summary) => self.on_summary(moment, from, summary),
+            PeerMessage::Summary(summary) => self.on_summary(moment, from, &summary),
+            PeerMessage::SummaryRequest => self.on_summary_request(moment, from, out),
+            PeerMessage::PendingQuery => self.on_pending_query(from, out),
+            PeerMessage::PendingReport(reports) => self.on_pending_report(moment, reports),
             PeerMessage::Configuration(configuration) => self.on_configuration(configuration),
             PeerMessage::ConfigurationRequest { version } => {
                 self.on_configuration_request(from, version, out);
--- /dev/null
+++ b/crates/turmericfold-fleet/src/node/pending.rs
@@ -0,0 +1,70 @@
+//! Counts the jobs of the whole fleet that wait for their first start.
+//!
+//! The owners of shards are asked for their numbers when a caller asks, and their reports are
+//! used for a while.
+
+use std::collections::BTreeSet;
+
+use turmericfold_jobs::QueueName;
+use turmericfold_types::ProcessId;
+
+use super::FleetNode;
+use crate::{JobShard, Moment, Outbox, PeerMessage, ShardPending, Unit};
+
+impl FleetNode {
+    /// Sends a peer the numbers of waiting jobs of all shards that this process owns.
+    pub(super) fn on_pending_query(&mut self, from: &ProcessId, out: &mut Outbox) {
+        let reports = self.jobs.pending();
+        out.send(from, PeerMessage::PendingReport(reports));
+    }
+
+    /// Handles the reports of a peer on the waiting jobs of its shards.
+    pub(super) fn on_pending_report(&mut self, moment: Moment, reports: Vec<ShardPending>) {
+        for report in reports {
+            self.record_pending(moment, report);
+        }
+    }
+
+    /// Returns the number of jobs of a queue in the whole fleet that wait for their first
+    /// start, or a shard whose waiting jobs are unknown; then the owners of all such shards are
+    /// queried.
+    pub(super) fn pending(
+        &mut self,
+        moment: Moment,
+        queue: &QueueName,
+        out: &mut Outbox,
+    ) -> Result<u64, JobShard> {
+        for report in self.jobs.pending() {
+            self.record_pending(moment, report);
+        }
+        if let Some(shard) = self.pending_reports.first_missing(moment) {
+            self.query_pending(moment, out);
+            return Err(shard);
+        }
+        Ok(self.pending_reports.count(queue))
+    }
+
+    /// Records a report on the waiting jobs of a shard, unless a later owner of the shard is
+    /// known: the former owner does not know the shard's newer jobs.
+    fn record_pending(&mut self, moment: Moment, report: ShardPending) {
+        let owned = self.ownership.owner(&Unit::Jobs(report.authority.shard));
+        if owned.is_none_or(|owned| owned.epoch <= report.authority.epoch) {
+            self.pending_reports.record(moment, report);
+        }
+    }
+
+    fn query_pending(&mut self, moment: Moment, out: &mut Outbox) {
+        if !self.pending_reports.start_query(moment) {
+            return;
+        }
+        let owner = |shard: JobShard| {
+            let owned = self.ownership.owner(&Unit::Jobs(shard))?;
+            Some(owned.owner.process.clone())
+        };
+        let missing = self.pending_reports.missing(moment);
+        let owners: BTreeSet<ProcessId> = missing.filter_map(owner).collect();
+        for owner in owners.iter().filter(|owner| **owner != self.me) {
+            out.send(owner, PeerMessage::PendingQuery);
+        }
+    }
+}
--- a/crates/turmericfold-fleet/src/node/pending_reports.rs
+++ b/crates/turmericfold-fleet/src/node/pending_reports.rs
@@ -9,9 +9,13 @@
 use crate::{Authority, JobShard, Moment, PendingJobs, ShardPending};
 
 /// The time for which a report is used, in milliseconds; callers may get counts that are
-/// 2 s old, of which a summary can spend some time on its way.
+/// 2 s old, of which a report can spend some time on its way.
 const MAX_REPORT_AGE_MS: u64 = 1_700;
 
+/// The interval between queries to the owners of shards without a recent report, in
+/// milliseconds: some exchanges between processes.
+const QUERY_RETRY_MS: u64 = 200;
+
 /// The last report of a shard's owner on its waiting jobs.
 #[derive(Debug)]
 struct Report {
@@ -33,6 +37,7 @@
 #[derive(Debug, Default)]
 pub(super) struct PendingReports {
     by_shard: BTreeMap<JobShard, Report>,
+    next_query_at: MonotonicMs,
 }
 
 impl PendingReports {
@@ -53,12 +58,27 @@
 
     /// Returns the first shard without a recent report, if there is one.
     pub(super) fn first_missing(&self, moment: Moment) -> Option<JobShard> {
-        JobShard::all().find(|shard| {
+        self.missing(moment).next()
+    }
+
+    /// Returns the shards without a recent report.
+    pub(super) fn missing(&self, moment: Moment) -> impl Iterator<Item = JobShard> {
+        JobShard::all().filter(move |shard| {
             let report = self.by_shard.get(shard);
             !report.is_some_and(|report| report.is_recent(moment))
         })
     }
 
+    /// Returns whether the owners of shards without a recent report are to be queried now, and
+    /// counts them as queried if so.
+    pub(super) fn start_query(&mut self, moment: Moment) -> bool {
+        let is_due = moment.has_reached(self.next_query_at);
+        if is_due {
+            self.next_query_at = moment + QUERY_RETRY_MS;
+        }
+        is_due
+    }
+
     /// Returns the number of waiting jobs of a queue in all reports.
     pub(super) fn count(&self, queue: &QueueName) -> u64 {
         self.by_shard
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -77,7 +77,7 @@
         let CallerRequest::Pending { queue } = &request else {
             return;
         };
-        match self.pending(moment, queue) {
+        match self.pending(moment, queue, out) {
             Ok(pending) => caller.answer(CallerAnswer::Pending(pending), out),
             Err(shard) => {
                 log::debug!(shard:% = shard, queue:% = queue; "shard has no recent report on its waiting jobs; the request for their number waits");
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -1,80 +1,146 @@
-//! Exchanges summaries of free resources and waiting jobs with the peers.
+//! Exchanges summaries of free resources with the peers.
+//!
+//! Each round, some peers get a summary. A process that must know whether it hears most of its
+//! peers sends to all of them, and requests an answer.
 
-use turmericfold_jobs::QueueName;
-use turmericfold_types::ProcessId;
+use std::sync::Arc;
+
+use turmericfold_types::{MonotonicMs, ProcessId};
 
 use super::FleetNode;
-use crate::{JobShard, Moment, Outbox, PeerMessage, ShardPending, Summary, Unit};
+use super::summary_rounds::SummaryRounds;
+use crate::{Moment, Outbox, PeerMessage, Summary};
 
-/// The interval between summaries to the peers, in milliseconds.
+/// The interval between rounds of summaries, in milliseconds.
 const SUMMARY_INTERVAL_MS: u64 = 300;
 
-/// One in this many summaries includes the interference estimates.
-const SUMMARIES_PER_ESTIMATES: u64 = 8;
+/// The age up to which the last summary to a peer answers its request, in milliseconds;
+/// shorter than an interval.
+const MAX_ANSWER_AGE_MS: u64 = 250;
+
+/// The age up to which a summary is sent again as it is, in milliseconds.
+const MAX_REUSE_MS: u64 = 50;
+
+/// The interval at which the interference estimates of the peers are merged, in milliseconds.
+const MERGE_INTERVAL_MS: u64 = 2_400;
+
+/// The summaries of this process.
+#[derive(Debug)]
+pub(super) struct OwnSummaries {
+    rounds: SummaryRounds,
+    next_round_at: MonotonicMs,
+    last: Option<(MonotonicMs, Arc<Summary>)>,
+    next_merge_at: MonotonicMs,
+}
+
+impl OwnSummaries {
+    /// Creates the state of the process `me`, which has sent no summary.
+    pub(super) fn new(me: ProcessId) -> Self {
+        Self {
+            rounds: SummaryRounds::new(me),
+            next_round_at: MonotonicMs::default(),
+            last: None,
+            next_merge_at: MonotonicMs::default(),
+        }
+    }
+}
 
 impl FleetNode {
     /// Handles a peer's summary.
-    pub(super) fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: Summary) {
-        self.jobs.on_summary(moment, &summary);
-        self.workers.on_summary(moment, from, &summary);
+    pub(super) fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: &Summary) {
+        self.jobs.on_summary(moment, summary);
+        self.workers.on_summary(moment, from, summary);
         self.workers
             .interference_mut()
-            .merge(from, &summary.effects);
+            .record_peer(from, &summary.effects);
         let own_version = self.configuration_version();
         self.configuration_sync
             .on_peer_version(moment, from, summary.configuration, own_version);
-        for report in summary.pending {
-            self.record_pending(moment, report);
-        }
     }
 
-    /// Records a report on the waiting jobs of a shard, unless a later owner of the shard is
-    /// known: the former owner does not know the shard's newer jobs.
-    fn record_pending(&mut self, moment: Moment, report: ShardPending) {
-        let owned = self.ownership.owner(&Unit::Jobs(report.authority.shard));
-        if owned.is_none_or(|owned| owned.epoch <= report.authority.epoch) {
-            self.pending_reports.record(moment, report);
+    /// Answers a peer that must hear this process, unless it was sent a summary just before.
+    pub(super) fn on_summary_request(
+        &mut self,
+        moment: Moment,
+        from: &ProcessId,
+        out: &mut Outbox,
+    ) {
+        let rounds = &self.summaries.rounds;
+        if !rounds.has_sent_within(moment, from, MAX_ANSWER_AGE_MS) {
+            let summary = self.summary(moment);
+            self.send_summary(moment, from, &summary, out);
         }
     }
 
-    /// Returns the number of jobs of a queue in the whole fleet that wait for their first
-    /// start, or a shard whose waiting jobs are unknown.
-    pub(super) fn pending(&mut self, moment: Moment, queue: &QueueName) -> Result<u64, JobShard> {
-        if let Some(shard) = self.pending_reports.first_missing(moment) {
-            return Err(shard);
+    /// Sends a summary to the peers whose turn it is when a round is due, or to all while this
+    /// process must hear them.
+    pub(super) fn send_summaries(&mut self, moment: Moment, out: &mut Outbox) {
+        if !moment.has_reached(self.summaries.next_round_at) {
+            return;
         }
-        for report in self.jobs.pending() {
-            self.record_pending(moment, report);
+        self.summaries.next_round_at = moment + SUMMARY_INTERVAL_MS;
+        self.merge_estimates(moment);
+        let members = self.membership.members();
+        let mut receivers = self.summaries.rounds.next_receivers(members);
+        let must_hear_peers = self.must_hear_peers(moment);
+        if must_hear_peers {
+            let members = self.membership.members();
+            let others = members.filter(|member| member.process != self.me);
+            receivers = others.map(|member| member.process.clone()).collect();
+        }
+        let summary = self.summary(moment);
+        for receiver in receivers {
+            self.send_summary(moment, &receiver, &summary, out);
+            if must_hear_peers {
+                out.send(&receiver, PeerMessage::SummaryRequest);
+            }
         }
-        Ok(self.pending_reports.count(queue))
     }
 
-    /// Sends a summary to all peers when it is due.
-    pub(super) fn send_summary(&mut self, moment: Moment, out: &mut Outbox) {
-        if !moment.has_reached(self.next_summary_at) {
-            return;
+    fn merge_estimates(&mut self, moment: Moment) {
+        if moment.has_reached(self.summaries.next_merge_at) {
+            self.summaries.next_merge_at = moment + MERGE_INTERVAL_MS;
+            let membership = &self.membership;
+            let interference = self.workers.interference_mut();
+            interference.merge_peers(|peer| membership.find(peer).is_some());
         }
-        self.next_summary_at = moment + SUMMARY_INTERVAL_MS;
-        self.summaries_sent += 1;
-        let effects = match self.summaries_sent % SUMMARIES_PER_ESTIMATES {
-            0 => self.workers.interference().estimates(),
-            _ => Vec::new(),
-        };
-        let pending = self.jobs.pending();
-        for report in &pending {
-            self.record_pending(moment, report.clone());
+    }
+
+    /// Returns whether this process must know which peers it hears: its registration may end
+    /// soon, so that only hearing most of them shows that it may renew leases, or a worker does
+    /// not answer it, so that only they show that nobody else renews its lease.
+    fn must_hear_peers(&self, moment: Moment) -> bool {
+        let owns_workers = self.workers.workers().next().is_some();
+        let may_lose_registration = !self.membership.is_safely_registered(moment);
+        (owns_workers && may_lose_registration) || self.workers.has_unheard(moment)
+    }
+
+    fn send_summary(
+        &mut self,
+        moment: Moment,
+        to: &ProcessId,
+        summary: &Arc<Summary>,
+        out: &mut Outbox,
+    ) {
+        self.summaries.rounds.on_sent(moment, to);
+        out.send(to, PeerMessage::Summary(Arc::clone(summary)));
+    }
+
+    /// Returns the current summary.
+    fn summary(&mut self, moment: Moment) -> Arc<Summary> {
+        let is_reusable = |at: MonotonicMs| moment.since_ms(at) < MAX_REUSE_MS;
+        if let Some((at, summary)) = &self.summaries.last
+            && is_reusable(*at)
+        {
+            return Arc::clone(summary);
         }
-        let summary = Summary {
+        let summary = Arc::new(Summary {
             process: self.me.clone(),
             configuration: self.configuration_version(),
             workers: self.workers.summaries(moment),
-            pending,
-            effects,
-        };
-        for member in self.membership.members() {
-            if member.process != self.me {
-                out.send(&member.process, PeerMessage::Summary(summary.clone()));
-            }
-        }
+            effects: self.workers.interference().estimates(),
+        });
+        self.summaries.last = Some((moment.now, Arc::clone(&summary)));
+        summary
     }
 }
--- a/crates/turmericfold-fleet/src/policy/interference.rs
+++ b/crates/turmericfold-fleet/src/policy/interference.rs
@@ -122,6 +122,8 @@
     fillers: Vec<EcoString>,
     models: BTreeMap<EcoString, ImageModel>,
     peer_estimates: BTreeMap<ProcessId, Vec<EffectEstimate>>,
+    /// Whether estimates of a peer have arrived since the last merge.
+    has_new_estimates: bool,
 }
 
 impl InterferenceModel {
@@ -174,12 +176,25 @@
         estimates.filter(|estimate| estimate.weight > 0.0).collect()
     }
 
-    /// Replaces the estimates of a peer, unless `estimates` is empty.
-    pub fn merge(&mut self, peer: &ProcessId, estimates: &[EffectEstimate]) {
-        if estimates.is_empty() {
+    /// Replaces the estimates of a peer, unless `estimates` is empty; they are used after the
+    /// next merge.
+    pub fn record_peer(&mut self, peer: &ProcessId, estimates: &[EffectEstimate]) {
+        if !estimates.is_empty() {
+            self.peer_estimates.insert(peer.clone(), estimates.to_vec());
+            self.has_new_estimates = true;
+        }
+    }
+
+    /// Merges the estimates of the peers for which `is_present`, if any has changed, and
+    /// forgets those of the others.
+    pub fn merge_peers<IsPresent>(&mut self, is_present: IsPresent)
+    where
+        IsPresent: Fn(&ProcessId) -> bool,
+    {
+        if !std::mem::take(&mut self.has_new_estimates) {
             return;
         }
-        self.peer_estimates.insert(peer.clone(), estimates.to_vec());
+        self.peer_estimates.retain(|peer, _| is_present(peer));
         let mut merged: BTreeMap<EcoString, BTreeMap<usize, PeerEstimate>> = BTreeMap::new();
         let peer_estimates = std::mem::take(&mut self.peer_estimates);
         for estimate in peer_estimates.values().flatten() {
--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -1,5 +1,7 @@
 //! The resources of a worker that one pass over the tasks can use.
 
+use std::sync::Arc;
+
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::Resources;
 
@@ -20,7 +22,7 @@
 #[derive(Debug, Clone)]
 pub struct Offer {
     /// The worker and its remaining resources.
-    pub worker: WorkerSummary,
+    pub worker: Arc<WorkerSummary>,
     /// Whether this process owns the worker.
     pub is_own: bool,
     /// Whether the worker has just refused a run of this process for want of room.
@@ -33,7 +35,7 @@
 
 impl Offer {
     /// Creates the offer of a worker.
-    pub fn new(worker: WorkerSummary, is_own: bool) -> Self {
+    pub fn new(worker: Arc<WorkerSummary>, is_own: bool) -> Self {
         Self {
             worker,
             is_own,
@@ -45,7 +47,7 @@
 
     /// Reserves the resources of a run, and spare processor time if it is a filler.
     pub fn reserve(&mut self, resources: &Resources, filler_millicores: u64) {
-        let worker = &mut self.worker;
+        let worker = Arc::make_mut(&mut self.worker);
         self.orders_beyond_free += u32::from(!resources.fits_in(&worker.free));
         worker.free = worker.free.minus(resources);
         let used = resources.cpu_millicores + filler_millicores;
@@ -61,7 +63,7 @@
         }
         self.reserve(&step.counted_resources(), step.resources.cpu_millicores);
         let share = self.share(step.resources.cpu_millicores);
-        for slack in &mut self.worker.serving {
+        for slack in &mut Arc::make_mut(&mut self.worker).serving {
             let loss = interference.effect(&slack.image, &step.image) * share;
             slack.slack_permille -= (loss * 1_000.0) as i64;
         }
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of workers, which is the only process that makes calls to them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use turmericfold_jobs::RunKey;
 use turmericfold_platform::{PlatformError, StoreCall, StoreReply, StoreVersion, WorkerEntry};
@@ -118,8 +119,8 @@
     }
 
     /// Returns the summaries of all workers, which peers use to place runs.
-    pub(crate) fn summaries(&self, moment: Moment) -> Vec<WorkerSummary> {
-        let summary = |worker: &Worker| worker.summary(moment, &self.interference);
+    pub(crate) fn summaries(&self, moment: Moment) -> Vec<Arc<WorkerSummary>> {
+        let summary = |worker: &Worker| Arc::new(worker.summary(moment, &self.interference));
         self.workers.values().map(summary).collect()
     }
 
--- a/crates/turmericfold-fleet/src/workers/refusal.rs
+++ b/crates/turmericfold-fleet/src/workers/refusal.rs
@@ -1,5 +1,7 @@
 //! Reasons to refuse orders to start runs.
 
+use std::sync::Arc;
+
 use turmericfold_platform::{PlatformError, StartReply};
 
 use super::worker::Worker;
@@ -42,7 +44,8 @@
     let Some(filler) = Filler::of_run(&order.details) else {
         return true;
     };
-    let offer = Offer::new(worker.summary(context.moment, interference), true);
+    let summary = worker.summary(context.moment, interference);
+    let offer = Offer::new(Arc::new(summary), true);
     filler_value(interference, filler, &offer).is_some()
 }
 
--- a/crates/turmericfold-fleet/src/workers/report.rs
+++ b/crates/turmericfold-fleet/src/workers/report.rs
@@ -6,6 +6,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::owner::WorkerOwner;
+use super::worker::Worker;
 use crate::context::Context;
 use crate::{Outbox, PeerMessage, ReportedEnd, RunProgress};
 
@@ -59,9 +60,11 @@
         }
     }
 
-    /// Reports the progress of all runs to the owners of their jobs.
+    /// Reports the progress of the runs on workers that are about to leave to the owners of
+    /// their jobs, which decide when each run moves.
     pub(super) fn report_progress(&self, context: Context<'_>, out: &mut Outbox) {
-        for worker in self.workers() {
+        let leaving = |worker: &&Worker| context.registrations.leaves_at(&worker.id).is_some();
+        for worker in self.workers().filter(leaving) {
             let mut runs: BTreeMap<ProcessId, Vec<RunProgress>> = BTreeMap::new();
             for (key, run) in &worker.runs {
                 if let Some(owner) = context.job_owner(key) {
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -14,6 +14,10 @@
 /// claimed (see [`super::isolation`]) and a clock of the worker that is 2% slow.
 const EARLIER_LEASE_MARGIN_MS: u64 = 700;
 
+/// The time after which a worker that has not answered its new owner counts as unheard, in
+/// milliseconds; most workers answer the first poll.
+const UNHEARD_AFTER_MS: u64 = 300;
+
 /// The least time between two logs that a worker has not answered, in milliseconds.
 const UNHEARD_LOG_INTERVAL_MS: u64 = 2_000;
 
@@ -44,6 +48,15 @@
             && self.have_earlier_leases_expired(context.moment, renewed_at)
     }
 
+    /// Returns whether a worker has not answered this process, its new owner, for a while.
+    pub(crate) fn has_unheard(&self, moment: Moment) -> bool {
+        self.workers().any(|worker| {
+            worker.last_answer_at.is_none()
+                && !worker.presumed_lost
+                && moment.since_ms(worker.owned_since) >= UNHEARD_AFTER_MS
+        })
+    }
+
     /// Gives up a worker that has not answered this process since its former owner may have
     /// renewed its lease, so that the owners of jobs do not wait for ever for its report.
     ///
--- a/crates/turmericfold/src/fleet/driver.rs
+++ b/crates/turmericfold/src/fleet/driver.rs
@@ -17,6 +17,7 @@
 use turmericfold_platform::{BootClock, Clock, Store, TaskWorkers};
 
 use super::caller_requests::PendingCallerRequest;
+use super::load_report::LoadReport;
 use super::peers::Peers;
 
 /// Interval of the node's tick events, in milliseconds.
@@ -56,6 +57,7 @@
     leaving: Arc<AtomicBool>,
     ready: Arc<AtomicBool>,
     stop_grace_ms: u64,
+    load_report: LoadReport,
 }
 
 /// The channels on which a driver gets its events.
@@ -98,6 +100,7 @@
             leaving: Arc::default(),
             ready: Arc::default(),
             stop_grace_ms: 5_000,
+            load_report: LoadReport::new(Instant::now()),
         }
     }
 
@@ -147,7 +150,10 @@
                 },
                 Some(request) = inputs.requests.recv() => self.caller_event(request),
                 Some(event) = inputs.events.recv() => event,
-                _ = ticks.tick() => Event::Tick,
+                due_at = ticks.tick() => {
+                    self.load_report.on_tick_delay(due_at.elapsed());
+                    Event::Tick
+                }
                 () = wait_for_stop(&mut stop), if stop.is_some() => {
                     stop = None;
                     stopped_at = Some(Instant::now());
@@ -166,9 +172,14 @@
     fn handle(&mut self, event: Event) {
         let moment = self.moment();
         let is_tick = matches!(event, Event::Tick);
+        let kind = self.load_report.on_event(&event);
+        let began_at = Instant::now();
         self.node.handle(moment, event, &mut self.outbox);
+        self.load_report.on_handled(kind, began_at.elapsed());
+        self.load_report.on_outbox(&self.outbox);
         self.carry_out();
         if is_tick {
+            self.load_report.log_if_due(Instant::now());
             self.drop_former_peers();
         }
     }
--- a/crates/turmericfold/src/fleet/mod.rs
+++ b/crates/turmericfold/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod driver;
 mod large_messages;
 mod listeners;
+mod load_report;
 mod peers;
 mod watch;
 
--- a/tests/features/filler_placement.rs
+++ b/tests/features/filler_placement.rs
@@ -1,6 +1,7 @@
 //! The placement of fillers and of tasks with a latency target, tested without a network.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use rstest::rstest;
 use turmericfold_fleet::policy::filler::Filler;
@@ -72,7 +73,7 @@
         usable: true,
         ..WorkerSummary::default()
     };
-    Offer::new(summary, true)
+    Offer::new(Arc::new(summary), true)
 }
 
 fn desk_step() -> StepSpec {
--- a/tests/features/gangs.rs
+++ b/tests/features/gangs.rs
@@ -1,6 +1,7 @@
 //! Gangs: steps whose tasks make progress only while all of them run.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use rstest::rstest;
 use turmericfold_fleet::WorkerSummary;
@@ -135,7 +136,7 @@
         usable: true,
         ..WorkerSummary::default()
     };
-    Offer::new(summary, true)
+    Offer::new(Arc::new(summary), true)
 }
 
 fn place(step: &StepSpec, offers: &[Offer]) -> Option<Vec<usize>> {
--- a/tests/features/large_messages.rs
+++ b/tests/features/large_messages.rs
@@ -1,5 +1,6 @@
 //! Deliveries to a peer over a slow link.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use ecow::eco_format;
@@ -8,7 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use turmericfold::fleet::Peers;
-use turmericfold_fleet::{Configuration, PeerMessage, Route, Summary};
+use turmericfold_fleet::{Configuration, PeerMessage, Route};
 use turmericfold_jobs::QueueName;
 use turmericfold_peer::{Delivery, serve_fleet};
 use turmericfold_tests::fleet_world::configuration;
@@ -58,7 +59,7 @@
     let (event_sender, mut events) = mpsc::channel(16);
     let mut peers = Peers::new(process("entry-0"), event_sender);
     let large = PeerMessage::Configuration(large_configuration().into());
-    let small = PeerMessage::Summary(Summary::default());
+    let small = PeerMessage::Summary(Arc::default());
     let sent_at = Instant::now();
     peers.send(&process("entry-1"), link.address(), vec![large, small]);
     let (mut small_ms, mut large_ms) = (None, None);
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -1,5 +1,7 @@
 //! Reports that reach the owner of a job after newer knowledge.
 
+use std::sync::Arc;
+
 use rstest::rstest;
 use turmericfold_fleet::{
     CallId, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox, PeerMessage,
@@ -34,6 +36,9 @@
     worker_epoch: StoreVersion,
 }
 
+/// The time after which a process searches for room again, in milliseconds.
+const PASS_MS: u64 = 50;
+
 impl JobOwnerHarness {
     fn new() -> Self {
         let member = member(process(0, 1));
@@ -116,12 +121,12 @@
             usable,
             ..WorkerSummary::default()
         };
-        self.receive(PeerMessage::Summary(Summary {
+        self.receive(PeerMessage::Summary(Arc::new(Summary {
             process: process(1, 1),
             configuration: 1,
-            workers: vec![worker],
+            workers: vec![Arc::new(worker)],
             ..Summary::default()
-        }));
+        })));
     }
 
     fn report_end(&mut self, run: RunKey) {
@@ -173,8 +178,10 @@
         messages.into_values().flatten().find_map(query)
     }
 
-    /// Returns the runs that were ordered since the last call.
+    /// Returns the runs that were ordered since the last call, and in a next pass.
     fn ordered_runs(&mut self) -> Vec<RunKey> {
+        self.now_ms += PASS_MS;
+        self.deliver(Event::Tick);
         let messages = std::mem::take(&mut self.out.messages);
         let run = |message| match message {
             PeerMessage::Start(order) => Some(order.run),
--- a/tests/features/successors.rs
+++ b/tests/features/successors.rs
@@ -1,5 +1,7 @@
 //! A process that takes over the jobs of a former process at the same address.
 
+use std::sync::Arc;
+
 use turmericfold_fleet::{
     CallId, CallerAnswer, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox,
     Owner, PeerMessage, RecoveryReport, Summary, WorkerSummary,
@@ -97,12 +99,12 @@
             ends: Vec::new(),
         }));
         self.now_ms += 300;
-        self.receive(PeerMessage::Summary(Summary {
+        self.receive(PeerMessage::Summary(Arc::new(Summary {
             process: process(1, 1),
             configuration: 1,
-            workers: vec![usable_worker()],
+            workers: vec![Arc::new(usable_worker())],
             ..Summary::default()
-        }));
+        })));
     }
 
     fn take_messages(&mut self) -> Vec<PeerMessage> {
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -137,6 +137,8 @@
     last_call: u64,
     oracle: Oracle,
     idle_spans: IdleSpans,
+    /// The messages between nodes so far, by kind.
+    message_counts: BTreeMap<&'static str, u64>,
 }
 
 impl FleetWorld {
@@ -166,6 +168,7 @@
             last_call: 0,
             oracle: Oracle::default(),
             idle_spans: IdleSpans::default(),
+            message_counts: BTreeMap::new(),
         };
         for number in 0..workers {
             world.add_worker(number);
@@ -232,6 +235,18 @@
             .sum()
     }
 
+    /// Returns the number of messages of a kind that the nodes have sent to each other so far.
+    pub fn messages_sent(&self, kind: &str) -> u64 {
+        self.message_counts.get(kind).copied().unwrap_or_default()
+    }
+
+    /// Returns how often the running nodes have searched the fleet's resources for room for
+    /// their tasks so far.
+    pub fn placement_passes(&self) -> u64 {
+        let running = self.nodes.iter().flatten();
+        running.map(|running| running.node.placement_passes()).sum()
+    }
+
     /// Returns the index of the node that owns a job, if any.
     pub fn owner_of(&self, job: JobId) -> Option<usize> {
         self.nodes.iter().position(|running| {
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -132,6 +132,9 @@
         to: &ProcessId,
         messages: Vec<PeerMessage>,
     ) {
+        for message in &messages {
+            *self.message_counts.entry(message.kind()).or_default() += 1;
+        }
         let delay_ms = self.random.random_range(1..8);
         let (copies, messages): (Vec<_>, Vec<_>) =
             messages.into_iter().partition(PeerMessage::is_large);
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::f64::consts::TAU;
+use std::sync::Arc;
 
 use turmericfold_fleet::policy::interference::{FillerUse, InterferenceModel};
 use turmericfold_fleet::policy::offer::Offer;
@@ -197,7 +198,7 @@
             usable: true,
             ..WorkerSummary::default()
         };
-        Offer::new(summary, true)
+        Offer::new(Arc::new(summary), true)
     }
 
     fn set_paces(&mut self) {
