Refuse requests that can't be answered in time, and answer all before the end

Change: the handler takes a request back if the node has not taken it within 900 ms, and refuses it; only one of both can claim it, so the refusal is true. From 1.5 s after SIGTERM, counted from the signal and not from its handling, requests get 503 with Retry-After 0. The server of callers finishes the answers to what it has read before the process ends, at three quarters of the grace time at the latest. A process whose ticks are 700 ms late reports that it is not ready. Readiness is worked out on ticks, not after every event.

Tests: busy_processes (7 cases; the server and the queue did neither before).

--- a/crates/turmericfold/src/commands/enter.rs
+++ b/crates/turmericfold/src/commands/enter.rs
@@ -1,6 +1,7 @@
 //! `turmericfold enter`.
 
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use anyhow::{Context, Result};
 use tokio::signal::unix::{SignalKind, signal};
@@ -18,7 +19,7 @@
 use super::block_on;
 use crate::exit::ExitCode;
 use crate::fleet::{
-    CallerRequestSender, Driver, DriverInputs, Listeners, PlatformDecoder, Watches,
+    CallerRequestSender, Driver, DriverInputs, Listeners, PlatformDecoder, StopTime, Watches,
 };
 use crate::logging::init_platform_logging;
 
@@ -26,6 +27,9 @@
 /// while it is full.
 const QUEUE_LENGTH: usize = 1_024;
 
+/// Timeout of sending the last answers to callers before the process ends, in milliseconds.
+const LAST_ANSWERS_TIMEOUT_MS: u64 = 400;
+
 /// Runs an entry process on the users' platform until SIGTERM.
 pub(super) fn enter(path: &Path) -> Result<ExitCode> {
     let settings = match SiteSettings::read(path) {
@@ -63,16 +67,21 @@
     )
     .with_stop_grace_ms(settings.stop_grace_ms);
     let handler =
-        CallerRequestSender::new(request_sender, driver.configuration(), driver.leaving());
+        CallerRequestSender::new(request_sender, driver.configuration(), driver.stop_time());
     let watches = Watches::start(store, SiteDecoder, event_sender);
     let mut servers = JoinSet::new();
     servers.spawn(serve_readiness(listeners.ready, driver.ready()));
-    servers.spawn(serve_front(listeners.callers, handler));
+    let (front_stop, front_stopped) = oneshot::channel::<()>();
+    let mut front = JoinSet::new();
+    front.spawn(serve_front(listeners.callers, handler, async {
+        // An error means that the sender is gone, which is an order to stop as well.
+        let _ = front_stopped.await;
+    }));
     servers.spawn(serve_fleet(listeners.peers, delivery_sender));
     let mut signals = JoinSet::new();
     let reload_path = path.clone();
     signals.spawn(log_settings_changes(reload_path, settings.clone()));
-    signals.spawn(wait_for_sigterm(stop_sender));
+    signals.spawn(wait_for_sigterm(driver.stop_time(), stop_sender));
     let inputs = DriverInputs {
         events,
         deliveries,
@@ -80,6 +89,15 @@
         stop,
     };
     driver.run(inputs).await;
+    drop(front_stop);
+    let answered = async { while front.join_next().await.is_some() {} };
+    let limit = Duration::from_millis(LAST_ANSWERS_TIMEOUT_MS);
+    if tokio::time::timeout(limit, answered).await.is_err() {
+        log::warn!(
+            "some callers did not read their last answers in time; their connections are closed"
+        );
+    }
+    front.shutdown().await;
     watches.stop().await;
     servers.shutdown().await;
     signals.shutdown().await;
@@ -87,11 +105,12 @@
     Ok(ExitCode::Done)
 }
 
-async fn wait_for_sigterm(stop: oneshot::Sender<()>) {
+async fn wait_for_sigterm(stop_time: StopTime, stop: oneshot::Sender<()>) {
     let terminate = signal(SignalKind::terminate());
     match terminate {
         Ok(mut terminate) => {
             terminate.recv().await;
+            stop_time.begin();
             if stop.send(()).is_err() {
                 log::debug!("SIGTERM received, but the process is already stopping");
             }
--- a/crates/turmericfold/src/fleet/driver.rs
+++ b/crates/turmericfold/src/fleet/driver.rs
@@ -19,6 +19,7 @@
 use super::caller_requests::PendingCallerRequest;
 use super::load_report::LoadReport;
 use super::peers::Peers;
+use super::stop_time::StopTime;
 
 /// Interval of the node's tick events, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 25;
@@ -27,9 +28,15 @@
 /// so that the platform's load balancer notices before the process ends.
 const MIN_STOP_MS: u64 = 2_500;
 
-/// Time before the end of the grace period at which a stopping process ends even
-/// if it has not handed everything over, in milliseconds.
-const GRACE_MARGIN_MS: u64 = 800;
+/// Part of the grace period after which a stopping process ends even if it has not handed
+/// everything over, in percent; a busy process takes a while to answer its callers and end.
+const MAX_STOP_PERCENT: u128 = 75;
+
+/// Time by which ticks are late from which the process counts as busy, in milliseconds.
+const BUSY_TICK_DELAY_MS: u64 = 700;
+
+/// Time for which a busy process reports that it is not ready, in milliseconds.
+const BUSY_MS: u64 = 1_000;
 
 /// Timeout of the last messages and calls, in milliseconds.
 const CLOSE_TIMEOUT_MS: u64 = 300;
@@ -54,7 +61,8 @@
     callers: HashMap<CallId, oneshot::Sender<CallerAnswer>>,
     last_call: u64,
     configuration: Arc<ArcSwapOption<Configuration>>,
-    leaving: Arc<AtomicBool>,
+    stop_time: StopTime,
+    busy_until: Option<Instant>,
     ready: Arc<AtomicBool>,
     stop_grace_ms: u64,
     load_report: LoadReport,
@@ -97,7 +105,8 @@
             callers: HashMap::new(),
             last_call: 0,
             configuration: Arc::default(),
-            leaving: Arc::default(),
+            stop_time: StopTime::default(),
+            busy_until: None,
             ready: Arc::default(),
             stop_grace_ms: 5_000,
             load_report: LoadReport::new(Instant::now()),
@@ -116,10 +125,10 @@
         self.configuration.clone()
     }
 
-    /// Returns the flag that is set once the process leaves, shared with the handler of
-    /// callers.
-    pub fn leaving(&self) -> Arc<AtomicBool> {
-        self.leaving.clone()
+    /// Returns the time since which the process is stopping, to be set by the receiver of the
+    /// order to stop.
+    pub fn stop_time(&self) -> StopTime {
+        self.stop_time.clone()
     }
 
     /// Returns the flag that is set while this process is ready for callers, shared with
@@ -134,7 +143,6 @@
         let mut ticks = tokio::time::interval(Duration::from_millis(TICK_INTERVAL_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut stop = Some(inputs.stop);
-        let mut stopped_at: Option<Instant> = None;
         loop {
             let event = tokio::select! {
                 Some(ended) = self.calls.join_next() => match ended {
@@ -148,21 +156,24 @@
                     from: delivery.from,
                     messages: delivery.messages,
                 },
-                Some(request) = inputs.requests.recv() => self.caller_event(request),
+                Some(request) = inputs.requests.recv() => match self.caller_event(request) {
+                    Some(event) => event,
+                    None => continue,
+                },
                 Some(event) = inputs.events.recv() => event,
                 due_at = ticks.tick() => {
-                    self.load_report.on_tick_delay(due_at.elapsed());
+                    self.on_tick(due_at);
                     Event::Tick
                 }
                 () = wait_for_stop(&mut stop), if stop.is_some() => {
                     stop = None;
-                    stopped_at = Some(Instant::now());
-                    self.leaving.store(true, Ordering::Relaxed);
+                    self.stop_time.begin();
                     Event::Stop
                 }
             };
             self.handle(event);
-            if stopped_at.is_some_and(|at| self.may_end(at)) {
+            if self.may_end() {
+                inputs.requests.close();
                 self.close().await;
                 return DriverEnd::Stopped;
             }
@@ -179,6 +190,7 @@
         self.load_report.on_outbox(&self.outbox);
         self.carry_out();
         if is_tick {
+            self.publish_readiness();
             self.load_report.log_if_due(Instant::now());
             self.drop_former_peers();
         }
@@ -211,10 +223,10 @@
                 None => log::debug!(peer:% = to; "messages to a non-member are dropped"),
             }
         }
-        self.publish();
+        self.publish_configuration();
     }
 
-    fn publish(&mut self) {
+    fn publish_configuration(&mut self) {
         let node = &self.node;
         if let Some(configuration) = node.configuration()
             && !self
@@ -225,20 +237,40 @@
         {
             self.configuration.store(Some(configuration.clone()));
         }
-        let ready = node.is_ready();
+    }
+
+    fn publish_readiness(&self) {
+        let node = &self.node;
+        let is_busy = self.busy_until.is_some_and(|until| Instant::now() < until);
+        let ready = node.is_ready() && !is_busy && self.stop_time.elapsed().is_none();
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!(ready = ready; "readiness changed; the platform's probes report it");
         }
     }
 
-    fn caller_event(&mut self, request: PendingCallerRequest) -> Event {
+    /// Records by how much a tick that was due at `due_at` is late.
+    fn on_tick(&mut self, due_at: Instant) {
+        let delay = due_at.elapsed();
+        self.load_report.on_tick_delay(delay);
+        if delay >= Duration::from_millis(BUSY_TICK_DELAY_MS) {
+            let delay_ms = delay.as_millis() as u64;
+            log::warn!(delay_ms = delay_ms; "process is behind with its work; it reports that it is not ready for a while");
+            self.busy_until = Some(Instant::now() + Duration::from_millis(BUSY_MS));
+        }
+    }
+
+    /// Returns the event of a caller's request, or `None` if it was refused meanwhile.
+    fn caller_event(&mut self, request: PendingCallerRequest) -> Option<Event> {
+        if !request.claim.try_claim() {
+            return None;
+        }
         self.last_call += 1;
         let call = CallId(self.last_call);
         self.callers.insert(call, request.answer);
-        Event::CallerRequest {
+        Some(Event::CallerRequest {
             call,
             request: request.request,
-        }
+        })
     }
 
     fn call_store(&mut self, request: StoreRequest) {
@@ -274,10 +306,13 @@
         });
     }
 
-    fn may_end(&self, stopped_at: Instant) -> bool {
-        let waited_ms = stopped_at.elapsed().as_millis();
+    fn may_end(&self) -> bool {
+        let Some(stopping_for) = self.stop_time.elapsed() else {
+            return false;
+        };
+        let waited_ms = stopping_for.as_millis();
         let is_idle = self.node.has_handed_over() && self.callers.is_empty();
-        let is_overdue = waited_ms + u128::from(GRACE_MARGIN_MS) >= u128::from(self.stop_grace_ms);
+        let is_overdue = waited_ms * 100 >= u128::from(self.stop_grace_ms) * MAX_STOP_PERCENT;
         is_overdue || (is_idle && waited_ms >= u128::from(MIN_STOP_MS))
     }
 
--- a/crates/turmericfold/src/fleet/mod.rs
+++ b/crates/turmericfold/src/fleet/mod.rs
@@ -6,10 +6,12 @@
 mod listeners;
 mod load_report;
 mod peers;
+mod stop_time;
 mod watch;
 
-pub use caller_requests::{CallerRequestSender, PendingCallerRequest};
+pub use caller_requests::{CallerRequestSender, PendingCallerRequest, RequestClaim};
 pub use driver::{Driver, DriverEnd, DriverInputs};
 pub use listeners::Listeners;
 pub use peers::Peers;
+pub use stop_time::StopTime;
 pub use watch::{PlatformDecoder, Watches};
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -8,6 +8,7 @@
 mod batch_life;
 mod batch_limits;
 mod broken_rules;
+mod busy_processes;
 mod caller_interface;
 mod cancellation;
 mod configuration_pull;
--- a/tests/features/odd_jobs.rs
+++ b/tests/features/odd_jobs.rs
@@ -58,7 +58,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let (sender, mut requests) = mpsc::unbounded_channel();
-    let server = tokio::spawn(serve_front(listener, AcceptingHandler { requests: sender }));
+    let handler = AcceptingHandler { requests: sender };
+    let server = tokio::spawn(serve_front(listener, handler, std::future::pending()));
     let body = format!(r#"{{"spec":"","steps":[{{"count":1,"cpu":1,"mem_mb":{mem_mb}}}]}}"#);
     assert_eq!(submit(&address, body).await, StatusCode::OK);
     let Some(CallerRequest::Submit { spec, .. }) = requests.recv().await else {
