Show contended room to one process a round

All owners of jobs chose the tightest fit among views up to 500 ms old, and an owner forgot its own runs as soon as they were confirmed, though the summary of their worker was older than they.

Change: a worker that has just refused an order for want of room shows its room to one receiver a round, in turns. Among the workers of others a process goes by a rank of its own. Runs are deducted until a summary that can include them. A backoff ends with the next summary. Workers are reviewed every 20 ms and not after every event.

--- a/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
+++ b/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
@@ -5,8 +5,9 @@
 
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::tracked_runs::TrackedRuns;
+use super::tracked_runs::{TrackedRun, TrackedRuns};
 use crate::context::Context;
 use crate::node::MAX_RECEIVERS;
 use crate::policy::offer::Offer;
@@ -21,9 +22,13 @@
 /// that the next rounds reach.
 const MAX_ROUND_AGE_MS: u64 = 500;
 
-/// The time for which a worker that has refused a run gets no more runs, in milliseconds:
-/// until a newer summary is known, or this one is ignored.
-const REFUSAL_BACKOFF_MS: u64 = 300;
+/// The time for which a worker that has refused a run gets no more runs, in milliseconds,
+/// unless a newer summary arrives before.
+const REFUSAL_BACKOFF_MS: u64 = 500;
+
+/// The time by which a run is ordered earlier than its worker's summary arrives and is missing
+/// in it, in milliseconds: the order was on its way to the sender.
+const ORDER_TRANSIT_MS: u64 = 100;
 
 /// The last summary of a peer about its workers.
 #[derive(Debug)]
@@ -43,7 +48,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Backoff {
     until: MonotonicMs,
+    refused_at: MonotonicMs,
     refusal: StartRefusal,
+    /// Whether a later summary shows the room that the worker has.
+    has_newer_summary: bool,
     /// Until when it gets no orders that wait for room either.
     no_waiting_until: MonotonicMs,
 }
@@ -56,6 +64,20 @@
             workers: summary.workers.clone(),
         };
         self.peers.insert(summary.process.clone(), peer);
+        for worker in &summary.workers {
+            self.end_backoff(moment, &worker.worker);
+        }
+    }
+
+    /// Ends the backoff of a worker that lacked room, as its room is known anew.
+    fn end_backoff(&mut self, moment: Moment, worker: &InstanceName) {
+        let Some(backoff) = self.backoffs.get_mut(worker) else {
+            return;
+        };
+        let is_old = moment.since_ms(backoff.refused_at) >= ORDER_TRANSIT_MS;
+        if backoff.refusal == StartRefusal::NoRoom && is_old {
+            backoff.has_newer_summary = true;
+        }
     }
 
     /// Excludes a worker from the offers for a while, as it has refused a run.
@@ -74,7 +96,9 @@
         };
         let backoff = Backoff {
             until,
+            refused_at: moment.now,
             refusal,
+            has_newer_summary: false,
             no_waiting_until,
         };
         self.backoffs.insert(worker.clone(), backoff);
@@ -114,16 +138,49 @@
             .filter(|(process, worker)| {
                 worker.usable && owns(context, process, &worker.worker, worker.epoch)
             })
-            .map(|(_, worker)| Offer::new(worker.clone(), false));
+            .map(|(_, worker)| {
+                let rank = rank(context.ownership.instance(), &worker.worker);
+                Offer::new(worker.clone(), false).with_rank(rank)
+            });
         let mut offers: Vec<Offer> = own_offers
             .chain(peer_offers)
             .filter_map(|offer| self.with_backoff(moment, offer))
             .filter(|offer| !is_draining(context, &offer.worker.worker))
             .collect();
-        deduct_unconfirmed(&mut offers, runs);
+        self.deduct_unreported(&mut offers, runs);
         offers
     }
 
+    /// Deducts the resources of runs on the workers of peers whose summaries may not include
+    /// these runs yet: those that are not confirmed, and those ordered about when or after the
+    /// summary was made.
+    fn deduct_unreported(&self, offers: &mut [Offer], runs: &TrackedRuns) {
+        let received = self.peers.values().flat_map(|peer| {
+            let received_at = peer.received_at;
+            let workers = peer.workers.iter();
+            workers.map(move |worker| (&worker.worker, received_at))
+        });
+        let received: BTreeMap<&InstanceName, MonotonicMs> = received.collect();
+        let is_unreported = |run: &TrackedRun| {
+            let received_at = received.get(&run.worker);
+            !run.is_confirmed
+                || received_at.is_some_and(|at| run.tracked_since + ORDER_TRANSIT_MS >= *at)
+        };
+        let mut unreported: BTreeMap<&InstanceName, Vec<&TrackedRun>> = BTreeMap::new();
+        for (_, run) in runs.iter().filter(|(_, run)| is_unreported(run)) {
+            unreported.entry(&run.worker).or_default().push(run);
+        }
+        if unreported.is_empty() {
+            return;
+        }
+        for offer in offers.iter_mut().filter(|offer| !offer.is_own) {
+            let name = offer.worker.worker.clone();
+            for run in unreported.get(&name).into_iter().flatten() {
+                offer.reserve(&run.resources, run.filler_millicores);
+            }
+        }
+    }
+
     /// Marks the offer of a worker that has just refused a run for want of room; returns
     /// `None` if it has refused one for another reason.
     fn with_backoff(&self, moment: Moment, mut offer: Offer) -> Option<Offer> {
@@ -131,7 +188,7 @@
         if backoff.is_some_and(|backoff| backoff.refusal != StartRefusal::NoRoom) {
             return None;
         }
-        offer.is_backed_off = backoff.is_some();
+        offer.is_backed_off = backoff.is_some_and(|backoff| !backoff.has_newer_summary);
         offer.refuses_waiting =
             backoff.is_some_and(|backoff| backoff.no_waiting_until > moment.now);
         Some(offer)
@@ -157,15 +214,8 @@
     entry.is_some_and(|entry| entry.draining)
 }
 
-/// Deducts the resources of unconfirmed runs on the workers of peers, whose summaries may
-/// not include these runs yet.
-fn deduct_unconfirmed(offers: &mut [Offer], runs: &TrackedRuns) {
-    for (_, tracked) in runs.iter().filter(|(_, tracked)| !tracked.is_confirmed) {
-        let offer = offers
-            .iter_mut()
-            .find(|offer| !offer.is_own && offer.worker.worker == tracked.worker);
-        if let Some(offer) = offer {
-            offer.reserve(&tracked.resources, tracked.filler_millicores);
-        }
-    }
+/// Returns the rank of a worker among those that suit a task equally, for the process on an
+/// instance.
+fn rank(instance: &InstanceName, worker: &InstanceName) -> u64 {
+    xxh3_64_with_seed(worker.0.as_bytes(), xxh3_64(instance.0.as_bytes()))
 }
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod pending;
 mod pending_reports;
 mod requests;
+mod room_shares;
 mod summary;
 mod summary_rounds;
 
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -8,6 +8,7 @@
 use turmericfold_types::{MonotonicMs, ProcessId};
 
 use super::FleetNode;
+use super::room_shares::{Place, share_of};
 use super::summary_rounds::SummaryRounds;
 use crate::{Moment, Outbox, PeerMessage, Summary};
 
@@ -29,6 +30,8 @@
 pub(super) struct OwnSummaries {
     rounds: SummaryRounds,
     next_round_at: MonotonicMs,
+    /// The number of rounds so far.
+    round: u64,
     last: Option<(MonotonicMs, Arc<Summary>)>,
     next_merge_at: MonotonicMs,
 }
@@ -39,6 +42,7 @@
         Self {
             rounds: SummaryRounds::new(me),
             next_round_at: MonotonicMs::default(),
+            round: 0,
             last: None,
             next_merge_at: MonotonicMs::default(),
         }
@@ -89,10 +93,18 @@
             receivers = others.map(|member| member.process.clone()).collect();
         }
         let summary = self.summary(moment);
-        for receiver in receivers {
-            self.send_summary(moment, &receiver, &summary, out);
+        self.summaries.round += 1;
+        let contended = self.workers.contended(moment);
+        for (position, receiver) in receivers.iter().enumerate() {
+            let place = Place {
+                round: self.summaries.round,
+                position,
+                receivers: receivers.len(),
+            };
+            let share = share_of(&summary, &contended, place);
+            self.send_summary(moment, receiver, &share, out);
             if must_hear_peers {
-                out.send(&receiver, PeerMessage::SummaryRequest);
+                out.send(receiver, PeerMessage::SummaryRequest);
             }
         }
     }
--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -31,6 +31,9 @@
     pub refuses_waiting: bool,
     /// The number of orders that this pass has placed beyond the free resources.
     pub orders_beyond_free: u32,
+    /// The rank among workers that suit a task equally; it differs between processes, so that
+    /// they do not all choose the same worker.
+    pub rank: u64,
 }
 
 impl Offer {
@@ -42,9 +45,17 @@
             is_backed_off: false,
             refuses_waiting: false,
             orders_beyond_free: 0,
+            rank: 0,
         }
     }
 
+    /// Sets the rank among workers that suit a task equally; the highest is chosen first.
+    #[must_use]
+    pub fn with_rank(mut self, rank: u64) -> Self {
+        self.rank = rank;
+        self
+    }
+
     /// Reserves the resources of a run, and spare processor time if it is a filler.
     pub fn reserve(&mut self, resources: &Resources, filler_millicores: u64) {
         let worker = Arc::make_mut(&mut self.worker);
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -5,6 +5,10 @@
 //! tasks of one job with a latency target go together: their load rises and falls at the
 //! same time, and whole workers remain on which fillers slow down no such task. A filler
 //! goes where it is fast and takes little slack, and waits if there is no such worker.
+//!
+//! In a full fleet, room appears on few workers at a time, and many processes look for it. A
+//! process knows the workers of others late, so among those it does not choose the tightest
+//! fit, which they all would, but goes by an order of its own.
 
 use std::collections::BTreeMap;
 
@@ -49,7 +53,7 @@
     /// The preference of its kind of task.
     preference: Preference,
     /// The fit: higher with less free processor time, or for a filler with more spare
-    /// processor time.
+    /// processor time; for a worker of another process the rank of the offer.
     fit: u64,
 }
 
@@ -65,6 +69,8 @@
     Filler {
         /// Its speed less its costs, in units of `VALUE_STEP_PERMILLE`.
         value: i64,
+        /// Whether this process owns the worker.
+        is_own: bool,
     },
     /// A task with a latency target.
     Serving(CoLocation),
@@ -135,7 +141,8 @@
         .is_none_or(|rack| worker.labels.contains(rack));
     let preference = if step.filler {
         let value = filler_value(interference, Filler::of_step(step), offer)?;
-        Preference::Filler { value }
+        let is_own = offer.is_own;
+        Preference::Filler { value, is_own }
     } else if step.latency_target_ms.is_some() {
         Preference::Serving(co_location(demand, offer))
     } else {
@@ -143,9 +150,10 @@
             is_own: offer.is_own,
         }
     };
-    let fit = match step.filler {
-        true => worker.spare_millicores,
-        false => u64::MAX - worker.free.cpu_millicores,
+    let fit = match (offer.is_own, step.filler) {
+        (false, _) => offer.rank,
+        (true, true) => worker.spare_millicores,
+        (true, false) => u64::MAX - worker.free.cpu_millicores,
     };
     Some(Score {
         has_not_failed: !demand.failed_on.contains(&worker.worker),
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -83,6 +83,11 @@
             );
             answer(StartOutcome::Refused(refusal), out);
             self.bar(context, &name, run);
+            if refusal == StartRefusal::NoRoom
+                && let Some(worker) = self.worker_mut(&name)
+            {
+                worker.lacked_room_at = Some(context.moment.now);
+            }
             return;
         }
         let order = Arc::new(order);
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -22,6 +22,10 @@
 /// The interval of progress reports to the owners of jobs, in milliseconds.
 const PROGRESS_INTERVAL_MS: u64 = 1_000;
 
+/// The minimum interval between reviews of all workers, in milliseconds: a review reads all
+/// runs, so it must not follow every event.
+const MIN_REVIEW_INTERVAL_MS: u64 = 20;
+
 /// The owner of workers, which tracks their resources and carries out the orders of job
 /// owners.
 #[derive(Debug)]
@@ -38,6 +42,7 @@
     /// unregistered here had not registered again by then.
     pub(super) registrations_reported_at: MonotonicMs,
     next_progress_at: MonotonicMs,
+    next_review_at: MonotonicMs,
     interference: InterferenceModel,
 }
 
@@ -61,6 +66,7 @@
             isolation: Isolation::default(),
             registrations_reported_at: MonotonicMs::default(),
             next_progress_at: MonotonicMs::default(),
+            next_review_at: MonotonicMs::default(),
             interference: InterferenceModel::default(),
         }
     }
@@ -124,6 +130,12 @@
         self.workers.values().map(summary).collect()
     }
 
+    /// Returns the workers on which several processes look for room.
+    pub(crate) fn contended(&self, moment: Moment) -> BTreeSet<InstanceName> {
+        let contended = self.workers().filter(|worker| worker.is_contended(moment));
+        contended.map(|worker| worker.id.clone()).collect()
+    }
+
     /// Handles a new or changed registration of a worker.
     pub(crate) fn on_registered(&mut self, entry: &WorkerEntry) {
         if let Some(worker) = self.workers.get_mut(&entry.id) {
@@ -268,6 +280,18 @@
     pub(crate) fn tick(&mut self, context: Context<'_>, out: &mut Outbox) {
         self.read_authorities(context.moment, out);
         self.isolation.update(context, !self.workers.is_empty());
+        if context.moment.has_reached(self.next_review_at) {
+            self.next_review_at = context.moment + MIN_REVIEW_INTERVAL_MS;
+            self.review_workers(context, out);
+        }
+        if context.moment.has_reached(self.next_progress_at) {
+            self.next_progress_at = context.moment + PROGRESS_INTERVAL_MS;
+            self.report_progress(context, out);
+        }
+    }
+
+    /// Performs the work that is due on each worker.
+    fn review_workers(&mut self, context: Context<'_>, out: &mut Outbox) {
         let names: Vec<InstanceName> = self.workers.keys().cloned().collect();
         for name in &names {
             self.end_departed(context, name, out);
@@ -279,10 +303,6 @@
             self.retry_calls(context, name, out);
             self.resend_reports(context, name, out);
         }
-        if context.moment.has_reached(self.next_progress_at) {
-            self.next_progress_at = context.moment + PROGRESS_INTERVAL_MS;
-            self.report_progress(context, out);
-        }
     }
 
     /// Records the epoch of an order, and returns whether no later owner of the job's shard
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -23,6 +23,10 @@
 /// second that they span and one poll.
 const MEASUREMENT_LAG_MS: u64 = 900;
 
+/// The time after a refusal for want of room for which the room of a worker is contended, in
+/// milliseconds.
+const CONTENDED_MS: u64 = 1_500;
+
 /// The part of their reservation that tasks with a latency target are assumed to use, in
 /// thousandths.
 const DEFAULT_SERVING_USE_PERMILLE: u64 = 550;
@@ -117,6 +121,8 @@
     pub(crate) has_later_owner: bool,
     /// The runs that may be in progress.
     pub(crate) runs: BTreeMap<RunKey, Run>,
+    /// When it last refused a start order for want of room.
+    pub(crate) lacked_room_at: Option<MonotonicMs>,
     /// The start orders that wait for room.
     pub(crate) waiting_orders: WaitingOrders,
     /// The ends that are not recorded yet, or are recorded but still listed.
@@ -162,6 +168,7 @@
             fenced: false,
             has_later_owner: false,
             runs: BTreeMap::new(),
+            lacked_room_at: None,
             waiting_orders: WaitingOrders::default(),
             ends: BTreeMap::new(),
             barred: BTreeMap::new(),
@@ -233,6 +240,12 @@
             && self.runs.values().all(|run| run.details.is_some())
     }
 
+    /// Returns whether several processes look for room on the worker.
+    pub(crate) fn is_contended(&self, moment: Moment) -> bool {
+        let lacked_room_at = self.lacked_room_at;
+        lacked_room_at.is_some_and(|at| moment.since_ms(at) < CONTENDED_MS)
+    }
+
     /// Returns the resources that are reserved neither by runs nor by waiting orders.
     pub(crate) fn free_resources(&self) -> Resources {
         let reserved = self.waiting_orders.resources();
--- a/tests/features/placement_passes.rs
+++ b/tests/features/placement_passes.rs
@@ -1,5 +1,6 @@
 //! How often a process searches the fleet's resources for room for its tasks.
 
+use rstest::rstest;
 use turmericfold_jobs::{JobId, JobSpec, StepSpec};
 use turmericfold_standin::TaskBehaviour;
 use turmericfold_tests::fleet_world::FleetWorld;
@@ -51,3 +52,37 @@
         "{passes} searches, at most {max_passes} expected"
     );
 }
+
+/// The number of processes and workers of a fleet in which all look for room at once.
+const CONTENDERS: usize = 24;
+
+/// Guards against orders that go where another process's order has just gone, or this
+/// process's own, as the summary of the worker is older.
+#[rstest]
+fn few_orders_refused(#[values(1, 2, 3)] seed: u64) {
+    let resources = Resources::new(1_000, 1 << 28);
+    let spec = JobSpec {
+        payload: "visit".into(),
+        steps: vec![StepSpec::new(20, resources, 800)],
+        recurrence: None,
+    };
+    let mut world = FleetWorld::new(seed, CONTENDERS, CONTENDERS);
+    world.run_for(SETTLE_MS);
+    // 15 jobs a second of 20 tasks of 0.8 s ask for a quarter more than the 192 cores.
+    for number in 1..=75 {
+        let node = usize::try_from(number).unwrap() % CONTENDERS;
+        let behaviour = TaskBehaviour {
+            resources,
+            work_ms: Some(400 + number * 137 % 800),
+            always_fails: false,
+        };
+        world.submit(node, JobId(number), spec.clone(), vec![behaviour]);
+        world.run_for(65);
+    }
+    let refused = world.messages_sent("refused start");
+    let begun = world.runs_begun() as u64;
+    assert!(
+        refused <= begun,
+        "{refused} orders were refused for {begun} runs"
+    );
+}
