Put jobs that can't be in time behind those that can

Cause: a job counted as late only once its objective had passed, so in a burst room went to jobs whose remaining steps no longer fitted; a recurring job counted from its acceptance, so its later occurrences were late from the start. Found by reading: a job that recurs four billion times, all due at once, was accepted and would take all memory of each of its owners; estimates near 2^64 overflowed.

Change: lateness is judged by the estimated end of the longest chain that is left, and counts from the due time of the first open occurrence. Tasks of all occurrences are limited to 100,000, amounts saturate. Contended room is shared only by rounds that do not reach all peers, and own orders count as missing in summaries that arrive within 40 ms.

--- a/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
+++ b/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
@@ -28,7 +28,7 @@
 
 /// The time by which a run is ordered earlier than its worker's summary arrives and is missing
 /// in it, in milliseconds: the order was on its way to the sender.
-const ORDER_TRANSIT_MS: u64 = 100;
+const ORDER_TRANSIT_MS: u64 = 40;
 
 /// The last summary of a peer about its workers.
 #[derive(Debug)]
--- a/crates/turmericfold-fleet/src/node/room_shares.rs
+++ b/crates/turmericfold-fleet/src/node/room_shares.rs
@@ -3,7 +3,8 @@
 //! The load: a full fleet, in which all owners of jobs look for room. If several learn of the
 //! room that runs have left on a worker, all but one of their orders are refused. So a worker
 //! that has just refused an order for want of room shows its room to one receiver a round, in
-//! turns. Other workers show it to all.
+//! turns. Other workers show it to all. A round that reaches all peers is not shared: in a small
+//! fleet refused orders cost less than room that is shown to a process without waiting tasks.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -12,6 +13,9 @@
 
 use crate::{Summary, WorkerSummary};
 
+/// The number of receivers of a round that see the room of a contended worker.
+const CONTENDED_RECEIVERS: u64 = 1;
+
 /// The place of a receiver among those of one round.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Place {
@@ -24,11 +28,10 @@
 }
 
 impl Place {
-    /// Returns whether the worker at an index shows its room to this receiver, if only one of
-    /// them may see it.
+    /// Returns whether the worker at an index shows contended room to this receiver.
     fn sees(self, index: u64) -> bool {
         let receivers = self.receivers.max(1) as u64;
-        (self.round + index) % receivers == self.position as u64
+        (self.round + index + self.position as u64) % receivers < CONTENDED_RECEIVERS
     }
 }
 
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -3,6 +3,7 @@
 //! Each round, some peers get a summary. A process that must know whether it hears most of its
 //! peers sends to all of them, and requests an answer.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use turmericfold_types::{MonotonicMs, ProcessId};
@@ -94,7 +95,10 @@
         }
         let summary = self.summary(moment);
         self.summaries.round += 1;
-        let contended = self.workers.contended(moment);
+        let contended = match receivers.len() + 1 < self.membership.members().count() {
+            true => self.workers.contended(moment),
+            false => BTreeSet::new(),
+        };
         for (position, receiver) in receivers.iter().enumerate() {
             let place = Place {
                 round: self.summaries.round,
--- a/crates/turmericfold-fleet/src/policy/urgency.rs
+++ b/crates/turmericfold-fleet/src/policy/urgency.rs
@@ -1,7 +1,8 @@
 //! The order in which tasks are started.
 //!
-//! A burst may ask for more than the fleet has. Jobs that can still be done in time then
-//! go before jobs that cannot.
+//! The load: a burst that asks for more than the fleet has. Jobs that can still be done in time
+//! then go before jobs that cannot, also if their objective has not passed yet: work on them
+//! would make others late as well.
 
 use turmericfold_jobs::{Job, JobSpec, Occurrence, Step, StepSpec};
 
@@ -13,7 +14,7 @@
 pub struct Urgency {
     /// Whether the job is too late to be worth anything.
     pub is_worthless: bool,
-    /// Whether the objective of the job has passed.
+    /// Whether the job can't end within its objective any more, by the caller's estimates.
     pub is_late: bool,
     /// The priority of the queue; the lowest number goes first.
     pub priority: u32,
@@ -25,21 +26,56 @@
 /// Returns the urgency of a job at `unix_ms`, in milliseconds since 1970.
 pub fn urgency(job: &Job, unix_ms: u64) -> Urgency {
     let objective_ms = objective_ms(job);
-    let accepted_ms = job.record.accepted_at_ms;
-    let due_ms = due_ms(job);
+    let begins_ms = begins_ms(job);
+    let ends_ms = unix_ms.saturating_add(remaining_path_ms(job));
+    let ends_after_ms = |objectives: u64| {
+        let limit_ms = objective_ms.saturating_mul(objectives);
+        ends_ms > begins_ms.saturating_add(limit_ms)
+    };
     let long_running = job.spec().is_long_running();
     Urgency {
-        is_worthless: !long_running
-            && unix_ms > accepted_ms + WORTHLESS_AFTER_OBJECTIVES * objective_ms,
-        is_late: !long_running && unix_ms > due_ms,
+        is_worthless: !long_running && ends_after_ms(WORTHLESS_AFTER_OBJECTIVES),
+        is_late: !long_running && ends_after_ms(1),
         priority: job.record.queue.priority,
         remaining_core_ms: remaining_core_ms(job),
     }
 }
 
-/// Returns when the objective of a job passes, in milliseconds since 1970.
+/// Returns when the objective of a job passes, in milliseconds since 1970; for a recurring job
+/// that of its first occurrence that is not done.
 pub fn due_ms(job: &Job) -> u64 {
-    job.record.accepted_at_ms + objective_ms(job)
+    begins_ms(job).saturating_add(objective_ms(job))
+}
+
+/// Returns the time from which the objective of a job counts, in milliseconds since 1970: its
+/// acceptance, or for a recurring job the due time of its first occurrence that is not done.
+fn begins_ms(job: &Job) -> u64 {
+    let accepted_ms = job.record.accepted_at_ms;
+    let Some(recurrence) = job.spec().recurrence else {
+        return accepted_ms;
+    };
+    let mut occurrences = job.occurrences().iter();
+    let first_open = occurrences.find(|(_, occurrence)| !occurrence.is_done());
+    first_open.map_or(accepted_ms, |(number, _)| recurrence.due_ms(*number))
+}
+
+/// Returns the estimated time that the longest chain of dependent steps still takes, in
+/// milliseconds. A step whose tasks all run or are done counts half.
+pub fn remaining_path_ms(job: &Job) -> u64 {
+    let spec = job.spec();
+    let path_ms = |occurrence: &Occurrence| {
+        let steps = spec.steps.iter().zip(&occurrence.steps);
+        longest_path_ms(steps.map(|(spec, step)| {
+            let left_ms = match (step.is_done(), step.waiting_count) {
+                (true, _) => 0,
+                (false, 0) => spec.estimate_ms / 2,
+                (false, _) => spec.estimate_ms,
+            };
+            (spec, left_ms)
+        }))
+    };
+    let paths_ms = job.occurrences().values().map(path_ms);
+    paths_ms.max().unwrap_or_default()
 }
 
 /// Returns the remaining work of a job, in core-milliseconds, by the caller's estimates.
@@ -47,17 +83,14 @@
     let spec = job.spec();
     let step_core_ms = |(step, spec): (&Step, &StepSpec)| {
         let remaining = u64::from(spec.task_count.saturating_sub(step.done_count));
-        remaining * spec.estimate_ms * spec.resources.cpu_millicores / 1_000
+        let task_core_ms = spec
+            .estimate_ms
+            .saturating_mul(spec.resources.cpu_millicores);
+        remaining.saturating_mul(task_core_ms) / 1_000
     };
-    let occurrence_core_ms = |occurrence: &Occurrence| -> u64 {
-        occurrence
-            .steps
-            .iter()
-            .zip(&spec.steps)
-            .map(step_core_ms)
-            .sum()
-    };
-    job.occurrences().values().map(occurrence_core_ms).sum()
+    let steps = job.occurrences().values();
+    let steps = steps.flat_map(|occurrence| occurrence.steps.iter().zip(&spec.steps));
+    steps.map(step_core_ms).fold(0, u64::saturating_add)
 }
 
 /// Returns the objective of a job: its target duration, in milliseconds, by the caller's
@@ -65,16 +98,25 @@
 pub fn objective_ms(job: &Job) -> u64 {
     let queue = &job.record.queue;
     let critical_path_ms = critical_path_ms(job.spec()) as f64;
-    (queue.slack_factor * critical_path_ms) as u64 + queue.target_duration_ms
+    let work_ms = (queue.slack_factor * critical_path_ms) as u64;
+    work_ms.saturating_add(queue.target_duration_ms)
 }
 
 /// Returns the estimated duration of the longest chain of dependent steps, in
 /// milliseconds.
 pub fn critical_path_ms(spec: &JobSpec) -> u64 {
-    let mut ends_ms: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
+    longest_path_ms(spec.steps.iter().map(|step| (step, step.estimate_ms)))
+}
+
+/// Returns the longest chain of dependent steps, each with its duration in milliseconds.
+fn longest_path_ms<'spec, Steps>(steps: Steps) -> u64
+where
+    Steps: Iterator<Item = (&'spec StepSpec, u64)>,
+{
+    let mut ends_ms: Vec<u64> = Vec::new();
+    for (step, duration_ms) in steps {
         let start_ms = start_ms(step, &ends_ms);
-        ends_ms.push(start_ms + step.estimate_ms);
+        ends_ms.push(start_ms.saturating_add(duration_ms));
     }
     ends_ms.into_iter().max().unwrap_or_default()
 }
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -232,8 +232,7 @@
     pub fn next_due_ms(&self) -> Option<u64> {
         let recurrence = self.record.spec.recurrence?;
         let next = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
-        (next < recurrence.count)
-            .then(|| recurrence.first_due_ms + u64::from(next) * recurrence.interval_ms)
+        (next < recurrence.count).then(|| recurrence.due_ms(next))
     }
 
     /// Returns the tasks that may be started now, ordered by occurrence and step.
--- a/crates/turmericfold-jobs/src/spec.rs
+++ b/crates/turmericfold-jobs/src/spec.rs
@@ -7,6 +7,10 @@
 /// The maximum number of tasks in a job, summed over its steps.
 const MAX_TASKS: u64 = 20_000;
 
+/// The maximum number of tasks in a recurring job, summed over its steps and occurrences: all
+/// of them may be due at once, and the owner of the job keeps each one in memory.
+const MAX_RECURRING_TASKS: u64 = 100_000;
+
 /// The reason why a job specification is invalid.
 ///
 /// Such a job is refused whatever the state of the system. The text of the error is
@@ -33,6 +37,11 @@
     /// The job has too many tasks.
     #[error("the job has more than {MAX_TASKS} tasks: split it")]
     TooLarge,
+    /// The job recurs too often for its number of tasks.
+    #[error(
+        "the job has more than {MAX_RECURRING_TASKS} tasks in all its occurrences: let it recur less often"
+    )]
+    TooManyOccurrences,
 }
 
 /// A job as submitted.
@@ -75,6 +84,10 @@
         if tasks > MAX_TASKS {
             return Err(InvalidJobSpec::TooLarge);
         }
+        let recurring_tasks = tasks.saturating_mul(u64::from(self.occurrence_count()));
+        if self.recurrence.is_some() && recurring_tasks > MAX_RECURRING_TASKS {
+            return Err(InvalidJobSpec::TooManyOccurrences);
+        }
         Ok(())
     }
 
@@ -102,6 +115,14 @@
     pub interval_ms: u64,
 }
 
+impl Recurrence {
+    /// Returns the time at which an occurrence is due, in milliseconds since 1970.
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let after_first_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
+        self.first_due_ms.saturating_add(after_first_ms)
+    }
+}
+
 /// A step of a job: a number of tasks with the same requirements.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepSpec {
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -31,6 +31,7 @@
 mod gangs;
 mod graceful_shutdown;
 mod interrupted_tasks;
+mod job_urgency;
 mod journal_ring;
 mod large_fleets;
 mod large_messages;
