Ignore jumps of the time of day that do not last

Cause: lateness of jobs, the pace of fillers and the due times of recurring jobs take the time of day; a jump by seconds made all jobs late or opened occurrences too early.

Change: a process's time of day advances with its monotonic clock.

--- a/crates/turmericfold/src/fleet/driver.rs
+++ b/crates/turmericfold/src/fleet/driver.rs
@@ -20,6 +20,7 @@
 use super::load_report::LoadReport;
 use super::peers::Peers;
 use super::stop_time::StopTime;
+use super::wall_clock::WallClock;
 
 /// Interval of the node's tick events, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 25;
@@ -56,6 +57,7 @@
     store: StoreClient,
     workers: Workers,
     clock: BootClock,
+    wall_clock: WallClock,
     peers: Peers,
     calls: JoinSet<Event>,
     callers: HashMap<CallId, oneshot::Sender<CallerAnswer>>,
@@ -100,6 +102,7 @@
             store,
             workers,
             clock: BootClock,
+            wall_clock: WallClock::default(),
             peers: Peers::new(me, events),
             calls: JoinSet::new(),
             callers: HashMap::new(),
@@ -331,13 +334,13 @@
         }
     }
 
-    fn moment(&self) -> Moment {
+    fn moment(&mut self) -> Moment {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH);
         let unix = unix.unwrap_or_default().as_millis();
-        Moment {
-            now: self.clock.now(),
-            unix_ms: u64::try_from(unix).unwrap_or(u64::MAX),
-        }
+        let unix_ms = u64::try_from(unix).unwrap_or(u64::MAX);
+        let now = self.clock.now();
+        let unix_ms = self.wall_clock.unix_ms(now, unix_ms);
+        Moment { now, unix_ms }
     }
 }
 
--- a/crates/turmericfold/src/fleet/mod.rs
+++ b/crates/turmericfold/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod load_report;
 mod peers;
 mod stop_time;
+mod wall_clock;
 mod watch;
 
 pub use caller_requests::{CallerRequestSender, PendingCallerRequest, RequestClaim};
@@ -14,4 +15,5 @@
 pub use listeners::Listeners;
 pub use peers::Peers;
 pub use stop_time::StopTime;
+pub use wall_clock::WallClock;
 pub use watch::{PlatformDecoder, Watches};
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -11,6 +11,7 @@
 mod busy_processes;
 mod caller_interface;
 mod cancellation;
+mod clock_steps;
 mod configuration_pull;
 mod configuration_series;
 mod control_figures;
