Split three large files of the fleet crate, and type the counts of the load report

membership.rs (441 lines), jobs/owner.rs (414) and workers/owner.rs (419) gave registration.rs, run_ends.rs and authorities.rs; lines were only moved.

--- a/crates/turmericfold-fleet/src/jobs/expired_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/expired_runs.rs
@@ -4,7 +4,8 @@
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, ProcessId};
 
-use super::owner::{JobOwner, reliable_ends};
+use super::owner::JobOwner;
+use super::run_ends::reliable_ends;
 use crate::context::Context;
 use crate::{Outbox, ReportedEnd};
 
--- a/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
+++ b/crates/turmericfold-fleet/src/jobs/fleet_resources.rs
@@ -15,7 +15,7 @@
 use crate::{Moment, StartRefusal, Summary, Unit, WorkerSummary};
 
 /// The age from which a peer's summary is ignored, so that its workers get no runs, in
-/// milliseconds, if every round of summaries reaches all peers; some rounds.
+/// milliseconds, if every round of summaries reaches all peers: a few rounds.
 const MAX_SUMMARY_AGE_MS: u64 = 1_500;
 
 /// The same if a round reaches only some peers: their orders would meet those of the peers
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod recovery_log;
 mod requests;
 mod room_refusals;
+mod run_ends;
 mod run_review;
 mod schedule;
 mod shard;
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -1,5 +1,6 @@
 //! The workers that this process owns.
 
+mod authorities;
 mod clock;
 mod ends;
 mod evidence;
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 
 use turmericfold_jobs::RunKey;
-use turmericfold_platform::{PlatformError, StoreCall, StoreReply, StoreVersion, WorkerEntry};
+use turmericfold_platform::{StoreVersion, WorkerEntry};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
+use super::authorities::AuthoritiesCall;
 use super::isolation::Isolation;
 use super::run::{OrderKind, Run};
 use super::worker::Worker;
 use crate::context::Context;
-use crate::ownership::Ownership;
 use crate::policy::interference::InterferenceModel;
 use crate::registrations::Registrations;
 use crate::{
-    Authority, CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, RunDetails, Summary,
-    Unit, WorkerResult, WorkerSummary, keys,
+    CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, RunDetails, Summary,
+    WorkerResult, WorkerSummary,
 };
 
 /// The interval of progress reports to the owners of jobs, in milliseconds.
@@ -32,11 +32,11 @@
 pub(crate) struct WorkerOwner {
     pub(super) lease_ms: u64,
     pub(super) stop_timeout_ms: u64,
-    workers: BTreeMap<InstanceName, Worker>,
+    pub(super) workers: BTreeMap<InstanceName, Worker>,
     /// The highest known epoch of each job shard's ownership; orders under a lower epoch
     /// are refused.
     pub(super) authorities: BTreeMap<JobShard, StoreVersion>,
-    authorities_call: Option<AuthoritiesCall>,
+    pub(super) authorities_call: Option<AuthoritiesCall>,
     pub(super) isolation: Isolation,
     /// When the watch of the workers, or a read of all, last reported: a worker that is
     /// unregistered here had not registered again by then.
@@ -46,14 +46,6 @@
     interference: InterferenceModel,
 }
 
-/// A store call that reads the owners of all job shards, for the workers that this process
-/// owned when the call was sent.
-#[derive(Debug, Clone, Copy)]
-struct AuthoritiesCall {
-    id: CallId,
-    sent_at: MonotonicMs,
-}
-
 impl WorkerOwner {
     /// Creates the owner of no workers.
     pub(crate) fn new(settings: &FleetSettings) -> Self {
@@ -232,33 +224,6 @@
         None
     }
 
-    /// Handles the result of a store call; returns false if the call was made elsewhere.
-    pub(crate) fn on_store(
-        &mut self,
-        ownership: &mut Ownership,
-        id: CallId,
-        result: &Result<StoreReply, PlatformError>,
-    ) -> bool {
-        let Some(call) = self.authorities_call.filter(|call| call.id == id) else {
-            return false;
-        };
-        self.authorities_call = None;
-        let Ok(StoreReply::Page { keys, .. }) = result else {
-            return true;
-        };
-        ownership.on_page(keys);
-        for shard in JobShard::all() {
-            if let Some(owned) = ownership.owner(&Unit::Jobs(shard)) {
-                let epoch = owned.epoch;
-                self.raise_authority(Authority { shard, epoch });
-            }
-        }
-        for worker in self.workers.values_mut() {
-            worker.authorities_known |= worker.owned_since <= call.sent_at;
-        }
-        true
-    }
-
     /// Handles the result of a call to a worker.
     pub(crate) fn on_call_result(
         &mut self,
@@ -305,22 +270,6 @@
         }
     }
 
-    /// Records the epoch of an order, and returns whether no later owner of the job's shard
-    /// is known.
-    pub(super) fn admits(&mut self, ownership: &Ownership, authority: Authority) -> bool {
-        if let Some(owned) = ownership.owner(&Unit::Jobs(authority.shard)) {
-            let epoch = owned.epoch;
-            self.raise_authority(Authority { epoch, ..authority });
-        }
-        self.raise_authority(authority);
-        self.authorities.get(&authority.shard) == Some(&authority.epoch)
-    }
-
-    fn raise_authority(&mut self, authority: Authority) {
-        let known = self.authorities.entry(authority.shard).or_default();
-        *known = (*known).max(authority.epoch);
-    }
-
     fn on_run_details(&mut self, name: &InstanceName, run: RunKey, details: RunDetails) {
         let run = self
             .workers
@@ -330,46 +279,6 @@
             run.details.get_or_insert(details);
         }
     }
-
-    fn on_recovery_query(
-        &mut self,
-        context: Context<'_>,
-        from: &ProcessId,
-        query_id: u64,
-        shards: &[Authority],
-        out: &mut Outbox,
-    ) {
-        for authority in shards {
-            self.raise_authority(*authority);
-        }
-        let reported_at = self.registrations_reported_at;
-        for worker in self.workers.values() {
-            if let Some(report) = worker.recovery_report(Some(query_id), reported_at) {
-                out.send(from, PeerMessage::RecoveryReport(report));
-            } else if self.is_idle_unheard(context, worker) {
-                let message = PeerMessage::LeasesExpired {
-                    worker: worker.id.clone(),
-                    worker_epoch: worker.epoch,
-                    query_id,
-                };
-                out.send(from, message);
-            }
-        }
-    }
-
-    fn read_authorities(&mut self, moment: Moment, out: &mut Outbox) {
-        let unknown = |worker: &Worker| !worker.authorities_known;
-        if self.authorities_call.is_some() || !self.workers.values().any(unknown) {
-            return;
-        }
-        let id = out.call_store(StoreCall::Range {
-            prefix: keys::OWNERS_PREFIX.into(),
-            after: None,
-            limit: u32::MAX,
-        });
-        let sent_at = moment.now;
-        self.authorities_call = Some(AuthoritiesCall { id, sent_at });
-    }
 }
 
 /// Raises `acknowledged_up_to` to the last recorded end before the first unrecorded one,
--- a/crates/turmericfold/src/fleet/load_report.rs
+++ b/crates/turmericfold/src/fleet/load_report.rs
@@ -1,26 +1,29 @@
-//! Counts what the node handles and sends, and logs it at intervals.
+//! Counts what the node handles and sends, by kind, and logs it at intervals.
+//!
+//! The counts show what keeps a process busy.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::Serialize;
 use tokio::time::Instant;
 use turmericfold_fleet::{Event, Outbox, PeerMessage, WorkerCall, WorkerResult};
 
 /// The interval between reports, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 10_000;
 
-/// How often something happened, and how long its handling took.
-#[derive(Debug, Clone, Copy, Default)]
-struct Count {
-    number: u64,
-    took: Duration,
+/// How often events of a kind were handled, and how long that took.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+struct Handled {
+    events: u64,
+    took_us: u64,
 }
 
 /// The work of a process since the last report, by kind.
 #[derive(Debug)]
 pub(super) struct LoadReport {
     since: Instant,
-    handled: BTreeMap<&'static str, Count>,
+    handled: BTreeMap<&'static str, Handled>,
     received: BTreeMap<&'static str, u64>,
     sent: BTreeMap<&'static str, u64>,
     max_tick_delay: Duration,
@@ -50,9 +53,9 @@
 
     /// Counts an event of a kind that was handled in the time `took`.
     pub(super) fn on_handled(&mut self, kind: &'static str, took: Duration) {
-        let count = self.handled.entry(kind).or_default();
-        count.number += 1;
-        count.took += took;
+        let handled = self.handled.entry(kind).or_default();
+        handled.events += 1;
+        handled.took_us += took.as_micros() as u64;
     }
 
     /// Counts what the node is about to send.
@@ -81,18 +84,10 @@
         if elapsed < Duration::from_millis(REPORT_INTERVAL_MS) {
             return;
         }
-        let handled: BTreeMap<&str, String> = self
-            .handled
-            .iter()
-            .map(|(kind, count)| {
-                let took_ms = count.took.as_micros() as f64 / 1_000.0;
-                (*kind, format!("{} in {took_ms:.1} ms", count.number))
-            })
-            .collect();
         log::info!(
             elapsed_ms = elapsed.as_millis() as u64,
             max_tick_delay_ms = self.max_tick_delay.as_millis() as u64,
-            handled:serde = handled,
+            handled:serde = self.handled,
             received:serde = self.received,
             sent:serde = self.sent;
             "work of the process since the last report"
--- a/tests/features/fleet_jobs.rs
+++ b/tests/features/fleet_jobs.rs
@@ -11,6 +11,9 @@
 const NODES: usize = 4;
 const WORKERS: usize = 8;
 
+/// The number of nodes of a fleet in which a round of summaries does not reach all.
+const MANY_NODES: usize = 14;
+
 /// The time that a fleet needs to become ready after its start, in milliseconds.
 const SETTLE_MS: u64 = 2_000;
 
@@ -43,7 +46,11 @@
 }
 
 fn settled(seed: u64, plan: FaultPlan) -> FleetWorld {
-    let mut world = FleetWorld::new(seed, NODES, WORKERS).with_plan(plan);
+    settled_fleet(seed, NODES, plan)
+}
+
+fn settled_fleet(seed: u64, nodes: usize, plan: FaultPlan) -> FleetWorld {
+    let mut world = FleetWorld::new(seed, nodes, WORKERS).with_plan(plan);
     world.run_for(SETTLE_MS);
     world
 }
@@ -216,6 +223,14 @@
     assert_all_ended(&world);
 }
 
+#[rstest]
+fn many_nodes_keep_promises(#[values(71, 72, 73, 74, 75, 76)] seed: u64) {
+    let mut world = settled_fleet(seed, MANY_NODES, random_plan(seed));
+    submit_jobs(&mut world, seed, 40);
+    finish(&mut world);
+    assert_all_ended(&world);
+}
+
 /// Guards against an owner that refuses all jobs after the refusal of a cancelled one.
 #[test]
 fn refused_cancellation_blocks_nothing() {
