--- a/crates/turmericfold-fleet/src/node/summary_rounds.rs
+++ b/crates/turmericfold-fleet/src/node/summary_rounds.rs
@@ -25,6 +25,8 @@
     next: u64,
     /// Breaks ties in an order that differs between the senders.
     rank: u64,
+    /// Its weight, at least 1.
+    weight: u64,
     /// When it was last sent a summary.
     sent_at: Option<MonotonicMs>,
 }
@@ -47,6 +49,23 @@
 
     /// Returns the peers among `members` whose turn it is, and moves them behind the others.
     pub(super) fn next_receivers<'members, Members>(&mut self, members: Members) -> Vec<ProcessId>
+    where
+        Members: Iterator<Item = &'members Member>,
+    {
+        self.update_peers(members);
+        let mut receivers: Vec<ProcessId> = self.turns.keys().cloned().collect();
+        receivers.sort_by_key(|peer| self.turns.get(peer).map(|turns| (turns.next, turns.rank)));
+        receivers.truncate(MAX_RECEIVERS);
+        for receiver in &receivers {
+            if let Some(turns) = self.turns.get_mut(receiver) {
+                turns.next += STRIDE / turns.weight;
+            }
+        }
+        receivers
+    }
+
+    /// Forgets the peers that are no longer members; new ones are among the next receivers.
+    fn update_peers<'members, Members>(&mut self, members: Members)
     where
         Members: Iterator<Item = &'members Member>,
     {
@@ -56,28 +75,15 @@
             .collect();
         self.turns.retain(|peer, _| peers.contains_key(peer));
         let first = self.turns.values().map(|turns| turns.next).min();
-        let mut order: Vec<(u64, u64, &ProcessId, u64)> = Vec::with_capacity(peers.len());
         for (peer, weight) in peers {
-            let next = first.unwrap_or_default();
-            let rank = rank(&self.me, peer);
-            let turns = self.turns.entry(peer.clone()).or_insert(Turns {
-                next,
-                rank,
+            let turns = self.turns.entry(peer.clone()).or_insert_with(|| Turns {
+                next: first.unwrap_or_default(),
+                rank: rank(&self.me, peer),
+                weight,
                 sent_at: None,
             });
-            order.push((turns.next, turns.rank, peer, weight));
-        }
-        order.sort_unstable();
-        order.truncate(MAX_RECEIVERS);
-        for (_, _, peer, weight) in &order {
-            if let Some(turns) = self.turns.get_mut(*peer) {
-                turns.next += STRIDE / weight;
-            }
+            turns.weight = weight;
         }
-        order
-            .into_iter()
-            .map(|(_, _, peer, _)| peer.clone())
-            .collect()
     }
 
     /// Records that a peer is sent a summary now.
