Let the time run on while a late request is sent in its test

late_request_refused paused the time and then used sockets: beside load the idle timeout of its connection could pass first. It now resumes the time after the advance. All other sleeps in tests are in tests that start with paused time.

--- a/tests/features/busy_processes.rs
+++ b/tests/features/busy_processes.rs
@@ -168,6 +168,8 @@
     server.node.stop_time.begin();
     tokio::time::pause();
     tokio::time::advance(Duration::from_millis(LATE_AFTER_STOP_MS)).await;
+    // Paused time may run ahead of the sockets.
+    tokio::time::resume();
     let response = server.cancel().await.unwrap();
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(response.headers()[RETRY_AFTER], "0");
