Count no time in which a process got none itself in waits for an outcome

Cause: an owner without processor time reads answers after their timeout. It counted that as silence of a registered worker, gave the worker up 10 s after its lease, or 15 s after it had acquired it, and its done tasks started again. Test: late_owners, 12 cases, all with AgainAfterDone before.

--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -136,7 +136,7 @@
     /// Handles an event.
     pub fn handle(&mut self, moment: Moment, event: Event, out: &mut Outbox) {
         match event {
-            Event::Tick => {}
+            Event::Tick => self.workers.on_tick(moment),
             Event::Store { call, result } => self.on_store(moment, call, &result, out),
             Event::KeysReloaded { keys, version } => {
                 self.membership.on_reload(moment, &keys, version);
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -170,7 +170,7 @@
             worker.runs.is_empty() && worker.ends.values().all(|tracked| tracked.is_recorded);
         match worker.last_answer_at {
             Some(_) => has_nothing_to_report,
-            None => (is_lease_expired && self.is_gone(worker)) || self.has_left(worker),
+            None => (is_lease_expired && self.is_gone(moment, worker)) || self.has_left(worker),
         }
     }
 
--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -43,13 +43,15 @@
         else {
             return;
         };
-        if self.counts_as_lost(worker, expired_ms) {
+        let late_ms = self.late_ms(context.moment, worker);
+        if self.counts_as_lost(context.moment, worker, expired_ms.saturating_sub(late_ms)) {
             log::warn!(
                 worker:% = name,
                 epoch = worker.epoch.0,
                 registered = worker.registered,
                 runs = worker.runs.len(),
                 expired_ms = expired_ms,
+                late_ms = late_ms,
                 silent_ms = silent_ms(context.moment, worker);
                 "unresponsive worker counts as lost, as its lease has expired; ending its runs"
             );
@@ -59,20 +61,21 @@
         }
     }
 
-    /// Returns whether a worker with an expired lease counts as lost, with the ends of its
-    /// runs.
-    fn counts_as_lost(&self, worker: &Worker, expired_ms: u64) -> bool {
-        self.is_gone(worker) || expired_ms >= MAX_OUTCOME_WAIT_MS
+    /// Returns whether a worker counts as lost, with the ends of its runs, whose lease has been
+    /// expired for `waited_ms` in which this process had time.
+    fn counts_as_lost(&self, moment: Moment, worker: &Worker, waited_ms: u64) -> bool {
+        self.is_gone(moment, worker) || waited_ms >= MAX_OUTCOME_WAIT_MS
     }
 
     /// Returns whether a worker has been unregistered for so long that it is gone. It may have
     /// registered again since the last report of the watch, so only the time up to that
-    /// report counts.
-    pub(super) fn is_gone(&self, worker: &Worker) -> bool {
+    /// report counts, and none in which this process could not do its work.
+    pub(super) fn is_gone(&self, moment: Moment, worker: &Worker) -> bool {
         let reported_at = self.registrations_reported_at;
+        let min_gone_ms = REREGISTRATION_MS + self.late_ms(moment, worker);
         worker
             .unregistered_at
-            .is_some_and(|at| reported_at.since_ms(at) >= REREGISTRATION_MS)
+            .is_some_and(|at| reported_at.since_ms(at) >= min_gone_ms)
     }
 
     /// Reports that the lease of a worker's runs has expired, again after a while.
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -7,6 +7,7 @@
 mod expiry;
 mod fencing_token;
 mod isolation;
+mod lateness;
 mod order;
 mod owner;
 mod pace;
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -9,6 +9,7 @@
 
 use super::authorities::AuthoritiesCall;
 use super::isolation::Isolation;
+use super::lateness::Lateness;
 use super::run::{OrderKind, Run};
 use super::worker::Worker;
 use crate::context::Context;
@@ -38,6 +39,7 @@
     pub(super) authorities: BTreeMap<JobShard, StoreVersion>,
     pub(super) authorities_call: Option<AuthoritiesCall>,
     pub(super) isolation: Isolation,
+    pub(super) lateness: Lateness,
     /// When the watch of the workers, or a read of all, last reported: a worker that is
     /// unregistered here had not registered again by then.
     pub(super) registrations_reported_at: MonotonicMs,
@@ -56,6 +58,7 @@
             authorities: BTreeMap::new(),
             authorities_call: None,
             isolation: Isolation::default(),
+            lateness: Lateness::default(),
             registrations_reported_at: MonotonicMs::default(),
             next_progress_at: MonotonicMs::default(),
             next_review_at: MonotonicMs::default(),
@@ -76,6 +79,7 @@
         let known = present.or_else(|| registrations.departed(name));
         let entry = known.cloned().unwrap_or_else(|| placeholder_entry(name));
         let mut worker = Worker::new(entry, epoch, moment.now);
+        worker.late_ms_at_answer = self.lateness.total_ms(moment);
         worker.registered = registered;
         worker.unregistered_at = (!registered).then_some(moment.now);
         self.workers.insert(name.clone(), worker);
@@ -241,6 +245,18 @@
         }
     }
 
+    /// Handles a tick, which shows whether this process has time.
+    pub(crate) fn on_tick(&mut self, moment: Moment) {
+        self.lateness.on_tick(moment);
+    }
+
+    /// Returns the time since a worker last answered, or was acquired, in which this process
+    /// could not do its work, in milliseconds.
+    pub(super) fn late_ms(&self, moment: Moment, worker: &Worker) -> u64 {
+        let total_ms = self.lateness.total_ms(moment);
+        total_ms.saturating_sub(worker.late_ms_at_answer)
+    }
+
     /// Performs all work that is due.
     pub(crate) fn tick(&mut self, context: Context<'_>, out: &mut Outbox) {
         self.read_authorities(context.moment, out);
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -140,9 +140,11 @@
         out: &mut Outbox,
     ) {
         let lease_ms = self.lease_ms;
+        let late_ms = self.lateness.total_ms(context.moment);
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
+        worker.late_ms_at_answer = late_ms;
         if worker.unanswered_polls >= 2 {
             log::info!(worker:% = name, unanswered = worker.unanswered_polls; "worker answers polls again; its lease is renewed");
         }
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -63,7 +63,10 @@
     /// This process does not know the worker's clock, but every owner grants leases of the
     /// same length.
     pub(super) fn give_up_unheard(&mut self, context: Context<'_>, name: &InstanceName) {
-        let max_silence_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS;
+        let late_ms = self
+            .worker(name)
+            .map_or(0, |worker| self.late_ms(context.moment, worker));
+        let max_silence_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS + late_ms;
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
@@ -77,7 +80,8 @@
             worker:% = name,
             epoch = worker.epoch.0,
             registered = worker.registered,
-            waited_ms = waited_ms;
+            waited_ms = waited_ms,
+            late_ms = late_ms;
             "worker has never answered its new owner and counts as lost, as its lease has expired; reporting that it has no runs"
         );
     }
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -109,6 +109,9 @@
     pub(crate) unheard_logged_at: MonotonicMs,
     /// When it last answered a poll.
     pub(crate) last_answer_at: Option<MonotonicMs>,
+    /// The time in which this process could not do its work until the worker last answered, or
+    /// was acquired, in milliseconds.
+    pub(crate) late_ms_at_answer: u64,
     /// Whether it has listed all its unacknowledged ends in one answer, so that each run
     /// on it is known here or its end is recorded.
     pub(crate) has_listed_all: bool,
@@ -163,6 +166,7 @@
             last_poll_error: EcoString::new(),
             unheard_logged_at: now,
             last_answer_at: None,
+            late_ms_at_answer: 0,
             has_listed_all: false,
             expiry_reported_at: None,
             fenced: false,
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -38,6 +38,7 @@
 mod large_messages;
 mod lasting_waits;
 mod late_completions;
+mod late_owners;
 mod late_reports;
 mod late_watches;
 mod long_lists;
--- a/tests/src/fleet_world/faults.rs
+++ b/tests/src/fleet_world/faults.rs
@@ -27,6 +27,7 @@
     pub(super) fn add(&mut self, now: MonotonicMs, kind: FaultKind) {
         let duration_ms = match &kind {
             FaultKind::Freeze { for_ms, .. }
+            | FaultKind::LateTicks { for_ms, .. }
             | FaultKind::CutStore { for_ms, .. }
             | FaultKind::SlowStore { for_ms, .. }
             | FaultKind::CutWatch { for_ms, .. }
@@ -61,6 +62,17 @@
         self.has_active(|kind| matches!(kind, FaultKind::Freeze { node, .. } if *node == index))
     }
 
+    /// Returns the time between two ticks of a node, in milliseconds, if they are late.
+    pub(super) fn tick_interval_ms(&self, index: usize) -> Option<u64> {
+        let interval = |active: &ActiveFault| match active.kind {
+            FaultKind::LateTicks {
+                node, interval_ms, ..
+            } if node == index => Some(interval_ms),
+            _ => None,
+        };
+        self.active.iter().filter_map(interval).max()
+    }
+
     pub(super) fn is_store_down(&self, _index: usize) -> bool {
         self.has_active(|kind| matches!(kind, FaultKind::StoreDown { .. }))
     }
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -296,8 +296,11 @@
         }
         if self.now.0.is_multiple_of(TICK_MS) {
             for index in 0..self.nodes.len() {
-                self.report_changes(index);
-                self.handle_event(index, Event::Tick);
+                let interval_ms = self.faults.tick_interval_ms(index).unwrap_or(TICK_MS);
+                if self.now.0.is_multiple_of(interval_ms) {
+                    self.report_changes(index);
+                    self.handle_event(index, Event::Tick);
+                }
             }
         }
         self.check_waiting_tasks();
--- a/tests/src/fleet_world/schedule.rs
+++ b/tests/src/fleet_world/schedule.rs
@@ -57,6 +57,16 @@
         /// The duration, in milliseconds.
         for_ms: u64,
     },
+    /// A node has no processor time: its ticks, and the changes that are reported with them,
+    /// are late.
+    LateTicks {
+        /// The node.
+        node: usize,
+        /// The time between two ticks, in milliseconds.
+        interval_ms: u64,
+        /// The duration, in milliseconds.
+        for_ms: u64,
+    },
     /// A node can't reach the store.
     CutStore {
         /// The node.
