--- a/crates/turmericfold/src/fleet/mod.rs
+++ b/crates/turmericfold/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod stop_time;
 mod wall_clock;
 mod watch;
+mod watches;
 
 pub use caller_requests::{CallerRequestSender, PendingCallerRequest, RequestClaim};
 pub use driver::{Driver, DriverEnd, DriverInputs};
@@ -16,4 +17,4 @@
 pub use peers::Peers;
 pub use stop_time::StopTime;
 pub use wall_clock::WallClock;
-pub use watch::{PlatformDecoder, Watches};
+pub use watches::{PlatformDecoder, Watches};
--- /dev/null
+++ b/crates/turmericfold/src/fleet/watches.rs
@@ -0,0 +1,179 @@
+//! Watches the store and turns its changes into events.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use turmericfold_fleet::{Configuration, Event, WorkerChange, keys};
+use turmericfold_platform::{KeyChange, Store, StoredKey, WorkerEntry};
+use turmericfold_types::InstanceName;
+
+use super::watch::{Watch, WatchUpdate};
+
+/// Delay in which changes of workers are collected into one batch, in milliseconds;
+/// each worker keeps rewriting its registration.
+const WORKER_BATCH_DELAY_MS: u64 = 250;
+
+/// The keys that operators and workers write, and how their values are decoded.
+pub trait PlatformDecoder: Clone + Send + Sync + 'static {
+    /// Returns the key of the configuration.
+    fn configuration_key(&self) -> &'static str;
+
+    /// Returns the prefix of the keys under which workers are registered.
+    fn worker_prefix(&self) -> &'static str;
+
+    /// Decodes a configuration; logs the error and returns `None` if it is faulty.
+    fn configuration(&self, value: &str) -> Option<Configuration>;
+
+    /// Decodes a worker's registration; logs the error and returns `None` if it is
+    /// faulty.
+    fn worker(&self, key: &str, value: &str) -> Option<WorkerEntry>;
+
+    /// Returns the worker whose registration is stored under `key`.
+    fn worker_id_from_key(&self, key: &str) -> Option<InstanceName>;
+}
+
+/// The watches of a process.
+#[derive(Debug)]
+pub struct Watches {
+    tasks: JoinSet<()>,
+}
+
+impl Watches {
+    /// Starts to watch the fleet's own keys, the configuration and the workers.
+    pub fn start<StoreClient, Decoder>(
+        store: StoreClient,
+        decoder: Decoder,
+        events: mpsc::Sender<Event>,
+    ) -> Self
+    where
+        StoreClient: Store,
+        Decoder: PlatformDecoder,
+    {
+        let mut tasks = JoinSet::new();
+        let fleet = Watch::new(store.clone(), keys::FLEET_PREFIX.into(), 0);
+        tasks.spawn(watch_fleet(fleet, events.clone()));
+        let key = decoder.configuration_key();
+        let configuration = Watch::new(store.clone(), key.into(), 0);
+        let configuration_decoder = decoder.clone();
+        tasks.spawn(watch_configuration(
+            configuration,
+            configuration_decoder,
+            events.clone(),
+        ));
+        let workers = Watch::new(store, decoder.worker_prefix().into(), WORKER_BATCH_DELAY_MS);
+        tasks.spawn(watch_workers(workers, decoder, events));
+        Self { tasks }
+    }
+
+    /// Aborts the watches and waits until they have ended.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn watch_fleet<StoreClient>(mut watch: Watch<StoreClient>, events: mpsc::Sender<Event>)
+where
+    StoreClient: Store,
+{
+    loop {
+        let event = match watch.next().await {
+            WatchUpdate::All { keys, version } => Event::KeysReloaded { keys, version },
+            WatchUpdate::Changes(changes) if changes.is_empty() => continue,
+            WatchUpdate::Changes(changes) => Event::KeysChanged(changes),
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Watches the configuration.
+///
+/// A watch returns every version in full. While several versions follow each other, the
+/// newest one is read instead, so that this process does not fall behind.
+async fn watch_configuration<StoreClient, Decoder>(
+    mut watch: Watch<StoreClient>,
+    decoder: Decoder,
+    events: mpsc::Sender<Event>,
+) where
+    StoreClient: Store,
+    Decoder: PlatformDecoder,
+{
+    let key = decoder.configuration_key();
+    let mut newest = None;
+    let mut is_in_series = false;
+    loop {
+        let values: Vec<String> = match watch.next().await {
+            WatchUpdate::All { keys, .. } => keys
+                .into_iter()
+                .filter(|stored| stored.key == key)
+                .map(|stored| stored.stored.value)
+                .collect(),
+            WatchUpdate::Changes(changes) if changes.is_empty() => continue,
+            WatchUpdate::Changes(changes) => changes
+                .into_iter()
+                .filter(|change| change.key == key)
+                .filter_map(|change| change.value)
+                .collect(),
+        };
+        let is_new = values.last() != newest.as_ref();
+        is_in_series = values.len() > 1 || (is_in_series && is_new);
+        newest = values.into_iter().next_back();
+        // Only the last value is in force.
+        let configuration = newest
+            .as_ref()
+            .filter(|_| is_new)
+            .and_then(|value| decoder.configuration(value));
+        if let Some(configuration) = configuration {
+            let event = Event::Configuration(Arc::new(configuration));
+            if events.send(event).await.is_err() {
+                return;
+            }
+        }
+        if is_in_series {
+            watch.read_again().await;
+        }
+    }
+}
+
+async fn watch_workers<StoreClient, Decoder>(
+    mut watch: Watch<StoreClient>,
+    decoder: Decoder,
+    events: mpsc::Sender<Event>,
+) where
+    StoreClient: Store,
+    Decoder: PlatformDecoder,
+{
+    loop {
+        let event = match watch.next().await {
+            WatchUpdate::All { keys, .. } => {
+                let decode = |key: &StoredKey| decoder.worker(&key.key, &key.stored.value);
+                Event::WorkersReloaded(keys.iter().filter_map(decode).collect())
+            }
+            WatchUpdate::Changes(changes) => {
+                let decode = |change: &KeyChange| worker_change(&decoder, change);
+                Event::WorkersChanged(changes.iter().filter_map(decode).collect())
+            }
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn worker_change<Decoder>(decoder: &Decoder, change: &KeyChange) -> Option<WorkerChange>
+where
+    Decoder: PlatformDecoder,
+{
+    let present = change
+        .value
+        .as_ref()
+        .and_then(|value| decoder.worker(&change.key, value));
+    match present {
+        Some(entry) => Some(WorkerChange::Registered(entry)),
+        None => decoder
+            .worker_id_from_key(&change.key)
+            .map(WorkerChange::Unregistered),
+    }
+}
