--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -46,7 +46,13 @@
         self.jobs.on_workers_changed();
     }
 
-    pub(super) fn on_configuration(&mut self, configuration: Arc<Configuration>) {
+    /// Applies a configuration if it is newer than the current one; `source` is the peer that
+    /// has sent it, or `None` if it was read from the store.
+    pub(super) fn on_configuration(
+        &mut self,
+        configuration: Arc<Configuration>,
+        source: Option<&ProcessId>,
+    ) {
         let current = self.configuration_version();
         if configuration.version <= current {
             return;
@@ -54,6 +60,7 @@
         log::info!(
             version = configuration.version,
             before = current,
+            source:% = source.map_or_else(|| "store".into(), ProcessId::to_string),
             queues = configuration.queues.len();
             "configuration applied"
         );
--- a/crates/turmericfold-fleet/src/node/configuration_sync.rs
+++ b/crates/turmericfold-fleet/src/node/configuration_sync.rs
@@ -29,6 +29,8 @@
     next_request_at: Option<MonotonicMs>,
     timeout_ms: u64,
     last_asked: Option<ProcessId>,
+    /// The newest version that was announced by a process that is not a member.
+    unavailable_version: u64,
     me: ProcessId,
 }
 
@@ -40,6 +42,7 @@
             next_request_at: None,
             timeout_ms: FIRST_TIMEOUT_MS,
             last_asked: None,
+            unavailable_version: 0,
             me,
         }
     }
@@ -78,8 +81,7 @@
         if !moment.has_reached(self.next_request_at?) {
             return None;
         }
-        self.newer_versions
-            .retain(|peer, _| membership.find(peer).is_some());
+        self.drop_non_members(membership);
         let peer = self.next_peer()?.clone();
         self.next_request_at = Some(moment + self.timeout_ms);
         self.timeout_ms = (self.timeout_ms * 2).min(MAX_TIMEOUT_MS);
@@ -87,6 +89,19 @@
         Some(peer)
     }
 
+    /// Drops the versions of processes that are not members, as their addresses are not known.
+    fn drop_non_members(&mut self, membership: &Membership) {
+        let dropped = self
+            .newer_versions
+            .extract_if(.., |peer, _| membership.find(peer).is_none());
+        for (peer, version) in dropped {
+            if version > self.unavailable_version {
+                log::info!(peer:% = peer, version = version; "a process that is not known as a member has a newer configuration; it can't be asked for it");
+                self.unavailable_version = version;
+            }
+        }
+    }
+
     /// Returns the next peer with the newest version, in the order of the processes,
     /// starting after the one that was asked last.
     fn next_peer(&self) -> Option<&ProcessId> {
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -145,7 +145,7 @@
             Event::KeysChanged(changes) => self.on_changes(moment, &changes),
             Event::WorkersReloaded(entries) => self.on_workers_reloaded(moment, entries),
             Event::WorkersChanged(changes) => self.on_workers_changed(moment, changes),
-            Event::Configuration(configuration) => self.on_configuration(configuration),
+            Event::Configuration(configuration) => self.on_configuration(configuration, None),
             Event::Worker {
                 worker,
                 call,
@@ -270,7 +270,9 @@
             PeerMessage::SummaryRequest => self.on_summary_request(moment, from, out),
             PeerMessage::PendingQuery => self.on_pending_query(from, out),
             PeerMessage::PendingReport(reports) => self.on_pending_report(moment, reports),
-            PeerMessage::Configuration(configuration) => self.on_configuration(configuration),
+            PeerMessage::Configuration(configuration) => {
+                self.on_configuration(configuration, Some(from));
+            }
             PeerMessage::ConfigurationRequest { version } => {
                 self.on_configuration_request(from, version, out);
             }
--- a/crates/turmericfold/src/fleet/watch.rs
+++ b/crates/turmericfold/src/fleet/watch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ecow::EcoString;
+use tokio::time::Instant;
 use turmericfold_platform::{
     KeyChange, PlatformError, Store, StoreCall, StoreReply, StoreVersion, StoredKey,
 };
@@ -43,6 +44,8 @@
     batch_delay_ms: u64,
     version: Option<StoreVersion>,
     failures: u32,
+    /// The time of the last answer, or of the start.
+    answered_at: Instant,
 }
 
 impl<StoreClient> Watch<StoreClient>
@@ -56,6 +59,7 @@
             batch_delay_ms,
             version: None,
             failures: 0,
+            answered_at: Instant::now(),
         }
     }
 
@@ -148,17 +152,39 @@
     }
 
     fn on_success(&mut self) {
-        if self.failures >= MAX_WATCH_FAILURES {
-            log::info!(prefix = self.prefix.as_str(); "store answers again");
+        if self.failures > 0 {
+            log::info!(
+                prefix = self.prefix.as_str(),
+                failures = self.failures,
+                silent_ms = self.silent_ms();
+                "store answers again"
+            );
         }
         self.failures = 0;
+        self.answered_at = Instant::now();
     }
 
     async fn on_failure(&mut self, error: &PlatformError) {
         self.failures += 1;
-        if self.failures == MAX_WATCH_FAILURES {
-            log::warn!(prefix = self.prefix.as_str(), error:% = error; "store does not answer; retrying");
+        let level = match self.failures {
+            MAX_WATCH_FAILURES => log::Level::Warn,
+            _ => log::Level::Info,
+        };
+        if self.failures <= MAX_WATCH_FAILURES {
+            log::log!(
+                level,
+                prefix = self.prefix.as_str(),
+                failures = self.failures,
+                silent_ms = self.silent_ms(),
+                error:% = error;
+                "store does not answer; retrying"
+            );
         }
         tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
     }
+
+    /// Returns the time since the last answer, in milliseconds.
+    fn silent_ms(&self) -> u64 {
+        self.answered_at.elapsed().as_millis() as u64
+    }
 }
