Reproduce the configuration incident: watches outlive an outage of the store

The stand-in of the store gets silent outages and connections that stay silent, and its watches now wait. The decoder of the platform's keys for tests stands in one place.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -61,6 +61,7 @@
 mod rollout_changes;
 mod room_waits;
 mod scheduling;
+mod silent_store;
 mod silent_takeovers;
 mod silent_workers;
 mod site_adapter;
--- a/tests/features/odd_lists.rs
+++ b/tests/features/odd_lists.rs
@@ -8,15 +8,12 @@
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
-use turmericfold::fleet::{PlatformDecoder, Watches};
-use turmericfold_adapter::{
-    CONFIGURATION_KEY, HttpPool, SiteStore, WORKER_PREFIX, decode_configuration, decode_worker,
-    worker_id_from_key,
-};
-use turmericfold_fleet::{Configuration, Event, WorkerChange};
-use turmericfold_platform::{Store, StoreCall, StoreReply, WorkerEntry};
+use turmericfold::fleet::Watches;
+use turmericfold_adapter::{HttpPool, SiteStore, WORKER_PREFIX};
+use turmericfold_fleet::{Event, WorkerChange};
+use turmericfold_platform::{Store, StoreCall, StoreReply};
+use turmericfold_tests::SiteDecoder;
 use turmericfold_tests::task_worker_server::TaskWorkerServer;
-use turmericfold_types::InstanceName;
 
 /// Text that is not base64.
 const NO_BASE64: &str = "%%%";
@@ -33,31 +30,6 @@
 /// The version of the store after all changes.
 const LAST_VERSION: u64 = 30;
 
-#[derive(Debug, Clone)]
-struct SiteDecoder;
-
-impl PlatformDecoder for SiteDecoder {
-    fn configuration_key(&self) -> &'static str {
-        CONFIGURATION_KEY
-    }
-
-    fn worker_prefix(&self) -> &'static str {
-        WORKER_PREFIX
-    }
-
-    fn configuration(&self, value: &str) -> Option<Configuration> {
-        decode_configuration(value).ok()
-    }
-
-    fn worker(&self, key: &str, value: &str) -> Option<WorkerEntry> {
-        decode_worker(key, value)
-    }
-
-    fn worker_id_from_key(&self, key: &str) -> Option<InstanceName> {
-        worker_id_from_key(key)
-    }
-}
-
 fn entry(address: &str, cpu: &str, extra: &str) -> String {
     let text = format!(
         r#"{{"service":"s","address":"{address}","zone":"west","state":"ready",
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fuzz;
 pub mod node_parts;
 pub mod shared_workers;
+mod site_decoder;
 pub mod site_store;
 pub mod slow_link;
 pub mod task_worker_server;
@@ -23,6 +24,7 @@
 use turmericfold_config::Configuration;
 
 pub use http_probe::HttpProbe;
+pub use site_decoder::SiteDecoder;
 
 /// Returns the root directory of the Cargo workspace.
 pub fn workspace_root() -> PathBuf {
--- a/tests/src/site_store.rs
+++ b/tests/src/site_store.rs
@@ -1,7 +1,8 @@
 //! A stand-in for the users' store that serves its HTTP interface.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -15,12 +16,16 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use turmericfold_platform::{
     KeyChange, LeaseId, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue, Transaction,
 };
 use turmericfold_standin::StoreModel;
 use turmericfold_types::MonotonicMs;
 
+/// The interval at which a waiting watch looks for changes, in milliseconds.
+const WATCH_STEP_MS: u64 = 5;
+
 /// How the stand-in handles calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum SiteFault {
@@ -31,12 +36,30 @@
     Busy,
     /// It handles the call, then closes the connection without an answer.
     LoseAnswer,
+    /// It accepts connections, but handles and answers nothing. Connections from before or during
+    /// this fault stay silent when it is over.
+    Silent,
 }
 
+/// The number of times that the open connections have fallen silent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct ConnectionGeneration(u64);
+
 #[derive(Debug, Default)]
 struct State {
     model: StoreModel,
     fault: SiteFault,
+    generation: ConnectionGeneration,
+}
+
+impl State {
+    fn silence_connections(&mut self) {
+        self.generation.0 += 1;
+    }
+
+    fn is_silent(&self, connection: ConnectionGeneration) -> bool {
+        self.fault == SiteFault::Silent || self.generation != connection
+    }
 }
 
 /// A stand-in for the users' store that serves its HTTP interface.
@@ -69,7 +92,25 @@
 
     /// Sets how the stand-in handles calls from now on.
     pub fn set_fault(&self, fault: SiteFault) {
-        self.state.lock().unwrap().fault = fault;
+        let mut state = self.state.lock().unwrap();
+        if state.fault == SiteFault::Silent || fault == SiteFault::Silent {
+            state.silence_connections();
+        }
+        state.fault = fault;
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.state.lock().unwrap().silence_connections();
+    }
+
+    /// Writes a key, as another client of the store.
+    pub fn write(&self, key: &str, value: &str) {
+        let mut transaction = Transaction::default();
+        transaction.write_value(key.into(), value.into(), None);
+        let mut state = self.state.lock().unwrap();
+        let call = StoreCall::Transact(transaction);
+        state.model.call(MonotonicMs(1), call).unwrap();
     }
 
     /// Stops the server and waits for its end.
@@ -83,8 +124,9 @@
     loop {
         let (stream, _) = listener.accept().await.unwrap();
         let state = state.clone();
+        let generation = lock(&state).generation;
         connections.spawn(async move {
-            let service = service_fn(move |request| answer(state.clone(), request));
+            let service = service_fn(move |request| answer(state.clone(), generation, request));
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // A connection closed deliberately ends with an error.
             let _ = connection.await;
@@ -99,6 +141,7 @@
 
 async fn answer(
     state: Arc<Mutex<State>>,
+    connection: ConnectionGeneration,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, AnswerLost> {
     let (parts, body) = request.into_parts();
@@ -106,18 +149,44 @@
     let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
     let query: Vec<(String, String)> =
         serde_urlencoded::from_str(parts.uri.query().unwrap_or_default()).unwrap();
-    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-    if state.fault == SiteFault::Busy {
+    if lock(&state).is_silent(connection) {
+        return std::future::pending().await;
+    }
+    if lock(&state).fault == SiteFault::Busy {
         return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
     }
     let call = decode(&parts.method, parts.uri.path(), &query, &body);
-    let reply = state.model.call(MonotonicMs(1), call).unwrap();
-    if state.fault == SiteFault::LoseAnswer {
+    let reply = match &call {
+        StoreCall::Watch { wait_ms, .. } => watch(&state, call.clone(), *wait_ms).await,
+        _ => lock(&state).model.call(MonotonicMs(1), call).unwrap(),
+    };
+    if lock(&state).is_silent(connection) {
+        return std::future::pending().await;
+    }
+    if lock(&state).fault == SiteFault::LoseAnswer {
         return Err(AnswerLost);
     }
     Ok(encode(reply))
 }
 
+/// Waits for changes for up to `wait_ms`.
+async fn watch(state: &Mutex<State>, call: StoreCall, wait_ms: u64) -> StoreReply {
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let reply = lock(state).model.call(MonotonicMs(1), call.clone());
+        match reply.unwrap() {
+            StoreReply::Changes { changes, .. }
+                if changes.is_empty() && Instant::now() < deadline => {}
+            reply => return reply,
+        }
+        tokio::time::sleep(Duration::from_millis(WATCH_STEP_MS)).await;
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn decode(method: &Method, path: &str, query: &[(String, String)], body: &Value) -> StoreCall {
     let parameter = |name: &str| {
         let found = query.iter().find(|(key, _)| key == name);
@@ -135,7 +204,7 @@
         (&Method::GET, "/-/kv-watch") => StoreCall::Watch {
             prefix: parameter("prefix").unwrap().into(),
             after: StoreVersion(parameter("after").unwrap().parse().unwrap()),
-            wait_ms: 0,
+            wait_ms: parameter("wait_ms").unwrap().parse().unwrap(),
         },
         (&Method::POST, "/-/kv-txn") => StoreCall::Transact(decode_transaction(body)),
         (&Method::POST, "/-/kv-lease") => StoreCall::GrantLease {
