--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -43,6 +43,7 @@
 mod late_watches;
 mod long_lists;
 mod lost_registrations;
+mod lost_renewals;
 mod lost_stops;
 mod odd_answers;
 mod odd_entries;
--- a/tests/src/site_store.rs
+++ b/tests/src/site_store.rs
@@ -45,14 +45,30 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct ConnectionGeneration(u64);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     model: StoreModel,
+    started_at: Instant,
     fault: SiteFault,
     generation: ConnectionGeneration,
 }
 
 impl State {
+    fn new() -> Self {
+        Self {
+            model: StoreModel::new(),
+            started_at: Instant::now(),
+            fault: SiteFault::None,
+            generation: ConnectionGeneration::default(),
+        }
+    }
+
+    fn call(&mut self, call: StoreCall) -> StoreReply {
+        let now_ms = self.started_at.elapsed().as_millis();
+        let now = MonotonicMs(u64::try_from(now_ms).unwrap());
+        self.model.call(now, call).unwrap()
+    }
+
     fn silence_connections(&mut self) {
         self.generation.0 += 1;
     }
@@ -75,7 +91,7 @@
     pub async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let state: Arc<Mutex<State>> = Arc::default();
+        let state = Arc::new(Mutex::new(State::new()));
         let mut server = JoinSet::new();
         server.spawn(serve(listener, state.clone()));
         Self {
@@ -108,9 +124,19 @@
     pub fn write(&self, key: &str, value: &str) {
         let mut transaction = Transaction::default();
         transaction.write_value(key.into(), value.into(), None);
-        let mut state = self.state.lock().unwrap();
-        let call = StoreCall::Transact(transaction);
-        state.model.call(MonotonicMs(1), call).unwrap();
+        self.state
+            .lock()
+            .unwrap()
+            .call(StoreCall::Transact(transaction));
+    }
+
+    /// Returns the version of a key, or `None` if it does not exist.
+    pub fn version_of(&self, key: &str) -> Option<StoreVersion> {
+        let call = StoreCall::Get { key: key.into() };
+        match self.state.lock().unwrap().call(call) {
+            StoreReply::Value(stored) => stored.map(|stored| stored.version),
+            other => panic!("unexpected reply to a read: {other:?}"),
+        }
     }
 
     /// Stops the server and waits for its end.
@@ -158,7 +184,7 @@
     let call = decode(&parts.method, parts.uri.path(), &query, &body);
     let reply = match &call {
         StoreCall::Watch { wait_ms, .. } => watch(&state, call.clone(), *wait_ms).await,
-        _ => lock(&state).model.call(MonotonicMs(1), call).unwrap(),
+        _ => lock(&state).call(call),
     };
     if lock(&state).is_silent(connection) {
         return std::future::pending().await;
@@ -173,8 +199,8 @@
 async fn watch(state: &Mutex<State>, call: StoreCall, wait_ms: u64) -> StoreReply {
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        let reply = lock(state).model.call(MonotonicMs(1), call.clone());
-        match reply.unwrap() {
+        let reply = lock(state).call(call.clone());
+        match reply {
             StoreReply::Changes { changes, .. }
                 if changes.is_empty() && Instant::now() < deadline => {}
             reply => return reply,
