Answer 404 only while the configuration is confirmed

What callers saw: 404, which says that a queue does not exist, so that they give up. A process that has not heard the store, or that a peer has told of a newer version, does not know that.

Change: the watch of the configuration reports each answer of the store that nothing is newer. The configuration counts as confirmed for 1.4 s after it, and not while any process, member or not, has announced a newer version. Otherwise a request that no route matches gets 503 configuration_unconfirmed with Retry-After: 1. The report each 10 s counts the ticks without confirmation.

Tests: stale_configurations; with the check off its case 'unknown' fails.

--- a/crates/turmericfold-fleet/src/caller_messages.rs
+++ b/crates/turmericfold-fleet/src/caller_messages.rs
@@ -60,6 +60,8 @@
     ProcessBusy,
     /// The process that received the request is about to end.
     ProcessStopping,
+    /// The process does not know whether it has the newest configuration.
+    ConfigurationUnconfirmed,
 }
 
 impl RefusalReason {
@@ -71,6 +73,7 @@
             Self::OwnerUnavailable => "owner_unavailable",
             Self::ProcessBusy => "process_busy",
             Self::ProcessStopping => "process_stopping",
+            Self::ConfigurationUnconfirmed => "configuration_unconfirmed",
         }
     }
 }
--- a/crates/turmericfold-fleet/src/event.rs
+++ b/crates/turmericfold-fleet/src/event.rs
@@ -6,7 +6,7 @@
     KeyChange, PlatformError, PollReply, StartReply, StoreReply, StoreVersion, StoredKey,
     WorkerEntry,
 };
-use turmericfold_types::{InstanceName, ProcessId};
+use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use crate::{CallerRequest, Configuration, PeerMessage};
 
@@ -44,6 +44,11 @@
     WorkersChanged(Vec<WorkerChange>),
     /// A configuration has been read.
     Configuration(Arc<Configuration>),
+    /// The store has answered that no configuration is newer than the last one that was read.
+    ConfigurationConfirmed {
+        /// The time of the answer.
+        at: MonotonicMs,
+    },
     /// A call to a worker has ended.
     Worker {
         /// The worker.
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -14,7 +14,7 @@
 
 use turmericfold_jobs::JobId;
 use turmericfold_platform::{PlatformError, StoreReply};
-use turmericfold_types::ProcessId;
+use turmericfold_types::{MonotonicMs, ProcessId};
 
 use crate::context::Context;
 use crate::jobs::{Caller, JobOwner};
@@ -85,6 +85,16 @@
         self.configuration.as_ref()
     }
 
+    /// Returns the time until which the current configuration counts as the newest one.
+    ///
+    /// `None` if there is none, if the store has not confirmed it, or if a process has announced a
+    /// newer one.
+    pub fn configuration_confirmed_until(&self) -> Option<MonotonicMs> {
+        let configuration = self.configuration.as_ref()?;
+        self.configuration_sync
+            .confirmed_until(configuration.version)
+    }
+
     /// Returns the address for calls to a peer, if it is a member.
     pub fn address_of(&self, process: &ProcessId) -> Option<&str> {
         let member = self.membership.find(process)?;
@@ -146,6 +156,7 @@
             Event::WorkersReloaded(entries) => self.on_workers_reloaded(moment, entries),
             Event::WorkersChanged(changes) => self.on_workers_changed(moment, changes),
             Event::Configuration(configuration) => self.on_configuration(configuration, None),
+            Event::ConfigurationConfirmed { at } => self.configuration_sync.on_confirmed(at),
             Event::Worker {
                 worker,
                 call,
--- a/crates/turmericfold/src/fleet/caller_requests.rs
+++ b/crates/turmericfold/src/fleet/caller_requests.rs
@@ -10,12 +10,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 use turmericfold_adapter::CallerHandler;
 use turmericfold_fleet::{CallerAnswer, CallerRequest, Configuration, RefusalReason};
+use turmericfold_platform::{BootClock, Clock};
 
+use super::shared_configuration::SharedConfiguration;
 use super::stop_time::StopTime;
 
 /// The longest time for which a request waits for the node, in milliseconds: callers wait for
@@ -60,7 +61,7 @@
 #[derive(Debug, Clone)]
 pub struct CallerRequestSender {
     requests: mpsc::Sender<PendingCallerRequest>,
-    configuration: Arc<ArcSwapOption<Configuration>>,
+    configuration: SharedConfiguration,
     stop_time: StopTime,
 }
 
@@ -68,7 +69,7 @@
     /// Creates the sender; the driver updates `configuration`.
     pub fn new(
         requests: mpsc::Sender<PendingCallerRequest>,
-        configuration: Arc<ArcSwapOption<Configuration>>,
+        configuration: SharedConfiguration,
         stop_time: StopTime,
     ) -> Self {
         Self {
@@ -113,7 +114,11 @@
     }
 
     fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.configuration.load_full()
+        self.configuration.current()
+    }
+
+    fn is_configuration_confirmed(&self) -> bool {
+        self.configuration.is_confirmed(BootClock.now())
     }
 
     fn is_leaving(&self) -> bool {
--- a/crates/turmericfold/src/fleet/driver.rs
+++ b/crates/turmericfold/src/fleet/driver.rs
@@ -5,13 +5,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use arc_swap::ArcSwapOption;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
 use turmericfold_fleet::{
-    CallId, CallerAnswer, Configuration, Event, FleetNode, FleetSettings, Moment, Outbox,
-    StoreRequest, WorkerCall, WorkerRequest, WorkerResult,
+    CallId, CallerAnswer, Event, FleetNode, FleetSettings, Moment, Outbox, StoreRequest,
+    WorkerCall, WorkerRequest, WorkerResult,
 };
 use turmericfold_peer::Delivery;
 use turmericfold_platform::{BootClock, Clock, Store, TaskWorkers};
@@ -19,6 +18,7 @@
 use super::caller_requests::PendingCallerRequest;
 use super::load_report::LoadReport;
 use super::peers::Peers;
+use super::shared_configuration::SharedConfiguration;
 use super::stop_time::StopTime;
 use super::wall_clock::WallClock;
 
@@ -62,7 +62,7 @@
     calls: JoinSet<Event>,
     callers: HashMap<CallId, oneshot::Sender<CallerAnswer>>,
     last_call: u64,
-    configuration: Arc<ArcSwapOption<Configuration>>,
+    configuration: SharedConfiguration,
     stop_time: StopTime,
     busy_until: Option<Instant>,
     ready: Arc<AtomicBool>,
@@ -107,7 +107,7 @@
             calls: JoinSet::new(),
             callers: HashMap::new(),
             last_call: 0,
-            configuration: Arc::default(),
+            configuration: SharedConfiguration::default(),
             stop_time: StopTime::default(),
             busy_until: None,
             ready: Arc::default(),
@@ -124,7 +124,7 @@
     }
 
     /// Returns the configuration in force, shared with the handler of callers.
-    pub fn configuration(&self) -> Arc<ArcSwapOption<Configuration>> {
+    pub fn configuration(&self) -> SharedConfiguration {
         self.configuration.clone()
     }
 
@@ -193,6 +193,8 @@
         self.load_report.on_outbox(&self.outbox);
         self.carry_out();
         if is_tick {
+            let is_confirmed = self.configuration.is_confirmed(self.clock.now());
+            self.load_report.on_configuration_state(is_confirmed);
             self.publish_readiness();
             self.load_report.log_if_due(Instant::now());
             self.drop_former_peers();
@@ -231,15 +233,11 @@
 
     fn publish_configuration(&mut self) {
         let node = &self.node;
-        if let Some(configuration) = node.configuration()
-            && !self
-                .configuration
-                .load()
-                .as_ref()
-                .is_some_and(|known| Arc::ptr_eq(known, configuration))
-        {
-            self.configuration.store(Some(configuration.clone()));
+        if let Some(configuration) = node.configuration() {
+            self.configuration.set_current(configuration);
         }
+        let confirmed_until = node.configuration_confirmed_until();
+        self.configuration.set_confirmed_until(confirmed_until);
     }
 
     fn publish_readiness(&self) {
--- a/crates/turmericfold/src/fleet/load_report.rs
+++ b/crates/turmericfold/src/fleet/load_report.rs
@@ -27,6 +27,8 @@
     received: BTreeMap<&'static str, u64>,
     sent: BTreeMap<&'static str, u64>,
     max_tick_delay: Duration,
+    /// The number of ticks at which the configuration did not count as the newest one.
+    unconfirmed_ticks: u64,
 }
 
 impl LoadReport {
@@ -38,6 +40,7 @@
             received: BTreeMap::new(),
             sent: BTreeMap::new(),
             max_tick_delay: Duration::ZERO,
+            unconfirmed_ticks: 0,
         }
     }
 
@@ -78,6 +81,13 @@
         self.max_tick_delay = self.max_tick_delay.max(delay);
     }
 
+    /// Records whether the configuration counts as the newest one at a tick.
+    pub(super) fn on_configuration_state(&mut self, is_confirmed: bool) {
+        if !is_confirmed {
+            self.unconfirmed_ticks += 1;
+        }
+    }
+
     /// Logs the work since the last report when a report is due.
     pub(super) fn log_if_due(&mut self, now: Instant) {
         let elapsed = now - self.since;
@@ -87,6 +97,7 @@
         log::info!(
             elapsed_ms = elapsed.as_millis() as u64,
             max_tick_delay_ms = self.max_tick_delay.as_millis() as u64,
+            configuration_unconfirmed_ticks = self.unconfirmed_ticks,
             handled:serde = self.handled,
             received:serde = self.received,
             sent:serde = self.sent;
@@ -103,6 +114,7 @@
         Event::KeysReloaded { .. } | Event::KeysChanged(_) => "keys changed",
         Event::WorkersReloaded(_) | Event::WorkersChanged(_) => "workers changed",
         Event::Configuration(_) => "configuration",
+        Event::ConfigurationConfirmed { .. } => "configuration confirmed",
         Event::Worker { result, .. } => match result {
             WorkerResult::Start(_) => "start result",
             WorkerResult::Stop(_) => "stop result",
--- a/crates/turmericfold/src/fleet/mod.rs
+++ b/crates/turmericfold/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod listeners;
 mod load_report;
 mod peers;
+mod shared_configuration;
 mod stop_time;
 mod wall_clock;
 mod watch;
@@ -15,6 +16,7 @@
 pub use driver::{Driver, DriverEnd, DriverInputs};
 pub use listeners::Listeners;
 pub use peers::Peers;
+pub use shared_configuration::SharedConfiguration;
 pub use stop_time::StopTime;
 pub use wall_clock::WallClock;
 pub use watches::{PlatformDecoder, Watches};
--- a/crates/turmericfold/src/fleet/watches.rs
+++ b/crates/turmericfold/src/fleet/watches.rs
@@ -5,7 +5,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use turmericfold_fleet::{Configuration, Event, WorkerChange, keys};
-use turmericfold_platform::{KeyChange, Store, StoredKey, WorkerEntry};
+use turmericfold_platform::{BootClock, Clock, KeyChange, Store, StoredKey, WorkerEntry};
 use turmericfold_types::InstanceName;
 
 use super::watch::{Watch, WatchUpdate};
@@ -103,40 +103,54 @@
     let key = decoder.configuration_key();
     let mut newest = None;
     let mut is_in_series = false;
+    // A configuration that can't be decoded may be newer than the one in force.
+    let mut is_decoded = false;
     loop {
-        let values: Vec<String> = match watch.next().await {
-            WatchUpdate::All { keys, .. } => keys
-                .into_iter()
-                .filter(|stored| stored.key == key)
-                .map(|stored| stored.stored.value)
-                .collect(),
-            WatchUpdate::Changes(changes) if changes.is_empty() => continue,
-            WatchUpdate::Changes(changes) => changes
-                .into_iter()
-                .filter(|change| change.key == key)
-                .filter_map(|change| change.value)
-                .collect(),
-        };
-        let is_new = values.last() != newest.as_ref();
-        is_in_series = values.len() > 1 || (is_in_series && is_new);
-        newest = values.into_iter().next_back();
-        // Only the last value is in force.
-        let configuration = newest
-            .as_ref()
-            .filter(|_| is_new)
-            .and_then(|value| decoder.configuration(value));
-        if let Some(configuration) = configuration {
-            let event = Event::Configuration(Arc::new(configuration));
-            if events.send(event).await.is_err() {
-                return;
+        let update = watch.next().await;
+        let answered_at = BootClock.now();
+        if let Some(values) = stored_values(update, key) {
+            let is_new = values.last() != newest.as_ref();
+            is_in_series = values.len() > 1 || (is_in_series && is_new);
+            newest = values.into_iter().next_back();
+            if is_new {
+                // Only the last value is in force.
+                let value = newest.as_ref();
+                let configuration = value.and_then(|value| decoder.configuration(value));
+                is_decoded = configuration.is_some();
+                let event = configuration.map(|known| Event::Configuration(Arc::new(known)));
+                if let Some(event) = event
+                    && events.send(event).await.is_err()
+                {
+                    return;
+                }
             }
         }
+        let confirmed = Event::ConfigurationConfirmed { at: answered_at };
+        if is_decoded && events.send(confirmed).await.is_err() {
+            return;
+        }
         if is_in_series {
             watch.read_again().await;
         }
     }
 }
 
+/// Returns the values of a key in an update, in their order, or `None` if the watch has ended
+/// without a change.
+fn stored_values(update: WatchUpdate, key: &str) -> Option<Vec<String>> {
+    match update {
+        WatchUpdate::All { keys, .. } => {
+            let stored = keys.into_iter().filter(|stored| stored.key == key);
+            Some(stored.map(|stored| stored.stored.value).collect())
+        }
+        WatchUpdate::Changes(changes) if changes.is_empty() => None,
+        WatchUpdate::Changes(changes) => {
+            let changed = changes.into_iter().filter(|change| change.key == key);
+            Some(changed.filter_map(|change| change.value).collect())
+        }
+    }
+}
+
 async fn watch_workers<StoreClient, Decoder>(
     mut watch: Watch<StoreClient>,
     decoder: Decoder,
--- a/tests/features/busy_processes.rs
+++ b/tests/features/busy_processes.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
@@ -14,7 +13,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
-use turmericfold::fleet::{CallerRequestSender, PendingCallerRequest, StopTime};
+use turmericfold::fleet::{
+    CallerRequestSender, PendingCallerRequest, SharedConfiguration, StopTime,
+};
 use turmericfold_adapter::{CallerHandler, decode_configuration, serve_front};
 use turmericfold_fleet::{CallerAnswer, CallerRequest, RefusalReason};
 use turmericfold_jobs::JobId;
@@ -38,12 +39,13 @@
 impl Node {
     fn new(queue_length: usize) -> Self {
         let configuration = decode_configuration(CONFIGURATION).unwrap();
-        let configuration = Arc::new(ArcSwapOption::from_pointee(configuration));
+        let shared = SharedConfiguration::default();
+        shared.set_current(&Arc::new(configuration));
         let (sender, requests) = mpsc::channel(queue_length);
         let stop_time = StopTime::default();
         Self {
             requests,
-            sender: CallerRequestSender::new(sender, configuration, stop_time.clone()),
+            sender: CallerRequestSender::new(sender, shared, stop_time.clone()),
             stop_time,
         }
     }
--- a/tests/features/configuration_series.rs
+++ b/tests/features/configuration_series.rs
@@ -130,8 +130,10 @@
     let watches = Watches::start(SeriesStore { started_at }, VersionDecoder, event_sender);
     let mut applied = 0;
     while applied <= VERSIONS {
-        let Some(Event::Configuration(configuration)) = events.recv().await else {
-            panic!("not a configuration");
+        let configuration = match events.recv().await {
+            Some(Event::Configuration(configuration)) => configuration,
+            Some(Event::ConfigurationConfirmed { .. }) => continue,
+            other => panic!("not a configuration: {other:?}"),
         };
         let elapsed_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap();
         let stored_after_ms = applied * INTERVAL_MS;
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -69,6 +69,7 @@
 mod slow_polls;
 mod slow_reads;
 mod slow_starts;
+mod stale_configurations;
 mod start_doubts;
 mod successors;
 mod unheard_handovers;
--- a/tests/features/odd_jobs.rs
+++ b/tests/features/odd_jobs.rs
@@ -28,6 +28,10 @@
         decode_configuration(CONFIGURATION).ok().map(Arc::new)
     }
 
+    fn is_configuration_confirmed(&self) -> bool {
+        true
+    }
+
     fn is_leaving(&self) -> bool {
         false
     }
