Keep a submission whose queue the job's owner does not know yet

What callers may see: 404 for a route that the process which they asked serves already, as the owner of the job's shard has not read that version yet.

Change: the owner answers that the queue does not exist only once the store has confirmed its configuration after the submission arrived. Until then the submission waits, up to the 1.5 s of other waiting requests, and is then refused with 503 configuration_unconfirmed; it has not run. Waiting requests are handed on as one type, which keeps the time of their arrival.

The harness of a single node moved to the shared test code.

--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -1,6 +1,6 @@
 //! Answers callers' requests or forwards them to the owners of their jobs.
 
-use turmericfold_jobs::JobId;
+use turmericfold_jobs::{JobId, QueueName};
 use turmericfold_platform::{PlatformError, StoreCall, StoreReply};
 use turmericfold_types::{MonotonicMs, ProcessId};
 
@@ -23,7 +23,7 @@
 /// The timeout of a forwarded request, in milliseconds.
 const FORWARD_TIMEOUT_MS: u64 = 2_500;
 
-/// A request that waits for a ready owner of its job.
+/// A request that waits for a ready owner of its job, or for a confirmed configuration.
 #[derive(Debug)]
 pub(super) struct WaitingRequest {
     pub(super) caller: Caller,
@@ -48,7 +48,7 @@
 }
 
 impl FleetNode {
-    /// Answers a request or forwards it.
+    /// Answers a request that arrives now, or forwards it.
     pub(super) fn on_request(
         &mut self,
         moment: Moment,
@@ -56,41 +56,49 @@
         request: CallerRequest,
         out: &mut Outbox,
     ) {
-        match request.job() {
-            None => self.answer_count(moment, caller, request, out),
-            Some(job) if self.jobs.can_answer(job) => {
-                self.answer(moment, caller, request, out);
-            }
-            Some(job) => self.forward(moment, caller, job, request, out),
+        let since = moment.now;
+        let arrived = WaitingRequest {
+            caller,
+            request,
+            since,
+        };
+        self.try_answer(moment, arrived, out);
+    }
+
+    /// Answers a request, forwards it, or keeps it until it can be answered.
+    fn try_answer(&mut self, moment: Moment, waiting: WaitingRequest, out: &mut Outbox) {
+        match waiting.request.job() {
+            None => self.answer_count(moment, waiting, out),
+            Some(job) if self.jobs.can_answer(job) => self.answer(moment, waiting, out),
+            Some(job) => self.forward(moment, job, waiting, out),
         }
     }
 
     /// Answers a request for the number of waiting jobs, or keeps it until there is a recent
     /// report on every shard.
-    fn answer_count(
-        &mut self,
-        moment: Moment,
-        caller: Caller,
-        request: CallerRequest,
-        out: &mut Outbox,
-    ) {
-        let CallerRequest::Pending { queue } = &request else {
+    fn answer_count(&mut self, moment: Moment, waiting: WaitingRequest, out: &mut Outbox) {
+        let CallerRequest::Pending { queue } = &waiting.request else {
             return;
         };
         match self.pending(moment, queue, out) {
-            Ok(pending) => caller.answer(CallerAnswer::Pending(pending), out),
+            Ok(pending) => waiting.caller.answer(CallerAnswer::Pending(pending), out),
             Err(shard) => {
                 log::debug!(shard:% = shard, queue:% = queue; "shard has no recent report on its waiting jobs; the request for their number waits");
-                self.waiting_requests.push(WaitingRequest {
-                    caller,
-                    request,
-                    since: moment.now,
-                });
+                self.waiting_requests.push(waiting);
             }
         }
     }
 
-    fn answer(&mut self, moment: Moment, caller: Caller, request: CallerRequest, out: &mut Outbox) {
+    fn answer(&mut self, moment: Moment, waiting: WaitingRequest, out: &mut Outbox) {
+        if let CallerRequest::Submit { queue, .. } = &waiting.request
+            && !self.knows_queue(queue)
+        {
+            self.answer_unknown_queue(waiting, out);
+            return;
+        }
+        let WaitingRequest {
+            caller, request, ..
+        } = waiting;
         let context = Context {
             moment,
             membership: &self.membership,
@@ -101,14 +109,9 @@
         match request {
             CallerRequest::Submit { queue, job, spec } => {
                 let configuration = self.configuration.as_ref();
-                let settings = configuration
-                    .and_then(|known| known.queues.get(&queue))
-                    .cloned();
-                match settings {
-                    Some(settings) => {
-                        self.jobs.submit(context, caller, &settings, job, spec, out);
-                    }
-                    None => caller.answer(CallerAnswer::NoSuchQueue, out),
+                let settings = configuration.and_then(|known| known.queues.get(&queue));
+                if let Some(settings) = settings.cloned() {
+                    self.jobs.submit(context, caller, &settings, job, spec, out);
                 }
             }
             // Without a valid registration another process may own the job.
@@ -128,6 +131,25 @@
         }
     }
 
+    fn knows_queue(&self, queue: &QueueName) -> bool {
+        let configuration = self.configuration.as_ref();
+        configuration.is_some_and(|known| known.queues.contains_key(queue))
+    }
+
+    /// Answers the submission of a job to a queue that is not configured, or keeps it.
+    ///
+    /// The process that has read the caller's request may have a newer configuration, so the queue
+    /// certainly doesn't exist only once the store has confirmed this process's one since.
+    fn answer_unknown_queue(&mut self, waiting: WaitingRequest, out: &mut Outbox) {
+        let own_version = self.configuration_version();
+        let confirmed_at = self.configuration_sync.confirmed_at(own_version);
+        if confirmed_at > Some(waiting.since) {
+            waiting.caller.answer(CallerAnswer::NoSuchQueue, out);
+        } else {
+            self.waiting_requests.push(waiting);
+        }
+    }
+
     /// Checks in the store whether this process still owns the shard of an unknown job,
     /// before it answers that the job does not exist.
     fn check_ownership(&mut self, caller: Caller, job: JobId, out: &mut Outbox) {
@@ -167,20 +189,13 @@
 
     /// Forwards a request to the owner of its job, or keeps it until the job has a
     /// ready owner.
-    fn forward(
-        &mut self,
-        moment: Moment,
-        caller: Caller,
-        job: JobId,
-        request: CallerRequest,
-        out: &mut Outbox,
-    ) {
+    fn forward(&mut self, moment: Moment, job: JobId, waiting: WaitingRequest, out: &mut Outbox) {
         let unit = Unit::Jobs(JobShard::of(job));
         let owner = self.ownership.owner(&unit);
         let owner = owner.map(|owned| owned.owner.process.clone());
         let reachable =
             owner.filter(|owner| *owner != self.me && self.membership.find(owner).is_some());
-        match (reachable, &caller) {
+        match (reachable, &waiting.caller) {
             (Some(owner), Caller::Local(call)) => {
                 let forward = self.forward_numbers.next();
                 let forwarded = ForwardedRequest {
@@ -190,35 +205,35 @@
                 };
                 self.forwarded_requests.insert(forward, forwarded);
                 let call = forward;
+                let request = waiting.request;
                 out.send(&owner, PeerMessage::Forward { call, request });
             }
             // A request that a peer has forwarded is not forwarded again.
-            _ => self.waiting_requests.push(WaitingRequest {
-                caller,
-                request,
-                since: moment.now,
-            }),
+            _ => self.waiting_requests.push(waiting),
         }
     }
 
     /// Retries the requests that wait for an owner, and refuses those that timed out.
     pub(super) fn retry_waiting(&mut self, moment: Moment, out: &mut Outbox) {
         for waiting in std::mem::take(&mut self.waiting_requests) {
-            let WaitingRequest {
-                caller,
-                request,
-                since,
-            } = waiting;
-            if moment.since_ms(since) >= OWNER_TIMEOUT_MS {
-                self.log_missing_report(moment, &request);
-                refuse_without_owner(&caller, out);
-                continue;
+            if moment.since_ms(waiting.since) >= OWNER_TIMEOUT_MS {
+                self.log_missing_report(moment, &waiting.request);
+                self.refuse_waiting(&waiting, out);
+            } else {
+                self.try_answer(moment, waiting, out);
             }
-            let index = self.waiting_requests.len();
-            self.on_request(moment, caller, request, out);
-            if let Some(waiting) = self.waiting_requests.get_mut(index) {
-                waiting.since = since;
+        }
+    }
+
+    /// Refuses a request that could not be answered in time.
+    fn refuse_waiting(&self, waiting: &WaitingRequest, out: &mut Outbox) {
+        match &waiting.request {
+            CallerRequest::Submit { queue, job, .. }
+                if self.jobs.can_answer(*job) && !self.knows_queue(queue) =>
+            {
+                refuse_unknown_queue(&waiting.caller, *job, queue, out);
             }
+            _ => refuse_without_owner(&waiting.caller, out),
         }
     }
 
@@ -277,3 +292,12 @@
     };
     caller.answer(answer, out);
 }
+
+fn refuse_unknown_queue(caller: &Caller, job: JobId, queue: &QueueName, out: &mut Outbox) {
+    log::info!(job:% = job, queue:% = queue; "refused a job: its queue is not configured, but a newer configuration may have it");
+    let answer = CallerAnswer::Refused {
+        reason: RefusalReason::ConfigurationUnconfirmed,
+        retry_after_ms: OWNER_RETRY_AFTER_MS,
+    };
+    caller.answer(answer, out);
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -74,6 +74,7 @@
 mod successors;
 mod unheard_handovers;
 mod unheard_workers;
+mod unknown_queues;
 mod waiting_counts;
 mod whole_path;
 mod world_fuzz;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cut_fleet;
 pub mod fleet_world;
 pub mod fuzz;
+pub mod node_harness;
 pub mod node_parts;
 pub mod shared_workers;
 mod site_decoder;
