--- a/crates/turmericfold/src/fleet/large_messages.rs
+++ b/crates/turmericfold/src/fleet/large_messages.rs
@@ -1,7 +1,10 @@
-//! Delivers large messages to peers, one at a time and apart from all other messages.
+//! Delivers large messages to peers, one after the other and apart from all other messages.
+
+use std::sync::Arc;
+use std::time::Duration;
 
 use ecow::EcoString;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::JoinSet;
 use turmericfold_fleet::PeerMessage;
 use turmericfold_peer::FleetClient;
@@ -11,6 +14,10 @@
 /// slow link which it shares with other traffic.
 const DELIVERY_TIMEOUT_MS: u64 = 4_000;
 
+/// Time after which the next delivery begins beside one that has not ended, in milliseconds: its
+/// receiver then asks another process, and may be silent.
+const MAX_TURN_MS: u64 = 1_000;
+
 /// Maximum number of messages that wait; further ones are dropped, as their receivers then
 /// ask another peer.
 const MAX_WAITING_MESSAGES: usize = 2;
@@ -51,18 +58,47 @@
 }
 
 /// Delivers the messages in order until their queue is closed.
+///
+/// The next delivery begins when the last one has ended, or is slow.
 async fn deliver_all(own_process: ProcessId, mut messages: mpsc::Receiver<LargeMessage>) {
-    while let Some(large) = messages.recv().await {
-        let LargeMessage {
-            to,
-            address,
-            message,
-        } = large;
-        let delivered = FleetClient::new(address)
-            .deliver(&own_process, vec![message], DELIVERY_TIMEOUT_MS)
-            .await;
-        if let Err(error) = delivered {
-            log::info!(peer:% = to, error:% = error; "delivery of a large message to the peer failed; the peer asks another process");
-        }
+    let turn = Arc::new(Semaphore::new(1));
+    let mut deliveries = JoinSet::new();
+    while let Some(message) = messages.recv().await {
+        // The semaphore is never closed.
+        let Ok(permit) = turn.clone().acquire_owned().await else {
+            break;
+        };
+        deliveries.spawn(deliver_in_turn(own_process.clone(), message, permit));
+        while deliveries.try_join_next().is_some() {}
+    }
+    while deliveries.join_next().await.is_some() {}
+}
+
+/// Delivers a message, and gives up its turn when that takes long.
+async fn deliver_in_turn(
+    own_process: ProcessId,
+    message: LargeMessage,
+    permit: OwnedSemaphorePermit,
+) {
+    let delivery = deliver(own_process, message);
+    tokio::pin!(delivery);
+    let turn = Duration::from_millis(MAX_TURN_MS);
+    if tokio::time::timeout(turn, &mut delivery).await.is_err() {
+        drop(permit);
+        delivery.await;
+    }
+}
+
+async fn deliver(own_process: ProcessId, large: LargeMessage) {
+    let LargeMessage {
+        to,
+        address,
+        message,
+    } = large;
+    let delivered = FleetClient::new(address)
+        .deliver(&own_process, vec![message], DELIVERY_TIMEOUT_MS)
+        .await;
+    if let Err(error) = delivered {
+        log::info!(peer:% = to, error:% = error; "delivery of a large message to the peer failed; the peer asks another process");
     }
 }
