Let the tests of single nodes share one driver

Five test files had each their own node, outbox, clock and answers to reads. They now use DrivenNode; the harness of a shard's owner is built on it.

--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -4,7 +4,7 @@
 use turmericfold_fleet::{Event, WorkerChange};
 use turmericfold_platform::{ExpectedKey, StoreReply, StoreVersion, StoredValue, WorkerEntry};
 use turmericfold_tests::fleet_world::SERVICE;
-use turmericfold_tests::node_harness::{JOB, NodeHarness, stored};
+use turmericfold_tests::shard_owner::{JOB, ShardOwner, stored};
 use turmericfold_types::{FailureDomain, InstanceName, Resources, ServiceName};
 
 /// The number of workers, of which each of both processes claims some.
@@ -14,7 +14,7 @@
 /// current one, so the process must keep serving the shard.
 #[test]
 fn old_outcome_loses_nothing() {
-    let mut harness = NodeHarness::new();
+    let mut harness = ShardOwner::new();
     harness.acquire(5);
     harness.submit(1, JOB);
     let stale_write = harness.take_accept().unwrap();
@@ -25,51 +25,60 @@
     };
     let refused = StoreReply::Refused {
         current: vec![ExpectedKey {
-            key: NodeHarness::key().into(),
+            key: ShardOwner::key().into(),
             stored: Some(intermediate_owner),
         }],
     };
-    harness.deliver(Event::Store {
+    harness.driven.deliver(Event::Store {
         call: stale_write,
         result: Ok(refused),
     });
     harness.submit(2, JOB);
-    assert!(harness.node.owns_job(JOB), "the shard was released");
+    assert!(harness.driven.node.owns_job(JOB), "the shard was released");
     assert!(harness.take_accept().is_some(), "the job is not stored");
 }
 
 /// Guards against the removal of an owner that was stored after a claim had been refused.
 #[test]
 fn old_refusal_removes_nothing() {
-    let mut harness = NodeHarness::new();
+    let mut harness = ShardOwner::new();
     harness.register();
     let claim = harness.take_claim();
     harness.acquire(9);
-    assert!(harness.node.owns_job(JOB), "the shard was not acquired");
+    assert!(
+        harness.driven.node.owns_job(JOB),
+        "the shard was not acquired"
+    );
     let refused = StoreReply::Refused {
         current: vec![ExpectedKey {
-            key: NodeHarness::key().into(),
+            key: ShardOwner::key().into(),
             stored: None,
         }],
     };
     harness.answer(claim, refused);
-    assert!(harness.node.owns_job(JOB), "the shard was released");
+    assert!(harness.driven.node.owns_job(JOB), "the shard was released");
 }
 
 /// Guards against an owner that a late page restores after the deletion of its key.
 #[test]
 fn late_page_restores_nothing() {
-    let mut harness = NodeHarness::new();
+    let mut harness = ShardOwner::new();
     harness.register();
     let claim = harness.take_claim();
     let version = StoreVersion(5);
     harness.answer(claim, StoreReply::Committed { version });
     let read = harness.take_range("/owners/");
     harness.acquire(version.0);
-    assert!(harness.node.owns_job(JOB), "the shard was not acquired");
+    assert!(
+        harness.driven.node.owns_job(JOB),
+        "the shard was not acquired"
+    );
     harness.report_owner(9, None);
-    assert!(!harness.node.owns_job(JOB), "the shard was not released");
-    let owner = stored(NodeHarness::key(), &harness.owner(), version);
+    assert!(
+        !harness.driven.node.owns_job(JOB),
+        "the shard was not released"
+    );
+    let owner = stored(ShardOwner::key(), &harness.owner(), version);
     let page = StoreReply::Page {
         keys: vec![owner],
         more: false,
@@ -98,13 +107,15 @@
 #[case::configured(SERVICE, true)]
 #[case::unknown("nobody", false)]
 fn workers_of_services_are_claimed(#[case] service: &str, #[case] is_claimed: bool) {
-    let mut harness = NodeHarness::new();
+    let mut harness = ShardOwner::new();
     harness.register();
     let workers = (0..WORKERS).map(|number| worker_of(service, number));
     let changes = workers.map(WorkerChange::Registered);
-    harness.deliver(Event::WorkersChanged(changes.collect()));
+    harness
+        .driven
+        .deliver(Event::WorkersChanged(changes.collect()));
     let claimed = harness.take_claimed_keys();
-    assert!(claimed.contains(&NodeHarness::key()), "{claimed:?}");
+    assert!(claimed.contains(&ShardOwner::key()), "{claimed:?}");
     let claims_workers = claimed.iter().any(|key| key.contains("/workers/"));
     assert_eq!(claims_workers, is_claimed, "{claimed:?}");
 }
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -4,16 +4,17 @@
 
 use rstest::rstest;
 use turmericfold_fleet::{
-    CallId, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox, PeerMessage,
-    RecoveryReport, ReportedEnd, StartOutcome, Summary, WorkerChange, WorkerSummary,
+    CallId, CallerRequest, Event, JobShard, PeerMessage, RecoveryReport, ReportedEnd, StartOutcome,
+    Summary, WorkerChange, WorkerSummary,
 };
 use turmericfold_jobs::{
     EndedRun, JobId, JobSpec, QueueName, RunEnd, RunKey, RunNumber, StepSpec, TaskKey,
 };
 use turmericfold_platform::{StoreCall, StoreReply, StoreVersion, WorkerEntry};
-use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
-use turmericfold_tests::node_parts::{member, owner_change, process};
-use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources, ServiceName};
+use turmericfold_tests::driven_node::DrivenNode;
+use turmericfold_tests::fleet_world::{QUEUE, SERVICE};
+use turmericfold_tests::node_parts::{owner_change, process};
+use turmericfold_types::{FailureDomain, InstanceName, Resources, ServiceName};
 
 const JOB: JobId = JobId(5);
 const WORKER: &str = "worker-00";
@@ -30,9 +31,7 @@
 /// A node that owns a job. The test answers in place of the store and of the owner of the
 /// only worker.
 struct JobOwnerHarness {
-    node: FleetNode,
-    out: Outbox,
-    now_ms: u64,
+    driven: DrivenNode,
     worker_epoch: StoreVersion,
 }
 
@@ -41,17 +40,13 @@
 
 impl JobOwnerHarness {
     fn new() -> Self {
-        let member = member(process(0, 1));
         let mut harness = Self {
-            node: FleetNode::new(&FleetSettings::new(member)),
-            out: Outbox::new(process(0, 1)),
-            now_ms: 1_000,
+            driven: DrivenNode::new(process(0, 1)),
             worker_epoch: WORKER_EPOCH,
         };
-        harness.deliver(Event::Configuration(configuration().into()));
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
-        harness.deliver(Event::KeysChanged(vec![
+        harness.driven.deliver(Event::KeysChanged(vec![
             owner_change(&worker_key, process(1, 1), WORKER_EPOCH),
             owner_change(&jobs_key, process(0, 1), JOBS_EPOCH),
         ]));
@@ -59,19 +54,10 @@
         harness
     }
 
-    fn deliver(&mut self, event: Event) {
-        self.now_ms += 10;
-        let moment = Moment {
-            now: MonotonicMs(self.now_ms),
-            unix_ms: self.now_ms,
-        };
-        self.node.handle(moment, event, &mut self.out);
-    }
-
     /// Answers all reads as empty and all transactions as committed.
     fn answer_store(&mut self) {
-        for request in std::mem::take(&mut self.out.store) {
-            let version = StoreVersion(self.now_ms);
+        for request in std::mem::take(&mut self.driven.out.store) {
+            let version = StoreVersion(self.driven.now_ms);
             let reply = match request.store_call {
                 StoreCall::Range { .. } => StoreReply::Page {
                     keys: Vec::new(),
@@ -81,7 +67,7 @@
                 StoreCall::Transact(_) => StoreReply::Committed { version },
                 _ => continue,
             };
-            self.deliver(Event::Store {
+            self.driven.deliver(Event::Store {
                 call: request.call,
                 result: Ok(reply),
             });
@@ -89,7 +75,7 @@
     }
 
     fn receive(&mut self, message: PeerMessage) {
-        self.deliver(Event::Peer {
+        self.driven.deliver(Event::Peer {
             from: process(1, 1),
             messages: vec![message],
         });
@@ -106,7 +92,7 @@
             },
         };
         let call = CallId(1);
-        self.deliver(Event::CallerRequest { call, request });
+        self.driven.deliver(Event::CallerRequest { call, request });
         self.answer_store();
     }
 
@@ -160,7 +146,7 @@
             labels: Vec::new(),
         };
         let change = WorkerChange::Registered(entry);
-        self.deliver(Event::WorkersChanged(vec![change]));
+        self.driven.deliver(Event::WorkersChanged(vec![change]));
     }
 
     /// Gives the worker to its owner anew and returns the number of the query about its runs.
@@ -168,9 +154,9 @@
         self.worker_epoch = StoreVersion(JOBS_EPOCH.0 + 1);
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let change = owner_change(&worker_key, process(1, 1), self.worker_epoch);
-        self.now_ms += 300;
-        self.deliver(Event::KeysChanged(vec![change]));
-        let messages = std::mem::take(&mut self.out.messages);
+        self.driven.now_ms += 300;
+        self.driven.deliver(Event::KeysChanged(vec![change]));
+        let messages = std::mem::take(&mut self.driven.out.messages);
         let query = |message| match message {
             PeerMessage::RecoveryQuery { query_id, .. } => Some(query_id),
             _ => None,
@@ -180,9 +166,9 @@
 
     /// Returns the runs that were ordered since the last call, and in a next pass.
     fn ordered_runs(&mut self) -> Vec<RunKey> {
-        self.now_ms += PASS_MS;
-        self.deliver(Event::Tick);
-        let messages = std::mem::take(&mut self.out.messages);
+        self.driven.now_ms += PASS_MS;
+        self.driven.deliver(Event::Tick);
+        let messages = std::mem::take(&mut self.driven.out.messages);
         let run = |message| match message {
             PeerMessage::Start(order) => Some(order.run),
             _ => None,
@@ -192,7 +178,7 @@
 
     /// Returns whether an end was acknowledged since the messages were last taken.
     fn has_acknowledged(&mut self) -> bool {
-        let messages = std::mem::take(&mut self.out.messages);
+        let messages = std::mem::take(&mut self.driven.out.messages);
         let mut messages = messages.into_values().flatten();
         messages.any(|message| matches!(message, PeerMessage::EndsRecorded { .. }))
     }
@@ -244,7 +230,7 @@
     for _ in 0..100 {
         harness.report_usable(true);
         harness.answer_store();
-        harness.now_ms += 300;
+        harness.driven.now_ms += 300;
         restarted.extend(harness.ordered_runs());
     }
     assert_eq!(restarted.len(), 1, "the task must start once more");
--- a/tests/features/replaced_workers.rs
+++ b/tests/features/replaced_workers.rs
@@ -1,14 +1,14 @@
 //! Workers that have ended for good and at whose addresses other workers answer.
 
 use turmericfold_fleet::{
-    Authority, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox, PeerMessage,
-    RecoveryReport, WorkerCall, WorkerChange, WorkerResult,
+    Authority, Event, JobShard, PeerMessage, RecoveryReport, WorkerCall, WorkerChange, WorkerResult,
 };
 use turmericfold_jobs::JobId;
-use turmericfold_platform::{PollReply, StoreCall, StoreReply, StoreVersion, WorkerEntry};
-use turmericfold_tests::fleet_world::{SERVICE, configuration};
-use turmericfold_tests::node_parts::{member, owner_change, process};
-use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources, ServiceName};
+use turmericfold_platform::{PollReply, StoreCall, StoreVersion, WorkerEntry};
+use turmericfold_tests::driven_node::DrivenNode;
+use turmericfold_tests::fleet_world::SERVICE;
+use turmericfold_tests::node_parts::{owner_change, process};
+use turmericfold_types::{FailureDomain, InstanceName, Resources, ServiceName};
 
 const WORKER: &str = "worker-00";
 const WORKER_EPOCH: StoreVersion = StoreVersion(5);
@@ -19,60 +19,30 @@
 /// A node that has taken over a worker which has never answered it. The test answers in
 /// place of the store and of the other worker at the address.
 struct NewOwner {
-    node: FleetNode,
-    out: Outbox,
-    now_ms: u64,
+    driven: DrivenNode,
 }
 
 impl NewOwner {
     fn new() -> Self {
         let mut owner = Self {
-            node: FleetNode::new(&FleetSettings::new(member(process(0, 1)))),
-            out: Outbox::new(process(0, 1)),
-            now_ms: 1_000,
+            driven: DrivenNode::new(process(0, 1)),
         };
-        owner.deliver(Event::Configuration(configuration().into()));
         let registered = WorkerChange::Registered(entry("10.1.0.1:8000"));
-        owner.deliver(Event::WorkersChanged(vec![registered]));
+        owner
+            .driven
+            .deliver(Event::WorkersChanged(vec![registered]));
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let acquired = owner_change(&worker_key, process(0, 1), WORKER_EPOCH);
-        owner.deliver(Event::KeysChanged(vec![acquired]));
-        owner.answer_reads();
+        owner.driven.deliver(Event::KeysChanged(vec![acquired]));
+        owner.driven.answer_reads(&[]);
         owner
     }
 
-    fn deliver(&mut self, event: Event) {
-        self.now_ms += 10;
-        let moment = Moment {
-            now: MonotonicMs(self.now_ms),
-            unix_ms: self.now_ms,
-        };
-        self.node.handle(moment, event, &mut self.out);
-    }
-
-    /// Answers all reads as empty.
-    fn answer_reads(&mut self) {
-        for request in std::mem::take(&mut self.out.store) {
-            if !matches!(request.store_call, StoreCall::Range { .. }) {
-                continue;
-            }
-            let reply = StoreReply::Page {
-                keys: Vec::new(),
-                more: false,
-                version: StoreVersion(self.now_ms),
-            };
-            self.deliver(Event::Store {
-                call: request.call,
-                result: Ok(reply),
-            });
-        }
-    }
-
     /// Answers the polls in progress as another worker.
     fn answer_as_other(&mut self) {
-        for request in std::mem::take(&mut self.out.workers) {
+        for request in std::mem::take(&mut self.driven.out.workers) {
             assert!(matches!(request.worker_call, WorkerCall::Poll(_)));
-            self.deliver(Event::Worker {
+            self.driven.deliver(Event::Worker {
                 worker: request.worker.id,
                 call: request.call,
                 result: WorkerResult::Poll(Ok(PollReply::OtherWorker)),
@@ -83,23 +53,23 @@
     /// Reports that the registration of the worker is gone.
     fn unregister(&mut self) {
         let gone = WorkerChange::Unregistered(InstanceName::new(WORKER));
-        self.deliver(Event::WorkersChanged(vec![gone]));
+        self.driven.deliver(Event::WorkersChanged(vec![gone]));
     }
 
     /// Returns the report on the worker that a peer receives, if any.
     fn report(&mut self) -> Option<RecoveryReport> {
-        self.out.messages.clear();
+        self.driven.out.messages.clear();
         let shard = JobShard::of(JobId(5));
         let epoch = StoreVersion(6);
         let query = PeerMessage::RecoveryQuery {
             query_id: QUERY_ID,
             shards: vec![Authority { shard, epoch }],
         };
-        self.deliver(Event::Peer {
+        self.driven.deliver(Event::Peer {
             from: process(1, 1),
             messages: vec![query],
         });
-        let messages = std::mem::take(&mut self.out.messages);
+        let messages = std::mem::take(&mut self.driven.out.messages);
         messages.into_values().flatten().find_map(|message| {
             let PeerMessage::RecoveryReport(report) = message else {
                 return None;
@@ -114,7 +84,8 @@
             StoreCall::Transact(transaction) => !transaction.remove.is_empty(),
             _ => false,
         };
-        self.out
+        self.driven
+            .out
             .store
             .iter()
             .any(|request| removes(&request.store_call))
@@ -165,7 +136,7 @@
     owner.unregister();
     owner.answer_as_other();
     assert_eq!(owner.report(), None, "it may have a new address");
-    owner.deliver(Event::WorkersChanged(Vec::new()));
+    owner.driven.deliver(Event::WorkersChanged(Vec::new()));
     assert!(owner.report().is_some(), "the worker is gone");
 }
 
@@ -174,9 +145,9 @@
 fn moved_worker_is_unknown() {
     let mut owner = NewOwner::new();
     let moved = WorkerChange::Registered(entry("10.1.0.2:8000"));
-    let former_polls = std::mem::take(&mut owner.out.workers);
-    owner.deliver(Event::WorkersChanged(vec![moved]));
-    owner.out.workers = former_polls;
+    let former_polls = std::mem::take(&mut owner.driven.out.workers);
+    owner.driven.deliver(Event::WorkersChanged(vec![moved]));
+    owner.driven.out.workers = former_polls;
     owner.answer_as_other();
     assert_eq!(owner.report(), None, "nothing is known of the worker");
 }
--- a/tests/features/start_doubts.rs
+++ b/tests/features/start_doubts.rs
@@ -1,8 +1,8 @@
 //! How a worker's owner handles start calls whose outcome is unknown.
 
 use turmericfold_fleet::{
-    Authority, CallId, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox, PeerMessage,
-    RunDetails, StartOrder, StartOutcome, WorkerCall, WorkerResult,
+    Authority, CallId, Event, JobShard, PeerMessage, RunDetails, StartOrder, StartOutcome,
+    WorkerCall, WorkerResult,
 };
 use turmericfold_jobs::{JobId, RunEnd};
 use turmericfold_platform::{
@@ -10,8 +10,9 @@
     WorkerEntry,
 };
 use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
-use turmericfold_tests::fleet_world::{SERVICE, configuration};
-use turmericfold_tests::node_parts::{member, owner_change, process, run};
+use turmericfold_tests::driven_node::DrivenNode;
+use turmericfold_tests::fleet_world::SERVICE;
+use turmericfold_tests::node_parts::{owner_change, process, run};
 use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources};
 
 const JOB: JobId = JobId(5);
@@ -22,9 +23,7 @@
 /// A node that owns one worker. The test answers in place of the store, the worker and
 /// the owner of the job.
 struct WorkerOwnerHarness {
-    node: FleetNode,
-    out: Outbox,
-    now_ms: u64,
+    driven: DrivenNode,
 }
 
 impl WorkerOwnerHarness {
@@ -33,37 +32,26 @@
     }
 
     fn with_worker_epoch(worker_epoch: StoreVersion) -> Self {
-        let member = member(process(0, 1));
         let mut harness = Self {
-            node: FleetNode::new(&FleetSettings::new(member)),
-            out: Outbox::new(process(0, 1)),
-            now_ms: 1_000,
+            driven: DrivenNode::new(process(0, 1)),
         };
-        harness.deliver(Event::Configuration(configuration().into()));
-        harness.deliver(Event::WorkersReloaded(vec![entry()]));
+        harness
+            .driven
+            .deliver(Event::WorkersReloaded(vec![entry()]));
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
-        harness.deliver(Event::KeysChanged(vec![
+        harness.driven.deliver(Event::KeysChanged(vec![
             owner_change(&worker_key, process(0, 1), worker_epoch),
             owner_change(&jobs_key, process(1, 1), JOBS_EPOCH),
         ]));
-        harness.deliver(Event::Tick);
+        harness.driven.deliver(Event::Tick);
         harness.answer_owner_ranges();
         harness.answer_poll(1);
         harness
     }
 
-    fn deliver(&mut self, event: Event) {
-        self.now_ms += 10;
-        let moment = Moment {
-            now: MonotonicMs(self.now_ms),
-            unix_ms: self.now_ms,
-        };
-        self.node.handle(moment, event, &mut self.out);
-    }
-
     fn answer_owner_ranges(&mut self) {
-        let orders = std::mem::take(&mut self.out.store);
+        let orders = std::mem::take(&mut self.driven.out.store);
         for order in orders {
             if matches!(&order.store_call, StoreCall::Range { prefix, .. } if prefix.contains("owners"))
             {
@@ -72,7 +60,7 @@
                     more: false,
                     version: JOBS_EPOCH,
                 };
-                self.deliver(Event::Store {
+                self.driven.deliver(Event::Store {
                     call: order.call,
                     result: Ok(page),
                 });
@@ -95,7 +83,7 @@
 
     fn answer(&mut self, call: CallId, result: WorkerResult) {
         let worker = InstanceName::new(WORKER);
-        self.deliver(Event::Worker {
+        self.driven.deliver(Event::Worker {
             worker,
             call,
             result,
@@ -116,7 +104,7 @@
     where
         Select: Fn(WorkerCall) -> Option<Selected>,
     {
-        let orders = std::mem::take(&mut self.out.workers);
+        let orders = std::mem::take(&mut self.driven.out.workers);
         let found = orders
             .into_iter()
             .find_map(|order| Some((order.call, select(order.worker_call)?)));
@@ -139,14 +127,14 @@
 
     /// Lets time pass until calls are due.
     fn wait(&mut self, wait_ms: u64) {
-        self.now_ms += wait_ms;
-        self.deliver(Event::Tick);
+        self.driven.now_ms += wait_ms;
+        self.driven.deliver(Event::Tick);
     }
 
     /// Lets a worker handle the next poll, without delivering its answer.
     fn poll(&mut self, worker: &mut TaskWorkerModel) -> (CallId, WorkerResult) {
         let (call, poll) = self.take_poll_call();
-        let reply = worker.poll(MonotonicMs(self.now_ms), &poll);
+        let reply = worker.poll(MonotonicMs(self.driven.now_ms), &poll);
         (call, WorkerResult::Poll(Ok(reply)))
     }
 
@@ -158,7 +146,7 @@
 
     /// Takes the ends reported to the owner of the job.
     fn reported_ends(&mut self) -> Vec<RunEnd> {
-        let messages = std::mem::take(&mut self.out.messages);
+        let messages = std::mem::take(&mut self.driven.out.messages);
         let ends = |message| match message {
             PeerMessage::EndsReported { ends, .. } => ends,
             _ => Vec::new(),
@@ -191,7 +179,7 @@
                 due_ms: 0,
             },
         };
-        self.deliver(Event::Peer {
+        self.driven.deliver(Event::Peer {
             from: process(1, 1),
             messages: vec![PeerMessage::Start(Box::new(order))],
         });
@@ -199,7 +187,7 @@
 
     /// Takes the start outcomes sent to the owner of the job.
     fn outcomes(&mut self) -> Vec<StartOutcome> {
-        let messages = std::mem::take(&mut self.out.messages);
+        let messages = std::mem::take(&mut self.driven.out.messages);
         let outcome = |message| match message {
             PeerMessage::StartAnswer { outcome, .. } => Some(outcome),
             _ => None,
@@ -246,8 +234,8 @@
     harness.order_start();
     let first = harness.take_start();
     harness.answer(first, no_answer());
-    harness.now_ms += 300;
-    harness.deliver(Event::Tick);
+    harness.driven.now_ms += 300;
+    harness.driven.deliver(Event::Tick);
     let second = harness.take_start();
     harness.answer(second, WorkerResult::Start(Ok(StartReply::Fenced)));
     assert_eq!(harness.outcomes(), [], "the run may have started");
@@ -273,11 +261,11 @@
     let mut worker = TaskWorkerModel::new(entry().capacity, MonotonicMs(0));
     harness.order_start();
     let (first, start) = harness.take_start_call();
-    worker.start(MonotonicMs(harness.now_ms), &start, behaviour());
+    worker.start(MonotonicMs(harness.driven.now_ms), &start, behaviour());
     harness.answer(first, no_answer());
     harness.wait(50);
     let (poll, listing) = harness.poll(&mut worker);
-    worker.restart(MonotonicMs(harness.now_ms));
+    worker.restart(MonotonicMs(harness.driven.now_ms));
     harness.wait(150);
     let (_, late) = harness.take_start_call();
     harness.answer(poll, listing);
@@ -286,7 +274,7 @@
         harness.poll_and_answer(&mut worker);
     }
     assert_eq!(harness.reported_ends(), [RunEnd::Lapsed]);
-    let reply = worker.start(MonotonicMs(harness.now_ms), &late, behaviour());
+    let reply = worker.start(MonotonicMs(harness.driven.now_ms), &late, behaviour());
     assert_eq!(reply, StartReply::Fenced);
 }
 
--- a/tests/features/successors.rs
+++ b/tests/features/successors.rs
@@ -3,20 +3,17 @@
 use std::sync::Arc;
 
 use turmericfold_fleet::{
-    CallId, CallerAnswer, CallerRequest, Event, FleetNode, FleetSettings, JobShard, Moment, Outbox,
-    Owner, PeerMessage, RecoveryReport, Summary, WorkerSummary,
+    CallId, CallerAnswer, CallerRequest, Event, JobShard, Owner, PeerMessage, RecoveryReport,
+    Summary, WorkerSummary,
 };
 use turmericfold_jobs::{
     JobId, JobRecord, JobSpec, JobState, QueueName, RunKey, RunNumber, StepSpec, TaskKey,
 };
-use turmericfold_platform::{
-    KeyChange, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue,
-};
+use turmericfold_platform::{KeyChange, StoreVersion, StoredKey, StoredValue};
+use turmericfold_tests::driven_node::DrivenNode;
 use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
 use turmericfold_tests::node_parts::{member, process};
-use turmericfold_types::{
-    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
-};
+use turmericfold_types::{FailureDomain, InstanceName, ProcessId, Resources, ServiceName};
 
 const JOB: JobId = JobId(5);
 const WORKER: &str = "worker-00";
@@ -31,60 +28,28 @@
 /// The second process of an instance. The test answers in place of the store and of a peer,
 /// which owns the only worker.
 struct Successor {
-    node: FleetNode,
-    out: Outbox,
-    now_ms: u64,
+    driven: DrivenNode,
 }
 
 impl Successor {
     fn new(jobs_owner: ProcessId) -> Self {
         let mut successor = Self {
-            node: FleetNode::new(&FleetSettings::new(member(process(0, 2)))),
-            out: Outbox::new(process(0, 2)),
-            now_ms: 1_000,
+            driven: DrivenNode::new(process(0, 2)),
         };
-        successor.deliver(Event::Configuration(configuration().into()));
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
         let peer = serde_json::to_string(&member(process(1, 1))).unwrap();
-        successor.deliver(Event::KeysChanged(vec![
+        successor.driven.deliver(Event::KeysChanged(vec![
             change("turmericfold/fleet/members/entry-1", peer, 4),
             change(&worker_key, owner(process(1, 1)), WORKER_EPOCH.0),
             change(&jobs_key, owner(jobs_owner), 6),
         ]));
-        successor.answer_store();
+        successor.driven.answer_reads(&[stored_job()]);
         successor
     }
 
-    fn deliver(&mut self, event: Event) {
-        self.now_ms += 10;
-        let moment = Moment {
-            now: MonotonicMs(self.now_ms),
-            unix_ms: self.now_ms,
-        };
-        self.node.handle(moment, event, &mut self.out);
-    }
-
-    /// Answers all reads with the record of the job.
-    fn answer_store(&mut self) {
-        for request in std::mem::take(&mut self.out.store) {
-            if !matches!(request.store_call, StoreCall::Range { .. }) {
-                continue;
-            }
-            let reply = StoreReply::Page {
-                keys: vec![stored_job()],
-                more: false,
-                version: StoreVersion(7),
-            };
-            self.deliver(Event::Store {
-                call: request.call,
-                result: Ok(reply),
-            });
-        }
-    }
-
     fn receive(&mut self, message: PeerMessage) {
-        self.deliver(Event::Peer {
+        self.driven.deliver(Event::Peer {
             from: process(1, 1),
             messages: vec![message],
         });
@@ -98,7 +63,7 @@
             runs,
             ends: Vec::new(),
         }));
-        self.now_ms += 300;
+        self.driven.now_ms += 300;
         self.receive(PeerMessage::Summary(Arc::new(Summary {
             process: process(1, 1),
             configuration: 1,
@@ -108,15 +73,15 @@
     }
 
     fn take_messages(&mut self) -> Vec<PeerMessage> {
-        let messages = std::mem::take(&mut self.out.messages);
+        let messages = std::mem::take(&mut self.driven.out.messages);
         messages.into_values().flatten().collect()
     }
 
     /// Returns the number of the query that it sends within half a second, if any.
     fn next_query(&mut self) -> Option<u64> {
         self.take_messages();
-        self.now_ms += 500;
-        self.deliver(Event::Tick);
+        self.driven.now_ms += 500;
+        self.driven.deliver(Event::Tick);
         let query = |message: &PeerMessage| match message {
             PeerMessage::RecoveryQuery { query_id, .. } => Some(*query_id),
             _ => None,
@@ -195,7 +160,7 @@
 #[test]
 fn old_answer_reaches_nobody() {
     let mut successor = Successor::new(process(1, 1));
-    successor.deliver(Event::CallerRequest {
+    successor.driven.deliver(Event::CallerRequest {
         call: CallId(1),
         request: CallerRequest::State { job: JOB },
     });
@@ -207,7 +172,7 @@
     for (call, answers) in [(FORMER_CALL, 0), (own_call, 1)] {
         let answer = CallerAnswer::State(JobState::Active);
         successor.receive(PeerMessage::Answer { call, answer });
-        assert_eq!(successor.out.replies.len(), answers);
+        assert_eq!(successor.driven.out.replies.len(), answers);
     }
 }
 
--- a/tests/features/unknown_queues.rs
+++ b/tests/features/unknown_queues.rs
@@ -4,16 +4,16 @@
 
 use turmericfold_fleet::{CallerAnswer, Configuration, Event, RefusalReason};
 use turmericfold_tests::fleet_world::configuration;
-use turmericfold_tests::node_harness::{JOB, NodeHarness};
+use turmericfold_tests::shard_owner::{JOB, ShardOwner};
 
 /// The number of ticks of the harness in which a request times out.
 const TIMEOUT_TICKS: u32 = 20;
 
 /// Returns an owner without the queue, to which a job was submitted.
-fn asked_owner() -> NodeHarness {
-    let mut owner = NodeHarness::new();
+fn asked_owner() -> ShardOwner {
+    let mut owner = ShardOwner::new();
     owner.acquire(5);
-    owner.deliver(configuration_event(
+    owner.driven.deliver(configuration_event(
         2,
         Configuration {
             queues: BTreeMap::new(),
@@ -23,7 +23,7 @@
     // What the store said before the submission tells nothing of the queue.
     owner.confirm_configuration();
     owner.submit(1, JOB);
-    owner.deliver(Event::Tick);
+    owner.driven.deliver(Event::Tick);
     owner
 }
 
@@ -32,8 +32,8 @@
     Event::Configuration(configuration.into())
 }
 
-fn take_answer(owner: &mut NodeHarness) -> Option<CallerAnswer> {
-    let reply = owner.out.replies.pop()?;
+fn take_answer(owner: &mut ShardOwner) -> Option<CallerAnswer> {
+    let reply = owner.driven.out.replies.pop()?;
     Some(reply.answer)
 }
 
@@ -42,8 +42,10 @@
 fn newer_queue_is_awaited() {
     let mut owner = asked_owner();
     assert_eq!(take_answer(&mut owner), None);
-    owner.deliver(configuration_event(3, configuration()));
-    owner.deliver(Event::Tick);
+    owner
+        .driven
+        .deliver(configuration_event(3, configuration()));
+    owner.driven.deliver(Event::Tick);
     assert_eq!(take_answer(&mut owner), None);
     assert!(owner.take_accept().is_some(), "the job is not stored");
 }
@@ -61,7 +63,7 @@
 fn unconfirmed_owner_refuses_later() {
     let mut owner = asked_owner();
     for _ in 0..TIMEOUT_TICKS {
-        owner.deliver(Event::Tick);
+        owner.driven.deliver(Event::Tick);
     }
     let answer = take_answer(&mut owner);
     let Some(CallerAnswer::Refused { reason, .. }) = answer else {
--- /dev/null
+++ b/tests/src/driven_node.rs
@@ -0,0 +1,73 @@
+//! A single node of a fleet that a test hands events to.
+
+use turmericfold_fleet::{Event, FleetNode, FleetSettings, Moment, Outbox};
+use turmericfold_platform::{StoreCall, StoreReply, StoreVersion, StoredKey};
+use turmericfold_types::{MonotonicMs, ProcessId};
+
+use crate::fleet_world::configuration;
+use crate::node_parts::member;
+
+/// The time between two events unless a test sets another, in milliseconds.
+const DEFAULT_STEP_MS: u64 = 10;
+
+/// A node with a configuration, and the time of its last event.
+#[derive(Debug)]
+pub struct DrivenNode {
+    /// The node.
+    pub node: FleetNode,
+    /// What the node has requested and the test has not taken yet.
+    pub out: Outbox,
+    /// The time of the last event on both clocks, in milliseconds.
+    pub now_ms: u64,
+    step_ms: u64,
+}
+
+impl DrivenNode {
+    /// Creates the node of a process.
+    pub fn new(process: ProcessId) -> Self {
+        let settings = FleetSettings::new(member(process.clone()));
+        let mut driven = Self {
+            node: FleetNode::new(&settings),
+            out: Outbox::new(process),
+            now_ms: 1_000,
+            step_ms: DEFAULT_STEP_MS,
+        };
+        driven.deliver(Event::Configuration(configuration().into()));
+        driven
+    }
+
+    /// Sets the time between two events, in milliseconds.
+    #[must_use]
+    pub fn with_step_ms(mut self, step_ms: u64) -> Self {
+        self.step_ms = step_ms;
+        self
+    }
+
+    /// Hands an event to the node, one step after the last one.
+    pub fn deliver(&mut self, event: Event) {
+        self.now_ms += self.step_ms;
+        let moment = Moment {
+            now: MonotonicMs(self.now_ms),
+            unix_ms: self.now_ms,
+        };
+        self.node.handle(moment, event, &mut self.out);
+    }
+
+    /// Answers all reads with the same keys, and drops all other calls to the store.
+    pub fn answer_reads(&mut self, keys: &[StoredKey]) {
+        for request in std::mem::take(&mut self.out.store) {
+            if !matches!(request.store_call, StoreCall::Range { .. }) {
+                continue;
+            }
+            let reply = StoreReply::Page {
+                keys: keys.to_vec(),
+                more: false,
+                version: StoreVersion(self.now_ms),
+            };
+            self.deliver(Event::Store {
+                call: request.call,
+                result: Ok(reply),
+            });
+        }
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -9,10 +9,11 @@
 mod http_probe;
 
 pub mod cut_fleet;
+pub mod driven_node;
 pub mod fleet_world;
 pub mod fuzz;
-pub mod node_harness;
 pub mod node_parts;
+pub mod shard_owner;
 pub mod shared_workers;
 mod site_decoder;
 pub mod site_store;
--- a/tests/src/node_harness.rs
+++ b/tests/src/shard_owner.rs
@@ -1,17 +1,15 @@
-//! A single node of a fleet, whose store calls the test answers.
+//! A single node of a fleet that owns a shard of jobs, and whose store calls the test answers.
 
 use serde::Serialize;
-use turmericfold_fleet::{
-    CallId, CallerRequest, Configuration, Event, FleetNode, FleetSettings, JobShard, Moment,
-    Outbox, Owner,
-};
+use turmericfold_fleet::{CallId, CallerRequest, Event, JobShard, Owner};
 use turmericfold_jobs::{JobId, JobSpec, QueueName};
 use turmericfold_platform::{
     KeyChange, LeaseId, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue,
 };
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
-use crate::fleet_world::{QUEUE, configuration};
+use crate::driven_node::DrivenNode;
+use crate::fleet_world::QUEUE;
 use crate::node_parts::{member, process};
 
 /// The job whose shard the node owns.
@@ -20,52 +18,34 @@
 /// The time between two events, in milliseconds.
 const STEP_MS: u64 = 100;
 
-/// A node whose store calls the test answers itself.
-pub struct NodeHarness {
+/// A node that may own the shard of [`JOB`], and whose store calls the test answers.
+#[derive(Debug)]
+pub struct ShardOwner {
     /// The node.
-    pub node: FleetNode,
-    /// What the node has requested and the test has not taken yet.
-    pub out: Outbox,
+    pub driven: DrivenNode,
     process: ProcessId,
-    now_ms: u64,
 }
 
-impl Default for NodeHarness {
+impl Default for ShardOwner {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl NodeHarness {
-    /// Creates a node with a configuration.
+impl ShardOwner {
+    /// Creates a node with a configuration, which owns nothing yet.
     pub fn new() -> Self {
         let process = process(0, 1);
-        let member = member(process.clone());
-        let configuration: Configuration = configuration();
-        let mut harness = Self {
-            node: FleetNode::new(&FleetSettings::new(member)),
-            out: Outbox::new(process.clone()),
+        Self {
+            driven: DrivenNode::new(process.clone()).with_step_ms(STEP_MS),
             process,
-            now_ms: 1_000,
-        };
-        harness.deliver(Event::Configuration(configuration.into()));
-        harness
-    }
-
-    /// Handles an event, [`STEP_MS`] after the last one.
-    pub fn deliver(&mut self, event: Event) {
-        self.now_ms += STEP_MS;
-        let moment = Moment {
-            now: MonotonicMs(self.now_ms),
-            unix_ms: self.now_ms,
-        };
-        self.node.handle(moment, event, &mut self.out);
+        }
     }
 
     /// Reports that the store has no newer configuration now.
     pub fn confirm_configuration(&mut self) {
-        let at = MonotonicMs(self.now_ms + STEP_MS);
-        self.deliver(Event::ConfigurationConfirmed { at });
+        let at = MonotonicMs(self.driven.now_ms + STEP_MS);
+        self.driven.deliver(Event::ConfigurationConfirmed { at });
     }
 
     /// Returns the key of the owner of the job's shard.
@@ -88,7 +68,7 @@
             version: StoreVersion(version),
             value,
         };
-        self.deliver(Event::KeysChanged(vec![change]));
+        self.driven.deliver(Event::KeysChanged(vec![change]));
     }
 
     /// Reports that this process owns the job's shard under an epoch, and that the shard has
@@ -102,7 +82,7 @@
             more: false,
             version: StoreVersion(epoch),
         };
-        self.deliver(Event::Store {
+        self.driven.deliver(Event::Store {
             call: load.unwrap(),
             result: Ok(page),
         });
@@ -110,7 +90,7 @@
 
     /// Registers this process beside a peer that owns all shards but the job's.
     pub fn register(&mut self) {
-        self.deliver(Event::WorkersReloaded(Vec::new()));
+        self.driven.deliver(Event::WorkersReloaded(Vec::new()));
         let grant = self.take_call(|call| matches!(call, StoreCall::GrantLease { .. }));
         self.answer(grant.unwrap(), StoreReply::Lease { lease: LeaseId(1) });
         let register = self.take_call(|call| matches!(call, StoreCall::Transact(_)));
@@ -135,13 +115,13 @@
                 stored(key, &owner, version)
             });
         let keys = members.into_iter().chain(owners).collect();
-        self.deliver(Event::KeysReloaded { keys, version });
+        self.driven.deliver(Event::KeysReloaded { keys, version });
     }
 
     /// Waits until this process claims the job's shard and returns the call.
     pub fn take_claim(&mut self) -> CallId {
         let claim = (0..10).find_map(|_| {
-            self.deliver(Event::Tick);
+            self.driven.deliver(Event::Tick);
             self.take_call(|call| matches!(call, StoreCall::Transact(_)))
         });
         claim.unwrap()
@@ -150,7 +130,7 @@
     /// Answers a store call.
     pub fn answer(&mut self, call: CallId, reply: StoreReply) {
         let result = Ok(reply);
-        self.deliver(Event::Store { call, result });
+        self.driven.deliver(Event::Store { call, result });
     }
 
     /// Submits a job to the queue of the configuration, as a caller.
@@ -163,7 +143,7 @@
         let queue = QueueName(QUEUE.into());
         let request = CallerRequest::Submit { queue, job, spec };
         let call = CallId(call);
-        self.deliver(Event::CallerRequest { call, request });
+        self.driven.deliver(Event::CallerRequest { call, request });
     }
 
     /// Takes all store calls and returns the first one that matches, if any.
@@ -171,7 +151,7 @@
     where
         Matches: Fn(&StoreCall) -> bool,
     {
-        let orders = std::mem::take(&mut self.out.store);
+        let orders = std::mem::take(&mut self.driven.out.store);
         let found = orders.into_iter().find(|order| matches(&order.store_call));
         found.map(|order| order.call)
     }
@@ -179,8 +159,8 @@
     /// Waits until this process claims units and returns the keys of their owners.
     pub fn take_claimed_keys(&mut self) -> Vec<String> {
         let claim = (0..10).find_map(|_| {
-            self.deliver(Event::Tick);
-            let mut orders = std::mem::take(&mut self.out.store).into_iter();
+            self.driven.deliver(Event::Tick);
+            let mut orders = std::mem::take(&mut self.driven.out.store).into_iter();
             orders.find_map(|order| match order.store_call {
                 StoreCall::Transact(transaction) => Some(transaction),
                 _ => None,
