Keep what confirms the configuration apart from the requests for it

The choice of a peer to ask and the question whether the configuration is the newest one were one type. Confirmation is now its own; a submission is answered in one place, whether its queue is known or not.

--- a/crates/turmericfold-fleet/src/node/configuration_sync.rs
+++ b/crates/turmericfold-fleet/src/node/configuration_sync.rs
@@ -15,16 +15,10 @@
 /// The timeout of the first request, in milliseconds; each further one waits twice as long.
 const FIRST_TIMEOUT_MS: u64 = 1_000;
 
-/// The time for which the store's answer that no configuration is newer is relied on, in
-/// milliseconds: the interval of these answers, and what a slow store takes. Within this time and
-/// that of the answer on its way, 2 s, a newer configuration must be in force.
-const MAX_CONFIRMATION_AGE_MS: u64 = 1_400;
-
 /// The maximum timeout of a request, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 8_000;
 
-/// Decides whether the configuration counts as the newest one, when to request a newer one, and
-/// from which peer.
+/// Decides when to request the configuration, and from which peer.
 ///
 /// One request is in progress at a time. Every process starts with another peer, so that
 /// many outdated processes do not all ask the same one.
@@ -37,10 +31,6 @@
     last_asked: Option<ProcessId>,
     /// The newest version that was announced by a process that is not a member.
     unavailable_version: u64,
-    /// The newest version that any process has announced.
-    announced_version: u64,
-    /// The time at which the store last answered that no configuration is newer.
-    confirmed_at: Option<MonotonicMs>,
     me: ProcessId,
 }
 
@@ -53,30 +43,10 @@
             timeout_ms: FIRST_TIMEOUT_MS,
             last_asked: None,
             unavailable_version: 0,
-            announced_version: 0,
-            confirmed_at: None,
             me,
         }
     }
 
-    /// Records that the store had no newer configuration at a time.
-    pub(super) fn on_confirmed(&mut self, at: MonotonicMs) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
-    }
-
-    /// Returns the time of the store's last answer that no configuration is newer than
-    /// `own_version`; `None` if a process has announced a newer one.
-    pub(super) fn confirmed_at(&self, own_version: u64) -> Option<MonotonicMs> {
-        self.confirmed_at
-            .filter(|_| self.announced_version <= own_version)
-    }
-
-    /// Returns the time until which `own_version` counts as the newest one, if it does.
-    pub(super) fn confirmed_until(&self, own_version: u64) -> Option<MonotonicMs> {
-        let confirmed_at = self.confirmed_at(own_version)?;
-        Some(confirmed_at + MAX_CONFIRMATION_AGE_MS)
-    }
-
     /// Records the version of a peer.
     pub(super) fn on_peer_version(
         &mut self,
@@ -90,7 +60,6 @@
             return;
         }
         self.newer_versions.insert(peer.clone(), peer_version);
-        self.announced_version = self.announced_version.max(peer_version);
         if self.next_request_at.is_none() {
             self.next_request_at = Some(moment + STORE_WAIT_MS);
         }
@@ -100,11 +69,7 @@
     ///
     /// The next summaries show whether a peer is still ahead.
     pub(super) fn on_applied(&mut self) {
-        *self = Self {
-            announced_version: self.announced_version,
-            confirmed_at: self.confirmed_at,
-            ..Self::new(self.me.clone())
-        };
+        *self = Self::new(self.me.clone());
     }
 
     /// Returns the peer to ask now, if a request is due.
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod configuration_sync;
+mod confirmation;
 mod pending;
 mod pending_reports;
 mod requests;
@@ -27,6 +28,7 @@
     CallId, Configuration, Event, FleetSettings, JobShard, Moment, Outbox, PeerMessage, Unit,
 };
 use configuration_sync::ConfigurationSync;
+use confirmation::Confirmation;
 use pending_reports::PendingReports;
 use requests::{ForwardedRequest, OwnershipCheck, WaitingRequest};
 use summary::OwnSummaries;
@@ -46,6 +48,7 @@
     workers_loaded: bool,
     configuration: Option<Arc<Configuration>>,
     configuration_sync: ConfigurationSync,
+    confirmation: Confirmation,
     waiting_requests: Vec<WaitingRequest>,
     forwarded_requests: BTreeMap<u64, ForwardedRequest>,
     forward_numbers: PeerCallNumbers,
@@ -69,6 +72,7 @@
             workers_loaded: false,
             configuration: None,
             configuration_sync: ConfigurationSync::new(me.clone()),
+            confirmation: Confirmation::default(),
             waiting_requests: Vec::new(),
             forwarded_requests: BTreeMap::new(),
             forward_numbers: PeerCallNumbers::new(&me),
@@ -91,8 +95,7 @@
     /// newer one.
     pub fn configuration_confirmed_until(&self) -> Option<MonotonicMs> {
         let configuration = self.configuration.as_ref()?;
-        self.configuration_sync
-            .confirmed_until(configuration.version)
+        self.confirmation.confirmed_until(configuration.version)
     }
 
     /// Returns the address for calls to a peer, if it is a member.
@@ -156,7 +159,7 @@
             Event::WorkersReloaded(entries) => self.on_workers_reloaded(moment, entries),
             Event::WorkersChanged(changes) => self.on_workers_changed(moment, changes),
             Event::Configuration(configuration) => self.on_configuration(configuration, None),
-            Event::ConfigurationConfirmed { at } => self.configuration_sync.on_confirmed(at),
+            Event::ConfigurationConfirmed { at } => self.confirmation.on_confirmed(at),
             Event::Worker {
                 worker,
                 call,
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -1,6 +1,8 @@
 //! Answers callers' requests or forwards them to the owners of their jobs.
 
-use turmericfold_jobs::{JobId, QueueName};
+use std::sync::Arc;
+
+use turmericfold_jobs::{JobId, QueueName, QueueSettings};
 use turmericfold_platform::{PlatformError, StoreCall, StoreReply};
 use turmericfold_types::{MonotonicMs, ProcessId};
 
@@ -90,14 +92,10 @@
     }
 
     fn answer(&mut self, moment: Moment, waiting: WaitingRequest, out: &mut Outbox) {
-        if let CallerRequest::Submit { queue, .. } = &waiting.request
-            && !self.knows_queue(queue)
-        {
-            self.answer_unknown_queue(waiting, out);
-            return;
-        }
         let WaitingRequest {
-            caller, request, ..
+            caller,
+            request,
+            since,
         } = waiting;
         let context = Context {
             moment,
@@ -108,10 +106,17 @@
         };
         match request {
             CallerRequest::Submit { queue, job, spec } => {
-                let configuration = self.configuration.as_ref();
-                let settings = configuration.and_then(|known| known.queues.get(&queue));
-                if let Some(settings) = settings.cloned() {
+                if let Some(settings) = self.queue_settings(&queue) {
+                    let settings = settings.clone();
                     self.jobs.submit(context, caller, &settings, job, spec, out);
+                } else {
+                    let request = CallerRequest::Submit { queue, job, spec };
+                    let waiting = WaitingRequest {
+                        caller,
+                        request,
+                        since,
+                    };
+                    self.answer_unknown_queue(waiting, out);
                 }
             }
             // Without a valid registration another process may own the job.
@@ -131,9 +136,10 @@
         }
     }
 
-    fn knows_queue(&self, queue: &QueueName) -> bool {
-        let configuration = self.configuration.as_ref();
-        configuration.is_some_and(|known| known.queues.contains_key(queue))
+    /// Returns the settings of a queue, if it is configured.
+    fn queue_settings(&self, queue: &QueueName) -> Option<&Arc<QueueSettings>> {
+        let configuration = self.configuration.as_ref()?;
+        configuration.queues.get(queue)
     }
 
     /// Answers the submission of a job to a queue that is not configured, or keeps it.
@@ -142,7 +148,7 @@
     /// certainly doesn't exist only once the store has confirmed this process's one since.
     fn answer_unknown_queue(&mut self, waiting: WaitingRequest, out: &mut Outbox) {
         let own_version = self.configuration_version();
-        let confirmed_at = self.configuration_sync.confirmed_at(own_version);
+        let confirmed_at = self.confirmation.confirmed_at(own_version);
         if confirmed_at > Some(waiting.since) {
             waiting.caller.answer(CallerAnswer::NoSuchQueue, out);
         } else {
@@ -229,7 +235,7 @@
     fn refuse_waiting(&self, waiting: &WaitingRequest, out: &mut Outbox) {
         match &waiting.request {
             CallerRequest::Submit { queue, job, .. }
-                if self.jobs.can_answer(*job) && !self.knows_queue(queue) =>
+                if self.jobs.can_answer(*job) && self.queue_settings(queue).is_none() =>
             {
                 refuse_unknown_queue(&waiting.caller, *job, queue, out);
             }
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -58,6 +58,7 @@
         self.workers
             .interference_mut()
             .record_peer(from, &summary.effects);
+        self.confirmation.on_announced(summary.configuration);
         let own_version = self.configuration_version();
         self.configuration_sync
             .on_peer_version(moment, from, summary.configuration, own_version);
