Report workers that changed during an outage without collecting more changes

Changes of workers are collected for 250 ms before each watch, also before the one that follows a failure.

--- a/crates/turmericfold/src/fleet/watch.rs
+++ b/crates/turmericfold/src/fleet/watch.rs
@@ -86,7 +86,10 @@
 
     /// Waits for changes after `version`; returns `None` if the call fails.
     async fn wait(&mut self, version: StoreVersion) -> Option<Vec<KeyChange>> {
-        tokio::time::sleep(Duration::from_millis(self.batch_delay_ms)).await;
+        // What has changed while the store did not answer is overdue.
+        if self.failures == 0 {
+            tokio::time::sleep(Duration::from_millis(self.batch_delay_ms)).await;
+        }
         let call = StoreCall::Watch {
             prefix: self.prefix.clone(),
             after: version,
