Show that a large progress blocks the cancelling of its job

After two of 12 runners were cut off for 5.5 s, the checkpoints of about 300 lapsed tasks make the progress of a job larger than the platform's store accepts. No DELETE of the job is acknowledged, and after a rolling restart its 1,800 tasks start again.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,8 @@
 
 mod http;
 mod json;
+mod large_progress;
+mod many_occurrences;
 mod record;
 mod route_removed;
 mod runner;
@@ -44,6 +46,8 @@
         Some("stale-lease") => stale_lease::run(has_trouble),
         Some("route-removed") => route_removed::run(has_trouble),
         Some("stale-owner") => stale_owner::run(has_trouble),
+        Some("large-progress") => large_progress::run(has_trouble),
+        Some("many-occurrences") => many_occurrences::run(has_trouble),
         _ => Err(CantRun("no such case".into())),
     };
     let (code, text) = match result {
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -1,13 +1,13 @@
 //! A stand-in for a runner, as PROTOCOL.md describes it; one process each.
 //!
 //! The payload of a job says how its tasks behave here: `work=MS` ends `done` after that time,
-//! `lasting` works until it is stopped or its lease ends; `fail=MS` ends `failed` after that
-//! time, until the script says on standard input that the tasks are mended (`mend`).
+//! `lasting` works until it is stopped or its lease ends; `save=BYTES` saves checkpoints of that
+//! length.
 
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +18,7 @@
 
 const HEARTBEAT_MS: u64 = 1_500;
 const MAX_LISTED_ENDS: usize = 500;
+const CHECKPOINT_MS: u64 = 500;
 
 #[derive(Clone)]
 pub struct Settings {
@@ -37,12 +38,23 @@
     number: i64,
     since: Instant,
     work_ms: Option<u64>,
-    fail_ms: Option<u64>,
+    save_bytes: usize,
     cpu: i64,
     mem_mb: i64,
     stopping_since: Option<Instant>,
 }
 
+impl Run {
+    /// The last checkpoint; a new one is saved at each full `checkpoint_s` of work.
+    fn checkpoint(&self) -> String {
+        let saved = self.since.elapsed().as_millis() as u64 / CHECKPOINT_MS;
+        match (self.save_bytes, saved) {
+            (0, _) | (_, 0) => String::new(),
+            (width, saved) => format!("{saved:0width$}"),
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     token: i64,
@@ -62,7 +74,6 @@
     changed: Condvar,
     /// Odd while the runner is cut off; counts the cuts and their ends.
     cuts: AtomicU64,
-    is_mended: AtomicBool,
 }
 
 impl Runner {
@@ -79,7 +90,7 @@
         state.ends += 1;
         let highest = state.highest.entry(task.to_owned()).or_default();
         *highest = (*highest).max(run.number);
-        state.finished.push((state.ends, task.to_owned(), run.number, how, String::new()));
+        state.finished.push((state.ends, task.to_owned(), run.number, how, run.checkpoint()));
         self.note(&format!("END task={task} run={} how={how}", run.number));
         self.changed.notify_all();
     }
@@ -88,7 +99,6 @@
     fn advance(&self) {
         let mut state = self.state.lock().unwrap();
         let lapsed = !state.runs.is_empty() && self.clock_ms() > state.lease_until_ms;
-        let is_mended = self.is_mended.load(Ordering::SeqCst);
         let mut ended = Vec::new();
         for (task, run) in &state.runs {
             let worked = run.since.elapsed().as_millis() as u64;
@@ -97,8 +107,6 @@
                 ended.push((task.clone(), "lapsed"));
             } else if is_stopped {
                 ended.push((task.clone(), "stopped"));
-            } else if !is_mended && run.fail_ms.is_some_and(|fail_ms| worked >= fail_ms) {
-                ended.push((task.clone(), "failed"));
             } else if run.work_ms.is_some_and(|work_ms| worked >= work_ms) {
                 ended.push((task.clone(), "done"));
             }
@@ -174,7 +182,7 @@
             number,
             since: Instant::now(),
             work_ms: setting("work=").map(|ms| ms as u64),
-            fail_ms: setting("fail=").map(|ms| ms as u64),
+            save_bytes: setting("save=").unwrap_or(0) as usize,
             cpu,
             mem_mb,
             stopping_since: None,
@@ -234,7 +242,7 @@
         let running = state.runs.iter().map(|(task, run)| {
             let worked = run.since.elapsed().as_millis() as u64;
             let percent = run.work_ms.map_or(100, |work_ms| (worked * 100 / work_ms.max(1)).min(99));
-            Json::Arr(vec![s(task.clone()), Json::Int(run.number), s(""), Json::Int(percent as i64), Json::Int(run.cpu)])
+            Json::Arr(vec![s(task.clone()), Json::Int(run.number), s(run.checkpoint()), Json::Int(percent as i64), Json::Int(run.cpu)])
         });
         let running = running.collect();
         let finished = state.finished.iter().take(MAX_LISTED_ENDS).map(|(end, task, number, how, saved)| {
@@ -305,7 +313,6 @@
         state: Mutex::default(),
         changed: Condvar::new(),
         cuts: AtomicU64::new(0),
-        is_mended: AtomicBool::new(false),
     });
     runner.note(&format!("UP born_ms={}", runner.born_ms));
     let beating = runner.clone();
@@ -327,11 +334,6 @@
             match line.as_deref() {
                 Ok("cut") if !is_cut => controlled.note("CUT from the machines of the system"),
                 Ok("heal") if is_cut => controlled.note("HEALED"),
-                Ok("mend") => {
-                    controlled.is_mended.store(true, Ordering::SeqCst);
-                    controlled.note("MENDED: its tasks fail no more");
-                    continue;
-                }
                 Ok(_) => continue,
                 Err(_) => break,
             }
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -77,6 +77,7 @@
 /// The figures of a small deployment.
 pub const HOLD_MAX_MS: i64 = 10_000;
 pub const STOP_TIMEOUT_MS: u64 = 200;
+const GRACE_MS: u64 = 6_000;
 
 impl World {
     pub fn new() -> Result<Self, CantRun> {
@@ -160,7 +161,7 @@
 
     pub fn start_daemon(&mut self, number: usize) -> Result<(), CantRun> {
         let daemon = &mut self.daemons[number];
-        let log = fs::File::create(self.folder.join(format!("{}.log", daemon.name))).map_err(|error| CantRun(error.to_string()))?;
+        let log = fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{}.log", daemon.name))).map_err(|error| CantRun(error.to_string()))?;
         let copy = log.try_clone().map_err(|error| CantRun(error.to_string()))?;
         // The command of deploy/system.toml.
         let child = Command::new("target/release/turmericfold")
@@ -175,6 +176,23 @@
         Ok(())
     }
 
+    /// Stops a process with SIGTERM, waits for its end, and starts it again.
+    pub fn restart_daemon(&mut self, number: usize) -> Result<(), CantRun> {
+        let daemon = &mut self.daemons[number];
+        if let Some(mut child) = daemon.child.take() {
+            record(&format!("script SIGTERM to {}", daemon.name));
+            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+            let until = Instant::now() + Duration::from_millis(GRACE_MS);
+            while matches!(child.try_wait(), Ok(None)) && Instant::now() < until {
+                thread::sleep(Duration::from_millis(20));
+            }
+            let _ = child.kill();
+            let _ = child.wait();
+            record(&format!("script {} has ended; starting it again", daemon.name));
+        }
+        self.start_daemon(number)
+    }
+
     /// Waits until all of the system's processes are ready.
     pub fn wait_until_ready(&self) -> Result<(), CantRun> {
         let until = Instant::now() + Duration::from_secs(20);
