Show that a late acknowledgement discards ends of a restarted runner

A busy runner restarts under its id; a hold with the acknowledgement of its former life is carried out 2 s later and makes it forget ends of its new life. Their tasks are started again.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,7 +3,7 @@
 mod http;
 mod json;
 mod large_progress;
-mod many_occurrences;
+mod late_hold;
 mod record;
 mod route_removed;
 mod runner;
@@ -38,6 +38,7 @@
             mem_mb: number(9),
             hold_max_ms: number(10),
             stop_ms: number(11) as u64,
+            late_holds_ms: number(12) as u64,
         });
         return;
     }
@@ -47,7 +48,7 @@
         Some("route-removed") => route_removed::run(has_trouble),
         Some("stale-owner") => stale_owner::run(has_trouble),
         Some("large-progress") => large_progress::run(has_trouble),
-        Some("many-occurrences") => many_occurrences::run(has_trouble),
+        Some("late-hold") => late_hold::run(has_trouble),
         _ => Err(CantRun("no such case".into())),
     };
     let (code, text) = match result {
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -19,6 +19,8 @@
 const HEARTBEAT_MS: u64 = 1_500;
 const MAX_LISTED_ENDS: usize = 500;
 const CHECKPOINT_MS: u64 = 500;
+/// How much later a hold that is left unanswered is carried out.
+const LATENESS_MS: u64 = 2_000;
 
 #[derive(Clone)]
 pub struct Settings {
@@ -32,6 +34,9 @@
     pub mem_mb: i64,
     pub hold_max_ms: i64,
     pub stop_ms: u64,
+    /// For how long after its start it leaves holds unanswered and carries them out late; 0 for
+    /// not at all.
+    pub late_holds_ms: u64,
 }
 
 struct Run {
@@ -91,7 +96,7 @@
         let highest = state.highest.entry(task.to_owned()).or_default();
         *highest = (*highest).max(run.number);
         state.finished.push((state.ends, task.to_owned(), run.number, how, run.checkpoint()));
-        self.note(&format!("END task={task} run={} how={how}", run.number));
+        self.note(&format!("END task={task} run={} how={how} end={}", run.number, state.ends));
         self.changed.notify_all();
     }
 
@@ -279,9 +284,19 @@
         call(&settings.store, "POST", &path, &[], &entry.to_string(), 1_000);
     }
 
+    /// Leaves a call unanswered and carries it out later.
+    fn carry_out_late(self: &Arc<Self>, request: Request) {
+        self.note(&format!("LATE {} {}", request.path, request.body));
+        let runner = self.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(LATENESS_MS));
+            runner.answer(&request);
+        });
+    }
+
     /// Serves a connection. What arrives during a cut is neither carried out nor answered, and
     /// the connection ends with the cut.
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(self: &Arc<Self>, mut stream: TcpStream) {
         let cuts = self.cuts.load(Ordering::SeqCst);
         let _ = stream.set_nodelay(true);
         let Ok(copy) = stream.try_clone() else { return };
@@ -291,6 +306,11 @@
             if !is_whole() {
                 break;
             }
+            let is_late = self.clock_ms() < self.settings.late_holds_ms as i64;
+            if is_late && request.path == "/-/hold" {
+                self.carry_out_late(request);
+                continue;
+            }
             let (status, body) = self.answer(&request);
             if !is_whole() || !write_response(&mut stream, status, &body) {
                 break;
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -56,7 +56,7 @@
             .arg("runner")
             .args([&settings.id, &settings.port.to_string(), &settings.store, &settings.service, &settings.zone])
             .args([&settings.labels.join(","), &settings.cpu.to_string(), &settings.mem_mb.to_string()])
-            .args([&settings.hold_max_ms.to_string(), &settings.stop_ms.to_string()])
+            .args([&settings.hold_max_ms.to_string(), &settings.stop_ms.to_string(), &settings.late_holds_ms.to_string()])
             .stdin(Stdio::piped())
             .spawn()
             .map_err(|error| CantRun(format!("runner: {error}")))?;
@@ -111,6 +111,7 @@
             mem_mb,
             hold_max_ms: HOLD_MAX_MS,
             stop_ms: STOP_TIMEOUT_MS / 2,
+            late_holds_ms: 0,
         };
         self.runners.push(RunnerProcess { settings, child: None });
         Ok(number)
