--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -16,7 +16,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(k, _)| k.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(k, _)| k.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.as_str())
     }
     pub fn param(&self, name: &str) -> Option<&str> {
@@ -64,7 +67,9 @@
 }
 
 fn read_body(reader: &mut impl Read, headers: &[(String, String)]) -> Option<String> {
-    let length = headers.iter().find(|(k, _)| k.eq_ignore_ascii_case("content-length"));
+    let length = headers
+        .iter()
+        .find(|(k, _)| k.eq_ignore_ascii_case("content-length"));
     let length: usize = length.map_or(0, |(_, v)| v.parse().unwrap_or(0));
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
@@ -82,7 +87,13 @@
     let query = query.map(|(k, v)| (unescape(k), unescape(v))).collect();
     let path = path.to_owned();
     let body = read_body(reader, &headers)?;
-    Some(Request { method, path, query, headers, body })
+    Some(Request {
+        method,
+        path,
+        query,
+        headers,
+        body,
+    })
 }
 
 pub fn write_response(stream: &mut TcpStream, status: u16, body: &str) -> bool {
@@ -109,7 +120,9 @@
                 let Ok(copy) = stream.try_clone() else { return };
                 let mut reader = BufReader::new(copy);
                 while let Some(request) = read_request(&mut reader) {
-                    let Some((status, body)) = handler(&request) else { return };
+                    let Some((status, body)) = handler(&request) else {
+                        return;
+                    };
                     if !write_response(&mut stream, status, &body) {
                         return;
                     }
@@ -132,7 +145,10 @@
     let mut stream = TcpStream::connect_timeout(&address.parse().ok()?, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     let _ = stream.set_nodelay(true);
-    let mut text = format!("{method} {path} HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
--- a/review/standin/src/json.rs
+++ b/review/standin/src/json.rs
@@ -40,7 +40,10 @@
         }
     }
     pub fn parse(text: &str) -> Option<Json> {
-        let mut p = Parser { b: text.as_bytes(), i: 0 };
+        let mut p = Parser {
+            b: text.as_bytes(),
+            i: 0,
+        };
         let value = p.value()?;
         p.space();
         (p.i == p.b.len()).then_some(value)
--- a/review/standin/src/large_progress.rs
+++ b/review/standin/src/large_progress.rs
@@ -30,7 +30,9 @@
     }
     world.add_daemons(3)?;
     let queue = Queue("r-rounds", "/rounds/", "rounds");
-    world.store.put("op/config", &configuration(7, &[queue], &["rounds"]));
+    world
+        .store
+        .put("op/config", &configuration(7, &[queue], &["rounds"]));
     world.start()?;
     thread::sleep(Duration::from_secs(3));
 
@@ -42,7 +44,9 @@
     let started = tasks().len();
     record(&format!("script {started} of {TASKS} tasks have started"));
     if started < TASKS {
-        return Err(CantRun(format!("only {started} of {TASKS} tasks have started")));
+        return Err(CantRun(format!(
+            "only {started} of {TASKS} tasks have started"
+        )));
     }
     if has_trouble {
         for runner in &mut world.runners[..CUT] {
@@ -69,7 +73,9 @@
             }
         }
     }
-    record(&format!("script the cancelling was asked for at {asked_at} and acknowledged at {acknowledged_at:?}"));
+    record(&format!(
+        "script the cancelling was asked for at {asked_at} and acknowledged at {acknowledged_at:?}"
+    ));
     let cancelled_at = acknowledged_at.unwrap_or(unix_ms().max(asked_at + ACK_MS));
     thread::sleep(Duration::from_millis(CANCEL_MS + 1_000));
     if has_trouble {
@@ -80,7 +86,11 @@
         world.wait_until_ready()?;
     }
     thread::sleep(Duration::from_secs(10));
-    let is_late = |task: &String| runs_of(task).iter().any(|run| run.from > cancelled_at + CANCEL_MS);
+    let is_late = |task: &String| {
+        runs_of(task)
+            .iter()
+            .any(|run| run.from > cancelled_at + CANCEL_MS)
+    };
     let late = tasks().iter().filter(|task| is_late(task)).count();
     let ack = match acknowledged_at {
         Some(at) => format!("was acknowledged after {} ms", at - asked_at),
--- a/review/standin/src/late_hold.rs
+++ b/review/standin/src/late_hold.rs
@@ -20,7 +20,11 @@
 fn again_after_done(runner: &str) -> Vec<String> {
     let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
     let text = fs::read_to_string(path).unwrap_or_default();
-    let value = |words: &[&str], name: &str| words.iter().find_map(|word| Some(word.strip_prefix(name)?.to_owned()));
+    let value = |words: &[&str], name: &str| {
+        words
+            .iter()
+            .find_map(|word| Some(word.strip_prefix(name)?.to_owned()))
+    };
     // The ends `done` of this life that were not acknowledged yet, and the tasks of those that were.
     let mut open: Vec<(u64, String)> = Vec::new();
     let mut noted: Vec<String> = Vec::new();
@@ -33,12 +37,20 @@
         match words[3] {
             "UP" => open.clear(),
             "END" if words.contains(&"how=done") => {
-                let end = value(&words, "end=").and_then(|end| end.parse().ok()).unwrap_or(0);
+                let end = value(&words, "end=")
+                    .and_then(|end| end.parse().ok())
+                    .unwrap_or(0);
                 open.push((end, value(&words, "task=").unwrap_or_default()));
             }
             "ACK" => {
-                let up_to: u64 = value(&words, "up_to=").and_then(|up_to| up_to.parse().ok()).unwrap_or(0);
-                noted.extend(open.iter().filter(|(end, _)| *end <= up_to).map(|(_, task)| task.clone()));
+                let up_to: u64 = value(&words, "up_to=")
+                    .and_then(|up_to| up_to.parse().ok())
+                    .unwrap_or(0);
+                noted.extend(
+                    open.iter()
+                        .filter(|(end, _)| *end <= up_to)
+                        .map(|(_, task)| task.clone()),
+                );
                 open.retain(|(end, _)| *end > up_to);
             }
             "START" => {
@@ -62,18 +74,27 @@
     }
     world.add_daemons(3)?;
     let queue = Queue("r-rounds", "/rounds/", "rounds");
-    world.store.put("op/config", &configuration(7, &[queue], &["rounds"]));
+    world
+        .store
+        .put("op/config", &configuration(7, &[queue], &["rounds"]));
     world.start()?;
     thread::sleep(Duration::from_secs(3));
 
-    let fronts: Vec<String> = world.daemons.iter().map(|daemon| daemon.front.clone()).collect();
+    let fronts: Vec<String> = world
+        .daemons
+        .iter()
+        .map(|daemon| daemon.front.clone())
+        .collect();
     let is_over = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| {
             let mut number = 0;
             while !is_over.load(Ordering::SeqCst) {
                 number += 1;
-                let (path, front) = (format!("/rounds/{:016x}", 0xabc000 + number * 7919), fronts[number % fronts.len()].clone());
+                let (path, front) = (
+                    format!("/rounds/{:016x}", 0xabc000 + number * 7919),
+                    fronts[number % fronts.len()].clone(),
+                );
                 let headers = [("Host", "case.example"), ("Deadline-Ms", "3000")];
                 let answer = call(&front, "POST", &path, &headers, BODY, 3_000);
                 record(&format!("client POST {path} <- {answer:?}"));
@@ -95,6 +116,9 @@
     let again = again_after_done(&world.runners[0].settings.id);
     Ok(match again.first() {
         None => Verdict::Held,
-        Some(first) => Verdict::Broken(format!("{} tasks were started again after an end done that was taken note of, first {first}", again.len())),
+        Some(first) => Verdict::Broken(format!(
+            "{} tasks were started again after an end done that was taken note of, first {first}",
+            again.len()
+        )),
     })
 }
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -5,7 +5,9 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
 }
 
 pub fn record(text: &str) {
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -91,12 +91,23 @@
     }
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
-        let Some(run) = state.runs.remove(task) else { return };
+        let Some(run) = state.runs.remove(task) else {
+            return;
+        };
         state.ends += 1;
         let highest = state.highest.entry(task.to_owned()).or_default();
         *highest = (*highest).max(run.number);
-        state.finished.push((state.ends, task.to_owned(), run.number, how, run.checkpoint()));
-        self.note(&format!("END task={task} run={} how={how} end={}", run.number, state.ends));
+        state.finished.push((
+            state.ends,
+            task.to_owned(),
+            run.number,
+            how,
+            run.checkpoint(),
+        ));
+        self.note(&format!(
+            "END task={task} run={} how={how} end={}",
+            run.number, state.ends
+        ));
         self.changed.notify_all();
     }
 
@@ -107,7 +118,9 @@
         let mut ended = Vec::new();
         for (task, run) in &state.runs {
             let worked = run.since.elapsed().as_millis() as u64;
-            let is_stopped = run.stopping_since.is_some_and(|at| at.elapsed().as_millis() as u64 >= self.settings.stop_ms);
+            let is_stopped = run
+                .stopping_since
+                .is_some_and(|at| at.elapsed().as_millis() as u64 >= self.settings.stop_ms);
             if lapsed {
                 ended.push((task.clone(), "lapsed"));
             } else if is_stopped {
@@ -122,7 +135,10 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
-        if request.header("Expect-Instance").is_some_and(|id| id != self.settings.id) {
+        if request
+            .header("Expect-Instance")
+            .is_some_and(|id| id != self.settings.id)
+        {
             return (421, "{}".into());
         }
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
@@ -137,11 +153,25 @@
     }
 
     fn refused(&self, reason: &str) -> (u16, String) {
-        (409, obj(vec![("clock_ms", Json::Int(self.clock_ms())), ("reason", s(reason))]).to_string())
+        (
+            409,
+            obj(vec![
+                ("clock_ms", Json::Int(self.clock_ms())),
+                ("reason", s(reason)),
+            ])
+            .to_string(),
+        )
     }
 
     fn accepted(&self) -> (u16, String) {
-        (200, obj(vec![("clock_ms", Json::Int(self.clock_ms())), ("born", Json::Int(self.born_ms as i64))]).to_string())
+        (
+            200,
+            obj(vec![
+                ("clock_ms", Json::Int(self.clock_ms())),
+                ("born", Json::Int(self.born_ms as i64)),
+            ])
+            .to_string(),
+        )
     }
 
     fn is_fenced(&self, state: &mut State, body: &Json) -> bool {
@@ -157,9 +187,12 @@
     }
 
     fn start(&self, body: &Json) -> (u16, String) {
-        let (Some(task), Some(number), Some(spec), Some(deadline_ms)) =
-            (body.text("task"), body.int("run_id"), body.text("spec"), body.int("deadline_ms"))
-        else {
+        let (Some(task), Some(number), Some(spec), Some(deadline_ms)) = (
+            body.text("task"),
+            body.int("run_id"),
+            body.text("spec"),
+            body.int("deadline_ms"),
+        ) else {
             return (400, "{}".into());
         };
         let mut state = self.state.lock().unwrap();
@@ -171,12 +204,23 @@
         }
         self.extend_lease(&mut state, deadline_ms);
         if let Some(run) = state.runs.get(task) {
-            return if run.number == number { self.accepted() } else { self.refused("old") };
+            return if run.number == number {
+                self.accepted()
+            } else {
+                self.refused("old")
+            };
         }
-        if state.highest.get(task).is_some_and(|highest| number <= *highest) {
+        if state
+            .highest
+            .get(task)
+            .is_some_and(|highest| number <= *highest)
+        {
             return self.refused("old");
         }
-        let setting = |name: &str| spec.split(' ').find_map(|word| word.strip_prefix(name)?.parse::<i64>().ok());
+        let setting = |name: &str| {
+            spec.split(' ')
+                .find_map(|word| word.strip_prefix(name)?.parse::<i64>().ok())
+        };
         let (cpu, mem_mb) = (setting("cpu=").unwrap_or(0), setting("mem=").unwrap_or(0));
         let used_cpu: i64 = state.runs.values().map(|run| run.cpu).sum();
         let used_mem: i64 = state.runs.values().map(|run| run.mem_mb).sum();
@@ -239,20 +283,40 @@
         if state.finished.len() != before {
             self.note(&format!("ACK up_to={ack}"));
         }
-        let until = Instant::now() + Duration::from_millis(body.int("wait_ms").unwrap_or(0).clamp(0, 2_000) as u64);
+        let until = Instant::now()
+            + Duration::from_millis(body.int("wait_ms").unwrap_or(0).clamp(0, 2_000) as u64);
         while state.finished.is_empty() && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
         let running = state.runs.iter().map(|(task, run)| {
             let worked = run.since.elapsed().as_millis() as u64;
-            let percent = run.work_ms.map_or(100, |work_ms| (worked * 100 / work_ms.max(1)).min(99));
-            Json::Arr(vec![s(task.clone()), Json::Int(run.number), s(run.checkpoint()), Json::Int(percent as i64), Json::Int(run.cpu)])
+            let percent = run
+                .work_ms
+                .map_or(100, |work_ms| (worked * 100 / work_ms.max(1)).min(99));
+            Json::Arr(vec![
+                s(task.clone()),
+                Json::Int(run.number),
+                s(run.checkpoint()),
+                Json::Int(percent as i64),
+                Json::Int(run.cpu),
+            ])
         });
         let running = running.collect();
-        let finished = state.finished.iter().take(MAX_LISTED_ENDS).map(|(end, task, number, how, saved)| {
-            Json::Arr(vec![Json::Int(*end), s(task.clone()), Json::Int(*number), s(*how), s(saved.clone())])
-        });
+        let finished =
+            state
+                .finished
+                .iter()
+                .take(MAX_LISTED_ENDS)
+                .map(|(end, task, number, how, saved)| {
+                    Json::Arr(vec![
+                        Json::Int(*end),
+                        s(task.clone()),
+                        Json::Int(*number),
+                        s(*how),
+                        s(saved.clone()),
+                    ])
+                });
         let finished = finished.collect();
         let body = obj(vec![
             ("clock_ms", Json::Int(self.clock_ms())),
@@ -265,7 +329,11 @@
 
     fn beat(&self, sequence: i64) {
         let settings = &self.settings;
-        let labels = settings.labels.iter().map(|label| s(label.clone())).collect();
+        let labels = settings
+            .labels
+            .iter()
+            .map(|label| s(label.clone()))
+            .collect();
         let entry = obj(vec![
             ("service", s(settings.service.clone())),
             ("address", s(format!("127.0.0.1:{}", settings.port))),
@@ -274,14 +342,28 @@
             ("slots", Json::Int(8)),
             ("state", s("ready")),
             ("cold_left_ms", Json::Int(0)),
-            ("capacity", obj(vec![("cpu", Json::Int(settings.cpu)), ("mem_mb", Json::Int(settings.mem_mb)), ("gpu", Json::Int(0))])),
+            (
+                "capacity",
+                obj(vec![
+                    ("cpu", Json::Int(settings.cpu)),
+                    ("mem_mb", Json::Int(settings.mem_mb)),
+                    ("gpu", Json::Int(0)),
+                ]),
+            ),
             ("labels", Json::Arr(labels)),
             ("clock_ms", Json::Int(self.clock_ms())),
             ("born", Json::Int(self.born_ms as i64)),
             ("sequence", Json::Int(sequence)),
         ]);
         let path = format!("/standin/beat?id={}", settings.id);
-        call(&settings.store, "POST", &path, &[], &entry.to_string(), 1_000);
+        call(
+            &settings.store,
+            "POST",
+            &path,
+            &[],
+            &entry.to_string(),
+            1_000,
+        );
     }
 
     /// Leaves a call unanswered and carries it out later.
--- a/review/standin/src/runs.rs
+++ b/review/standin/src/runs.rs
@@ -20,7 +20,9 @@
 /// Returns all tasks that have run.
 pub fn tasks() -> BTreeSet<String> {
     let text = read_record();
-    let words = text.split_whitespace().filter_map(|word| word.strip_prefix("task="));
+    let words = text
+        .split_whitespace()
+        .filter_map(|word| word.strip_prefix("task="));
     words.map(str::to_owned).collect()
 }
 
@@ -31,8 +33,13 @@
     for line in text.lines() {
         let words: Vec<&str> = line.split(' ').collect();
         let [at, "runner", runner, what, rest @ ..] = words.as_slice() else {
-            let [at, "script", "KILLED", "runner", runner] = words.as_slice() else { continue };
-            for run in runs.iter_mut().filter(|run| run.runner == *runner && run.until.is_none()) {
+            let [at, "script", "KILLED", "runner", runner] = words.as_slice() else {
+                continue;
+            };
+            for run in runs
+                .iter_mut()
+                .filter(|run| run.runner == *runner && run.until.is_none())
+            {
                 run.until = at.parse().ok();
             }
             continue;
@@ -40,12 +47,23 @@
         if !rest.contains(&format!("task={task}").as_str()) {
             continue;
         }
-        let number = rest.iter().find_map(|word| word.strip_prefix("run=")).unwrap_or_default();
+        let number = rest
+            .iter()
+            .find_map(|word| word.strip_prefix("run="))
+            .unwrap_or_default();
         let at: u64 = at.parse().unwrap_or(0);
         match *what {
-            "START" => runs.push(Interval { runner: (*runner).to_owned(), run: number.to_owned(), from: at, until: None }),
+            "START" => runs.push(Interval {
+                runner: (*runner).to_owned(),
+                run: number.to_owned(),
+                from: at,
+                until: None,
+            }),
             "END" => {
-                let known = runs.iter_mut().rev().find(|run| run.runner == *runner && run.run == number);
+                let known = runs
+                    .iter_mut()
+                    .rev()
+                    .find(|run| run.runner == *runner && run.run == number);
                 if let Some(run) = known {
                     run.until = Some(at);
                 }
@@ -60,14 +78,19 @@
 pub fn overlap(runs: &[Interval]) -> Option<String> {
     for (index, first) in runs.iter().enumerate() {
         for second in &runs[index + 1..] {
-            let until = first.until.unwrap_or(u64::MAX).min(second.until.unwrap_or(u64::MAX));
+            let until = first
+                .until
+                .unwrap_or(u64::MAX)
+                .min(second.until.unwrap_or(u64::MAX));
             let from = first.from.max(second.from);
             if from < until {
                 let ms = until.saturating_sub(from);
-                return Some(format!("runs {} on {} and {} on {} at the same time for {ms} ms", first.run, first.runner, second.run, second.runner));
+                return Some(format!(
+                    "runs {} on {} and {} on {} at the same time for {ms} ms",
+                    first.run, first.runner, second.run, second.runner
+                ));
             }
         }
     }
     None
 }
-
--- a/review/standin/src/stale_lease.rs
+++ b/review/standin/src/stale_lease.rs
@@ -37,7 +37,9 @@
     }
     world.add_daemons(3)?;
     let queue = Queue("r-rounds", "/rounds/", "rounds");
-    world.store.put("op/config", &configuration(7, &[queue], &["rounds"]));
+    world
+        .store
+        .put("op/config", &configuration(7, &[queue], &["rounds"]));
     world.start()?;
     // The runners' clocks run since their start.
     thread::sleep(Duration::from_secs(12));
@@ -45,8 +47,11 @@
     // A job fills one of the two runners for a while, so that the next job goes to the other.
     let body = "{\"spec\":\"work=5000 cpu=16000 mem=1000\",\"steps\":[{\"count\":1,\"cpu\":16000,\"mem_mb\":1000,\"estimate_ms\":5000,\"requirements\":\"b\"}]}";
     world.submit("/rounds/", OCCUPIER, body)?;
-    let occupier = wait_for_start(&format!("{OCCUPIER}.0.0.0"), 5_000).ok_or_else(|| CantRun("the first job did not start".into()))?;
-    let victim = world.runners[..2].iter().position(|runner| runner.settings.id != occupier.runner);
+    let occupier = wait_for_start(&format!("{OCCUPIER}.0.0.0"), 5_000)
+        .ok_or_else(|| CantRun("the first job did not start".into()))?;
+    let victim = world.runners[..2]
+        .iter()
+        .position(|runner| runner.settings.id != occupier.runner);
     let victim = victim.ok_or_else(|| CantRun("no free runner".into()))?;
     thread::sleep(Duration::from_millis(1_200));
 
@@ -59,7 +64,8 @@
     let body = "{\"spec\":\"lasting cpu=4000 mem=1000\",\"steps\":[{\"count\":1,\"cpu\":4000,\"mem_mb\":1000,\"requirements\":\"b\",\"long_running\":true}]}";
     world.submit("/rounds/", JOB, body)?;
     let task = format!("{JOB}.0.0.0");
-    let first = wait_for_start(&task, 5_000).ok_or_else(|| CantRun("the lasting job did not start".into()))?;
+    let first = wait_for_start(&task, 5_000)
+        .ok_or_else(|| CantRun("the lasting job did not start".into()))?;
     record(&format!("script the lasting task runs on {}", first.runner));
     thread::sleep(Duration::from_millis(1_500));
     if has_trouble {
--- a/review/standin/src/stale_owner.rs
+++ b/review/standin/src/stale_owner.rs
@@ -29,7 +29,9 @@
     }
     world.add_daemons(3)?;
     let queue = Queue("r-rounds", "/rounds/", "rounds");
-    world.store.put("op/config", &configuration(7, &[queue], &["rounds"]));
+    world
+        .store
+        .put("op/config", &configuration(7, &[queue], &["rounds"]));
     world.start()?;
     thread::sleep(Duration::from_secs(8));
 
@@ -40,18 +42,28 @@
     thread::sleep(Duration::from_secs(3));
 
     let stale = world.daemons[0].name.clone();
-    let owned = |id: &str| world.store.holds(&format!("turmericfold/fleet/owners/workers/{id}"), &stale);
+    let owned = |id: &str| {
+        world
+            .store
+            .holds(&format!("turmericfold/fleet/owners/workers/{id}"), &stale)
+    };
     let running = |id: &str| {
         let tasks = tasks();
         let runs = tasks.iter().flat_map(|task| runs_of(task));
-        runs.filter(|run| run.runner == id && run.until.is_none()).count()
+        runs.filter(|run| run.runner == id && run.until.is_none())
+            .count()
     };
     let mut victims: Vec<(usize, usize)> = (0..RUNNERS)
         .map(|number| (running(&world.runners[number].settings.id), number))
         .filter(|(_, number)| owned(&world.runners[*number].settings.id))
         .collect();
     victims.sort_unstable();
-    let victims: Vec<usize> = victims.into_iter().rev().take(CRASHED).map(|(_, number)| number).collect();
+    let victims: Vec<usize> = victims
+        .into_iter()
+        .rev()
+        .take(CRASHED)
+        .map(|(_, number)| number)
+        .collect();
     if victims.len() < CRASHED {
         return Err(CantRun(format!("{stale} owns too few runners")));
     }
@@ -73,12 +85,18 @@
         thread::sleep(Duration::from_millis(CUT_MS));
     }
     thread::sleep(Duration::from_secs(6));
-    let doubled: Vec<String> = tasks().iter().filter_map(|task| Some(format!("task {task}: {}", overlap(&runs_of(task))?))).collect();
+    let doubled: Vec<String> = tasks()
+        .iter()
+        .filter_map(|task| Some(format!("task {task}: {}", overlap(&runs_of(task))?)))
+        .collect();
     for line in &doubled {
         record(&format!("script {line}"));
     }
     Ok(match doubled.first() {
-        Some(first) => Verdict::Broken(format!("{} tasks ran twice at the same time; {first}", doubled.len())),
+        Some(first) => Verdict::Broken(format!(
+            "{} tasks ran twice at the same time; {first}",
+            doubled.len()
+        )),
         None => Verdict::Held,
     })
 }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -47,9 +47,18 @@
 
 impl State {
     fn write(&mut self, key: &str, value: String, lease: i64) {
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
-        let item = Item { value, revision: self.revision, created, lease };
-        self.events.push((self.revision, key.to_owned(), item.json(key)));
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.events
+            .push((self.revision, key.to_owned(), item.json(key)));
         self.items.insert(key.to_owned(), item);
     }
 
@@ -66,7 +75,12 @@
 
     fn end_lease(&mut self, lease: i64) {
         self.leases.remove(&lease);
-        let keys: Vec<String> = self.items.iter().filter(|(_, item)| item.lease == lease).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
         if !keys.is_empty() {
             self.revision += 1;
             for key in keys {
@@ -77,12 +91,22 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let ended: Vec<i64> = self.leases.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<i64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for lease in ended {
             self.end_lease(lease);
         }
         let silent = Duration::from_millis(3 * HEARTBEAT_MS);
-        let gone: Vec<String> = self.beats.iter().filter(|(_, at)| at.elapsed() > silent).map(|(key, _)| key.clone()).collect();
+        let gone: Vec<String> = self
+            .beats
+            .iter()
+            .filter(|(_, at)| at.elapsed() > silent)
+            .map(|(key, _)| key.clone())
+            .collect();
         for key in gone {
             self.beats.remove(&key);
             self.revision += 1;
@@ -122,7 +146,11 @@
     /// Returns whether the value of a key contains a text.
     pub fn holds(&self, key: &str, text: &str) -> bool {
         let state = self.state.0.lock().unwrap();
-        let value = state.items.get(key).map(|item| unbase64(&item.value)).unwrap_or_default();
+        let value = state
+            .items
+            .get(key)
+            .map(|item| unbase64(&item.value))
+            .unwrap_or_default();
         String::from_utf8_lossy(&value).contains(text)
     }
 
@@ -141,7 +169,14 @@
                 let lease = state.next_lease;
                 let until = Instant::now() + Duration::from_millis(ttl_ms as u64);
                 state.leases.insert(lease, (ttl_ms as u64, until));
-                (200, obj(vec![("lease", Json::Int(lease)), ("ttl_ms", Json::Int(ttl_ms))]).to_string())
+                (
+                    200,
+                    obj(vec![
+                        ("lease", Json::Int(lease)),
+                        ("ttl_ms", Json::Int(ttl_ms)),
+                    ])
+                    .to_string(),
+                )
             }
             ("POST", "/standin/beat") => {
                 // The runners' own way to write their entries.
@@ -159,7 +194,10 @@
                 match state.leases.get_mut(&lease) {
                     Some((ttl_ms, until)) => {
                         *until = Instant::now() + Duration::from_millis(*ttl_ms);
-                        (200, obj(vec![("ttl_ms", Json::Int(*ttl_ms as i64))]).to_string())
+                        (
+                            200,
+                            obj(vec![("ttl_ms", Json::Int(*ttl_ms as i64))]).to_string(),
+                        )
                     }
                     None => (404, "{}".into()),
                 }
@@ -188,7 +226,11 @@
         let prefix = request.param("prefix").unwrap_or_default();
         let after = request.param("after").unwrap_or_default();
         let (mut items, mut bytes, mut has_more) = (Vec::new(), 0, false);
-        for (key, item) in state.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after) {
+        for (key, item) in state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+        {
             if items.len() >= MAX_ITEMS || bytes > MAX_PAGE_BYTES {
                 has_more = true;
                 break;
@@ -196,23 +238,52 @@
             bytes += item.value.len();
             items.push(item.json(key));
         }
-        (200, obj(vec![("items", Json::Arr(items)), ("has_more", Json::Bool(has_more)), ("at", Json::Int(state.revision))]).to_string())
+        (
+            200,
+            obj(vec![
+                ("items", Json::Arr(items)),
+                ("has_more", Json::Bool(has_more)),
+                ("at", Json::Int(state.revision)),
+            ])
+            .to_string(),
+        )
     }
 
     fn watch(&self, request: &Request) -> (u16, String) {
         let prefix = request.param("prefix").unwrap_or_default();
-        let after: i64 = request.param("after").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let wait_ms: u64 = request.param("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after: i64 = request
+            .param("after")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let wait_ms: u64 = request
+            .param("wait_ms")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.0.lock().unwrap();
         loop {
-            let new = state.events.iter().filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+            let new = state
+                .events
+                .iter()
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
             let events: Vec<Json> = new.map(|(_, _, event)| event.clone()).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return (200, obj(vec![("events", Json::Arr(events)), ("at", Json::Int(state.revision))]).to_string());
+                return (
+                    200,
+                    obj(vec![
+                        ("events", Json::Arr(events)),
+                        ("at", Json::Int(state.revision)),
+                    ])
+                    .to_string(),
+                );
             }
-            state = self.state.1.wait_timeout(state, left.min(Duration::from_millis(50))).unwrap().0;
+            state = self
+                .state
+                .1
+                .wait_timeout(state, left.min(Duration::from_millis(50)))
+                .unwrap()
+                .0;
         }
     }
 
@@ -223,26 +294,41 @@
         if expect.len() + write.len() + remove.len() > 32 {
             return (400, "{}".into());
         }
-        if write.iter().any(|row| row.text("value").map_or(0, str::len) / 4 * 3 > VALUE_BYTES + 3) {
+        if write
+            .iter()
+            .any(|row| row.text("value").map_or(0, str::len) / 4 * 3 > VALUE_BYTES + 3)
+        {
             return (400, "{}".into());
         }
         let lease_of = |row: &Json| row.int("lease").unwrap_or(0);
-        if write.iter().any(|row| lease_of(row) != 0 && !state.leases.contains_key(&lease_of(row))) {
+        if write
+            .iter()
+            .any(|row| lease_of(row) != 0 && !state.leases.contains_key(&lease_of(row)))
+        {
             return (404, "{}".into());
         }
         let holds = |row: &Json| {
-            let known = state.items.get(row.text("key").unwrap_or_default()).map_or(0, |item| item.revision);
+            let known = state
+                .items
+                .get(row.text("key").unwrap_or_default())
+                .map_or(0, |item| item.revision);
             known == row.int("revision").unwrap_or(0)
         };
         if !expect.iter().all(holds) {
             let keys = expect.iter().filter_map(|row| row.text("key"));
-            let items = keys.filter_map(|key| state.items.get(key).map(|item| item.json(key))).collect();
+            let items = keys
+                .filter_map(|key| state.items.get(key).map(|item| item.json(key)))
+                .collect();
             return (412, obj(vec![("items", Json::Arr(items))]).to_string());
         }
         state.revision += 1;
         for row in write {
             let key = row.text("key").unwrap_or_default();
-            state.write(key, row.text("value").unwrap_or_default().to_owned(), lease_of(row));
+            state.write(
+                key,
+                row.text("value").unwrap_or_default().to_owned(),
+                lease_of(row),
+            );
         }
         for key in remove {
             if let Json::Str(key) = key {
@@ -250,6 +336,9 @@
             }
         }
         self.state.1.notify_all();
-        (200, obj(vec![("revision", Json::Int(state.revision))]).to_string())
+        (
+            200,
+            obj(vec![("revision", Json::Int(state.revision))]).to_string(),
+        )
     }
 }
--- a/review/standin/src/store_path.rs
+++ b/review/standin/src/store_path.rs
@@ -23,16 +23,30 @@
         let address = listener.local_addr().map_err(failed)?.to_string();
         let is_cut = Arc::new(AtomicBool::new(false));
         let open = Arc::new(Mutex::new(Vec::new()));
-        let path = Self { address, is_cut: is_cut.clone(), open: open.clone() };
+        let path = Self {
+            address,
+            is_cut: is_cut.clone(),
+            open: open.clone(),
+        };
         let store = store.to_owned();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 if is_cut.load(Ordering::SeqCst) {
                     continue;
                 }
-                let Ok(server) = TcpStream::connect(&store) else { continue };
-                let copies = (client.try_clone(), server.try_clone(), client.try_clone(), server.try_clone());
-                let (Ok(client_in), Ok(server_in), Ok(client_kept), Ok(server_kept)) = copies else { continue };
+                let Ok(server) = TcpStream::connect(&store) else {
+                    continue;
+                };
+                let copies = (
+                    client.try_clone(),
+                    server.try_clone(),
+                    client.try_clone(),
+                    server.try_clone(),
+                );
+                let (Ok(client_in), Ok(server_in), Ok(client_kept), Ok(server_kept)) = copies
+                else {
+                    continue;
+                };
                 let _ = (client.set_nodelay(true), server.set_nodelay(true));
                 open.lock().unwrap().extend([client_kept, server_kept]);
                 thread::spawn(move || copy(client_in, server));
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -54,9 +54,23 @@
         let settings = &self.settings;
         let child = Command::new(program)
             .arg("runner")
-            .args([&settings.id, &settings.port.to_string(), &settings.store, &settings.service, &settings.zone])
-            .args([&settings.labels.join(","), &settings.cpu.to_string(), &settings.mem_mb.to_string()])
-            .args([&settings.hold_max_ms.to_string(), &settings.stop_ms.to_string(), &settings.late_holds_ms.to_string()])
+            .args([
+                &settings.id,
+                &settings.port.to_string(),
+                &settings.store,
+                &settings.service,
+                &settings.zone,
+            ])
+            .args([
+                &settings.labels.join(","),
+                &settings.cpu.to_string(),
+                &settings.mem_mb.to_string(),
+            ])
+            .args([
+                &settings.hold_max_ms.to_string(),
+                &settings.stop_ms.to_string(),
+                &settings.late_holds_ms.to_string(),
+            ])
             .stdin(Stdio::piped())
             .spawn()
             .map_err(|error| CantRun(format!("runner: {error}")))?;
@@ -81,24 +95,45 @@
 
 impl World {
     pub fn new() -> Result<Self, CantRun> {
-        let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| CantRun(error.to_string()))?;
-        let store_address = listener.local_addr().map_err(|error| CantRun(error.to_string()))?.to_string();
+        let listener =
+            TcpListener::bind("127.0.0.1:0").map_err(|error| CantRun(error.to_string()))?;
+        let store_address = listener
+            .local_addr()
+            .map_err(|error| CantRun(error.to_string()))?
+            .to_string();
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| CantRun(error.to_string()))?;
         let store = Store::start(listener);
         let (daemons, runners, taken) = (Vec::new(), Vec::new(), Vec::new());
-        Ok(Self { store, store_address, daemons, runners, folder, taken })
+        Ok(Self {
+            store,
+            store_address,
+            daemons,
+            runners,
+            folder,
+            taken,
+        })
     }
 
     fn free_port(&mut self) -> Result<u16, CantRun> {
-        let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| CantRun(error.to_string()))?;
-        let port = listener.local_addr().map_err(|error| CantRun(error.to_string()))?.port();
+        let listener =
+            TcpListener::bind("127.0.0.1:0").map_err(|error| CantRun(error.to_string()))?;
+        let port = listener
+            .local_addr()
+            .map_err(|error| CantRun(error.to_string()))?
+            .port();
         // Held until all ports are chosen, so that no port is chosen twice.
         self.taken.push(listener);
         Ok(port)
     }
 
-    pub fn add_runner(&mut self, service: &str, labels: &[&str], cpu: i64, mem_mb: i64) -> Result<usize, CantRun> {
+    pub fn add_runner(
+        &mut self,
+        service: &str,
+        labels: &[&str],
+        cpu: i64,
+        mem_mb: i64,
+    ) -> Result<usize, CantRun> {
         let number = self.runners.len();
         let settings = Settings {
             id: format!("i-{number:04}"),
@@ -113,13 +148,21 @@
             stop_ms: STOP_TIMEOUT_MS / 2,
             late_holds_ms: 0,
         };
-        self.runners.push(RunnerProcess { settings, child: None });
+        self.runners.push(RunnerProcess {
+            settings,
+            child: None,
+        });
         Ok(number)
     }
 
     pub fn add_daemons(&mut self, count: usize) -> Result<(), CantRun> {
         for number in 0..count {
-            let ports = [self.free_port()?, self.free_port()?, self.free_port()?, self.free_port()?];
+            let ports = [
+                self.free_port()?,
+                self.free_port()?,
+                self.free_port()?,
+                self.free_port()?,
+            ];
             let [front, ready, control, peer] = ports;
             let store_path = StorePath::open(&self.store_address)?;
             let name = format!("edge-zone-{}-{}", number % 3, number / 3 + 1);
@@ -143,7 +186,14 @@
             let settings = self.folder.join(format!("{name}.conf"));
             fs::write(&settings, text).map_err(|error| CantRun(error.to_string()))?;
             let (front, ready) = (format!("127.0.0.1:{front}"), format!("127.0.0.1:{ready}"));
-            self.daemons.push(Daemon { name, front, ready, settings, child: None, store_path });
+            self.daemons.push(Daemon {
+                name,
+                front,
+                ready,
+                settings,
+                child: None,
+                store_path,
+            });
         }
         Ok(())
     }
@@ -162,8 +212,14 @@
 
     pub fn start_daemon(&mut self, number: usize) -> Result<(), CantRun> {
         let daemon = &mut self.daemons[number];
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{}.log", daemon.name))).map_err(|error| CantRun(error.to_string()))?;
-        let copy = log.try_clone().map_err(|error| CantRun(error.to_string()))?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", daemon.name)))
+            .map_err(|error| CantRun(error.to_string()))?;
+        let copy = log
+            .try_clone()
+            .map_err(|error| CantRun(error.to_string()))?;
         // The command of deploy/system.toml.
         let child = Command::new("target/release/turmericfold")
             .arg("enter")
@@ -182,14 +238,19 @@
         let daemon = &mut self.daemons[number];
         if let Some(mut child) = daemon.child.take() {
             record(&format!("script SIGTERM to {}", daemon.name));
-            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+            let _ = Command::new("kill")
+                .args(["-TERM", &child.id().to_string()])
+                .status();
             let until = Instant::now() + Duration::from_millis(GRACE_MS);
             while matches!(child.try_wait(), Ok(None)) && Instant::now() < until {
                 thread::sleep(Duration::from_millis(20));
             }
             let _ = child.kill();
             let _ = child.wait();
-            record(&format!("script {} has ended; starting it again", daemon.name));
+            record(&format!(
+                "script {} has ended; starting it again",
+                daemon.name
+            ));
         }
         self.start_daemon(number)
     }
@@ -198,7 +259,19 @@
     pub fn wait_until_ready(&self) -> Result<(), CantRun> {
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
-            let is_ready = |daemon: &Daemon| matches!(call(&daemon.ready, "GET", "/-/readyz", &[("Host", "ready")], "", 500), Some((200, _)));
+            let is_ready = |daemon: &Daemon| {
+                matches!(
+                    call(
+                        &daemon.ready,
+                        "GET",
+                        "/-/readyz",
+                        &[("Host", "ready")],
+                        "",
+                        500
+                    ),
+                    Some((200, _))
+                )
+            };
             if self.daemons.iter().all(is_ready) {
                 record("script all processes are ready");
                 return Ok(());
@@ -209,11 +282,27 @@
     }
 
     /// Makes a client's call to one of the system's processes, and records it.
-    pub fn ask(&self, daemon: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    pub fn ask(
+        &self,
+        daemon: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let front = &self.daemons[daemon].front;
         let shown = body.chars().take(160).collect::<String>();
-        record(&format!("client {method} {path} to {} {shown}", self.daemons[daemon].name));
-        let answer = call(front, method, path, &[("Host", "case.example"), ("Deadline-Ms", "3000")], body, 3_000);
+        record(&format!(
+            "client {method} {path} to {} {shown}",
+            self.daemons[daemon].name
+        ));
+        let answer = call(
+            front,
+            method,
+            path,
+            &[("Host", "case.example"), ("Deadline-Ms", "3000")],
+            body,
+            3_000,
+        );
         record(&format!("client {method} {path} <- {answer:?}"));
         answer
     }
@@ -221,7 +310,12 @@
     /// Hands a job in at the processes in turn until it is accepted, as a client does.
     pub fn submit(&self, prefix: &str, id: &str, body: &str) -> Result<(), CantRun> {
         for attempt in 0..10 {
-            let answer = self.ask(attempt % self.daemons.len(), "POST", &format!("{prefix}{id}"), body);
+            let answer = self.ask(
+                attempt % self.daemons.len(),
+                "POST",
+                &format!("{prefix}{id}"),
+                body,
+            );
             if matches!(answer, Some((200, _))) {
                 return Ok(());
             }
@@ -233,8 +327,14 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        let daemons = self.daemons.iter_mut().filter_map(|daemon| daemon.child.as_mut());
-        let runners = self.runners.iter_mut().filter_map(|runner| runner.child.as_mut());
+        let daemons = self
+            .daemons
+            .iter_mut()
+            .filter_map(|daemon| daemon.child.as_mut());
+        let runners = self
+            .runners
+            .iter_mut()
+            .filter_map(|runner| runner.child.as_mut());
         for child in daemons.chain(runners) {
             let _ = child.kill();
             let _ = child.wait();
