--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,6 +9,18 @@
 RECORD="$here/record.txt"
 export RECORD
 : > "$RECORD" || exit 2
+PIDS=$(mktemp) || exit 2
+export PIDS
+# Ends what is left of the system's processes that this script started, by their ids.
+end_processes() {
+    while read -r pid; do
+        if tr '\0' ' ' 2> /dev/null < "/proc/$pid/cmdline" | grep -q 'turmericfold enter'; then
+            kill -KILL "$pid"
+        fi
+    done < "$PIDS" 2> /dev/null
+    rm -f "$PIDS"
+}
+trap end_processes EXIT
 timeout --signal=TERM 115 "$program" stale-owner
 code=$?
 [ "$code" -eq 0 ] || [ "$code" -eq 1 ] || exit 2
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -229,6 +229,12 @@
             .stderr(copy)
             .spawn()
             .map_err(|error| CantRun(format!("target/release/turmericfold: {error}")))?;
+        // The script ends the processes that are left if this program is ended itself.
+        if let Ok(path) = std::env::var("PIDS") {
+            let opened = fs::OpenOptions::new().create(true).append(true).open(path);
+            let written = opened.and_then(|mut file| writeln!(file, "{}", child.id()));
+            written.map_err(|error| CantRun(error.to_string()))?;
+        }
         daemon.child = Some(child);
         Ok(())
     }
