Let a process without a registration start nothing on restarted workers

Cause: a process that the store turned away relied on its fencing token alone. A worker that restarted has seen no token, so it obeyed the former owner, which took the runs of the former life for lost and started their tasks again. Lines now carry registration_valid. Change: starts, orders of job owners and ends of unlisted runs need a registration that is certainly valid, or most of the members heard (an outage of the store for all). Without a registration, a restart of the worker must also be older than the peers' summaries. Why it works: others claim units only once the registration has ended; then peers that the store serves send no summaries any more.

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -217,6 +217,7 @@
         self.write_due(context.moment, out);
         if self.should_start_tasks
             && context.moment.has_reached(self.next_pass_at)
+            && workers.may_start(context)
             && let Some(configuration) = configuration
         {
             self.should_start_tasks = false;
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -255,7 +255,8 @@
             epoch = authority.epoch.0,
             free_millicores = offer.worker.free.cpu_millicores,
             waits_for_room = waits_for_room,
-            resumes = checkpoint.is_some();
+            resumes = checkpoint.is_some(),
+            registration_valid = context.has_valid_registration;
             "ordering a run"
         );
         offer.reserve_step(interference, step);
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -44,7 +44,7 @@
             listed: end_number.is_some(),
             ran_ms,
         };
-        log_end(context.moment, worker, &end, evidence);
+        log_end(context, worker, &end, evidence);
         worker.ends.insert(
             key,
             TrackedEnd {
@@ -191,7 +191,7 @@
     }
 }
 
-fn log_end(moment: Moment, worker: &Worker, end: &ReportedEnd, evidence: EndEvidence) {
+fn log_end(context: Context<'_>, worker: &Worker, end: &ReportedEnd, evidence: EndEvidence) {
     log::info!(
         run:% = end.ended.run,
         worker:% = worker.id,
@@ -199,7 +199,8 @@
         end:? = end.ended.end,
         evidence:? = evidence,
         ran_ms = end.ran_ms,
-        silent_ms = worker.last_answer_at.map_or(0, |at| moment.since_ms(at)),
+        silent_ms = worker.last_answer_at.map_or(0, |at| context.moment.since_ms(at)),
+        registration_valid = context.has_valid_registration,
         listed = end.listed;
         "run has ended; reporting the end to the owner of its job"
     );
--- a/crates/turmericfold-fleet/src/workers/isolation.rs
+++ b/crates/turmericfold-fleet/src/workers/isolation.rs
@@ -16,7 +16,7 @@
 /// claim. It expires one lease later, on a clock that may be 2% slow, and before the new owner
 /// treats an unregistered worker as departed. A peer with a late watch may be heard for longer;
 /// then the new owner's summary ends the renewals.
-const MAX_SUMMARY_AGE_MS: u64 = 400;
+pub(super) const MAX_SUMMARY_AGE_MS: u64 = 400;
 
 /// The time for which a peer that is not heard any more counts as a process that may be cut off
 /// together with others, in milliseconds: longer than a worker's new owner takes to claim a
@@ -73,11 +73,13 @@
         let is_isolated = has_workers && !self.may_renew(context);
         if is_isolated && !self.is_isolated {
             log::warn!(
-                "process is cut off from the store and from all peers; the leases of its workers are not renewed"
+                "process is cut off from the store and from most peers; it starts no runs, and the leases of its workers are not renewed"
             );
         }
         if !is_isolated && self.is_isolated {
-            log::info!("process is no longer cut off; the leases of its workers are renewed again");
+            log::info!(
+                "process is no longer cut off; it starts runs and renews the leases of its workers again"
+            );
         }
         self.is_isolated = is_isolated;
     }
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -12,6 +12,7 @@
 mod order;
 mod owner;
 mod pace;
+mod permission;
 mod poll;
 mod refusal;
 mod report;
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -68,7 +68,10 @@
             send_end(from, &name, worker.epoch, tracked.end.clone(), out);
             return;
         }
-        let refusal = refusal(context, worker, self.interference(), &order, is_admitted);
+        let refusal = match self.may_act_on(context, worker) {
+            true => refusal(context, worker, self.interference(), &order, is_admitted),
+            false => Some(StartRefusal::WorkerUnusable),
+        };
         if refusal == Some(StartRefusal::NoRoom) && kind.waits_for_room && worker.may_hold(&order) {
             self.hold_order(context, &name, order);
             return;
@@ -78,7 +81,8 @@
                 run:% = run,
                 worker:% = name,
                 refusal:? = refusal,
-                free_millicores = worker.free_resources().cpu_millicores;
+                free_millicores = worker.free_resources().cpu_millicores,
+                registration_valid = context.has_valid_registration;
                 "refused a start order; the run is barred from starting on the worker"
             );
             answer(StartOutcome::Refused(refusal), out);
@@ -307,6 +311,8 @@
         }
     }
 
+    /// Sends the start call of an ordered run, unless this process may no longer own the worker;
+    /// then it waits.
     pub(super) fn send_start(
         &mut self,
         context: Context<'_>,
@@ -315,17 +321,17 @@
         out: &mut Outbox,
     ) {
         let lease_ms = self.lease_ms;
-        let may_renew = self.isolation.may_renew(context);
-        let Some(worker) = self.worker_mut(name) else {
+        let may_act = self
+            .worker(name)
+            .is_some_and(|worker| self.may_act_on(context, worker));
+        let Some(worker) = self.worker_mut(name).filter(|_| may_act) else {
             return;
         };
         let Some(clock) = worker.clock else {
             return;
         };
-        if may_renew && !worker.has_later_owner {
-            let renewed_until_ms = clock.estimated_ms(context.moment.now) + lease_ms;
-            worker.lease_until_ms = worker.lease_until_ms.max(renewed_until_ms);
-        }
+        let renewed_until_ms = clock.estimated_ms(context.moment.now) + lease_ms;
+        worker.lease_until_ms = worker.lease_until_ms.max(renewed_until_ms);
         let (entry, token) = (worker.entry.clone(), worker.token());
         let lease_until_ms = worker.lease_until_ms;
         let Some(run) = worker.runs.get_mut(&key) else {
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -152,7 +152,7 @@
             let waited_ms = context.moment.since_ms(worker.owned_since);
             log::info!(worker:% = name, epoch = worker.epoch.0, waited_ms = waited_ms; "worker has answered its new owner for the first time");
         }
-        detect_restart(worker, listing.started_ms);
+        detect_restart(worker, listing.started_ms, context.moment.now);
         worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
         if !worker.has_seen_token() {
             // A call with an earlier token may have granted a lease of the same length.
@@ -210,7 +210,7 @@
 
     /// Ends the runs that the worker has lost: it lists them neither as running nor as
     /// ended, though it had them, or accepted the order to stop them, before the poll was
-    /// sent.
+    /// sent. A process that may no longer own the worker ends none.
     fn end_unlisted(
         &mut self,
         context: Context<'_>,
@@ -223,6 +223,9 @@
         let Some(worker) = self.worker(name) else {
             return;
         };
+        if !self.may_act_on(context, worker) {
+            return;
+        }
         let unlisted = keys_where(worker, |key, run| {
             let known_before = match run.phase {
                 RunPhase::Ordered => false,
@@ -299,13 +302,13 @@
 }
 
 /// Records when the worker started, and detects that it has restarted.
-fn detect_restart(worker: &mut Worker, started_ms: u64) {
+fn detect_restart(worker: &mut Worker, started_ms: u64, now: MonotonicMs) {
     if worker.started_ms == started_ms {
         return;
     }
     if worker.started_ms != 0 {
         log::warn!(worker:% = worker.id, born_ms = started_ms; "worker has restarted; its earlier lease and end numbers are void");
-        worker.on_restarted();
+        worker.on_restarted(now);
     }
     worker.started_ms = started_ms;
 }
--- a/crates/turmericfold-fleet/src/workers/waiting_starts.rs
+++ b/crates/turmericfold-fleet/src/workers/waiting_starts.rs
@@ -65,7 +65,7 @@
             return;
         }
         let orders: Vec<WaitingOrder> = worker.waiting_orders.iter().cloned().collect();
-        let is_usable = worker.is_usable(context.moment);
+        let is_usable = worker.is_usable(context.moment) && self.may_act_on(context, worker);
         let mut room = worker.unused_resources();
         for waiting in orders {
             let run = waiting.order.run;
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -70,6 +70,8 @@
     pub(crate) authorities_known: bool,
     /// The last reading of its clock, once it has answered a poll.
     pub(crate) clock: Option<WorkerClock>,
+    /// When this process last noticed that it has restarted.
+    pub(crate) restarted_at: Option<MonotonicMs>,
     /// When it started, as it reports, in milliseconds since 1970; 0 if not known yet.
     pub(crate) started_ms: u64,
     /// The end of its lease on its own clock, in milliseconds; no run continues beyond it.
@@ -138,6 +140,7 @@
             presumed_lost: false,
             authorities_known: false,
             clock: None,
+            restarted_at: None,
             started_ms: 0,
             lease_until_ms: 0,
             acknowledged_up_to: 0,
@@ -188,7 +191,8 @@
 
     /// Resets what does not outlast a restart of the worker, and raises the token, as the
     /// worker has seen none since and obeys late calls.
-    pub(crate) fn on_restarted(&mut self) {
+    pub(crate) fn on_restarted(&mut self, now: MonotonicMs) {
+        self.restarted_at = Some(now);
         self.token = self.token.after_restart();
         self.acknowledged_up_to = 0;
         self.lease_until_ms = 0;
--- a/crates/turmericfold-standin/src/lib.rs
+++ b/crates/turmericfold-standin/src/lib.rs
@@ -24,5 +24,5 @@
 pub use platform_server::{PlatformServer, PlatformState};
 pub use scripted_endpoint::{Reaction, ReceivedRequest, ScriptedEndpoint};
 pub use store_model::StoreModel;
-pub use task_worker_model::{TaskBehaviour, TaskWorkerModel, WorkerEvent};
+pub use task_worker_model::{LEASE_MAX_MS, TaskBehaviour, TaskWorkerModel, WorkerEvent};
 pub use worker_model::{OverloadMargin, WorkerFaults, WorkerModel, WorkerViolation};
--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -11,6 +11,9 @@
 /// The most ends that a worker lists in one answer.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// The longest lease that a worker grants, in milliseconds.
+pub const LEASE_MAX_MS: u64 = 10_000;
+
 /// The actual behaviour of a task: its resources, its duration and how it ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TaskBehaviour {
@@ -27,6 +30,8 @@
 struct ModelRun {
     started_at: MonotonicMs,
     behaviour: TaskBehaviour,
+    /// When the order to stop it arrived, if it has.
+    stopped_at: Option<MonotonicMs>,
 }
 
 /// An event on the worker, reported to the oracle of a test.
@@ -65,6 +70,8 @@
     started_ms: u64,
     token: u64,
     lease_until_ms: u64,
+    /// How long a run takes to stop, in milliseconds.
+    stop_ms: u64,
     running: BTreeMap<RunKey, ModelRun>,
     finished: Vec<ListedEnd>,
     /// The highest number of the ended and stopped runs of each task.
@@ -82,6 +89,7 @@
             started_ms: now.0 + 1,
             token: 0,
             lease_until_ms: 0,
+            stop_ms: 0,
             running: BTreeMap::new(),
             finished: Vec::new(),
             highest_numbers: BTreeMap::new(),
@@ -90,6 +98,13 @@
         }
     }
 
+    /// Sets how long a run takes to stop, in milliseconds.
+    #[must_use]
+    pub fn with_stop_ms(mut self, stop_ms: u64) -> Self {
+        self.stop_ms = stop_ms;
+        self
+    }
+
     /// Returns the events since the last call.
     pub fn take_events(&mut self) -> Vec<WorkerEvent> {
         std::mem::take(&mut self.events)
@@ -127,7 +142,7 @@
             self.events.push(WorkerEvent::EndLost { run: ended.run });
         }
         let events = self.take_events();
-        *self = Self::new(self.capacity, now);
+        *self = Self::new(self.capacity, now).with_stop_ms(self.stop_ms);
         self.events = events;
     }
 
@@ -146,9 +161,10 @@
         }
     }
 
-    /// Advances to `now`: ends the runs whose work is done, and the remaining ones if the
-    /// lease has expired.
+    /// Advances to `now`: ends the runs whose work is done or that were stopped, and the
+    /// remaining ones if the lease has expired.
     pub fn advance(&mut self, now: MonotonicMs) {
+        self.end_stopped(now);
         let completed: Vec<RunKey> = self
             .running
             .iter()
@@ -196,7 +212,7 @@
         if call.lease_until_ms <= self.clock_ms(now) {
             return StartReply::LeasePassed;
         }
-        self.lease_until_ms = self.lease_until_ms.max(call.lease_until_ms);
+        self.extend_lease(now, call.lease_until_ms);
         let highest = self.highest_numbers.get(&call.run.task);
         if highest.is_some_and(|highest| call.run.number <= *highest) {
             return StartReply::Superseded;
@@ -214,6 +230,7 @@
             ModelRun {
                 started_at,
                 behaviour,
+                stopped_at: None,
             },
         );
         self.events.push(WorkerEvent::Started { run: call.run });
@@ -228,12 +245,26 @@
         }
         self.token = call.token;
         self.record_number(call.run);
-        if self.running.contains_key(&call.run) {
-            self.end(call.run, RunEnd::Stopped);
+        if let Some(run) = self.running.get_mut(&call.run) {
+            run.stopped_at.get_or_insert(now);
         }
+        self.end_stopped(now);
         true
     }
 
+    /// Ends the runs that have taken their time to stop.
+    fn end_stopped(&mut self, now: MonotonicMs) {
+        let has_stopped = |run: &ModelRun| {
+            let stopped_at = run.stopped_at;
+            stopped_at.is_some_and(|at| now.since_ms(at) >= self.stop_ms)
+        };
+        let stopped = self.running.iter().filter(|(_, run)| has_stopped(run));
+        let stopped: Vec<RunKey> = stopped.map(|(key, _)| *key).collect();
+        for key in stopped {
+            self.end(key, RunEnd::Stopped);
+        }
+    }
+
     /// Handles a poll.
     pub fn poll(&mut self, now: MonotonicMs, call: &PollCall) -> PollReply {
         self.advance(now);
@@ -242,7 +273,7 @@
         }
         self.token = call.token;
         if let Some(lease_until_ms) = call.lease_until_ms {
-            self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
+            self.extend_lease(now, lease_until_ms);
         }
         let acknowledged = self
             .finished
@@ -274,6 +305,12 @@
         now.since_ms(self.clock_origin)
     }
 
+    /// Extends the lease, which never shortens, by at most the longest lease from now on.
+    fn extend_lease(&mut self, now: MonotonicMs, until_ms: u64) {
+        let longest_until_ms = self.clock_ms(now) + LEASE_MAX_MS;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest_until_ms));
+    }
+
     fn end(&mut self, run: RunKey, end: RunEnd) {
         self.running.remove(&run);
         self.record_number(run);
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -70,6 +70,7 @@
 mod slow_reads;
 mod slow_starts;
 mod stale_configurations;
+mod stale_owners;
 mod start_doubts;
 mod successors;
 mod unanswered_watches;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -120,6 +120,8 @@
     /// The time that a copy of the configuration takes between nodes, in milliseconds.
     copy_duration_ms: u64,
     configuration_copies: ConfigurationCopies,
+    /// Whether nodes know the addresses of members only, as in the driver.
+    reaches_members_only: bool,
     nodes: Vec<Option<RunningNode>>,
     boots: u64,
     workers: BTreeMap<InstanceName, TaskWorkerModel>,
@@ -151,6 +153,7 @@
             configuration: Arc::new(configuration()),
             copy_duration_ms: 0,
             configuration_copies: ConfigurationCopies::default(),
+            reaches_members_only: false,
             nodes: (0..nodes).map(|_| None).collect(),
             boots: 0,
             workers: BTreeMap::new(),
@@ -186,6 +189,13 @@
         self
     }
 
+    /// Drops messages to processes that their sender does not know as members.
+    #[must_use]
+    pub fn with_member_addresses(mut self) -> Self {
+        self.reaches_members_only = true;
+        self
+    }
+
     /// Returns the submitted jobs by identifier.
     pub fn jobs(&self) -> &BTreeMap<JobId, Submitted> {
         &self.jobs
@@ -369,7 +379,10 @@
         let store = std::mem::take(&mut running.outbox.store);
         let workers = std::mem::take(&mut running.outbox.workers);
         let replies = std::mem::take(&mut running.outbox.replies);
-        let messages = std::mem::take(&mut running.outbox.messages);
+        let mut messages = std::mem::take(&mut running.outbox.messages);
+        if self.reaches_members_only {
+            messages.retain(|to, _| running.node.address_of(to).is_some());
+        }
         for request in store {
             self.send_store(index, &process, request.call, request.store_call);
         }
--- a/tests/src/fleet_world/nodes.rs
+++ b/tests/src/fleet_world/nodes.rs
@@ -3,6 +3,7 @@
 use ecow::{EcoString, eco_format};
 use turmericfold_fleet::{Event, FleetNode, FleetSettings, Member, Outbox, keys};
 use turmericfold_platform::{StoreCall, Transaction};
+use turmericfold_standin::LEASE_MAX_MS;
 use turmericfold_types::{FailureDomain, InstanceName, ProcessId};
 
 use super::{Delivery, FleetWorld, RunningNode};
@@ -27,7 +28,7 @@
             weight: 100,
             stopping: false,
         };
-        let settings = FleetSettings::new(member).with_worker_lease_max_ms(6_000);
+        let settings = FleetSettings::new(member).with_worker_lease_max_ms(LEASE_MAX_MS);
         self.nodes[index] = Some(RunningNode {
             node: FleetNode::new(&settings),
             outbox: Outbox::new(process.clone()),
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -69,6 +69,15 @@
         worker.map_or(0, TaskWorkerModel::run_count)
     }
 
+    /// Sets how long runs take to stop, in milliseconds.
+    #[must_use]
+    pub fn with_stop_ms(mut self, stop_ms: u64) -> Self {
+        for worker in self.workers.values_mut() {
+            *worker = worker.clone().with_stop_ms(stop_ms);
+        }
+        self
+    }
+
     pub(super) fn add_worker(&mut self, number: usize) {
         let worker = TaskWorkerModel::new(worker_capacity(), self.now);
         self.workers.insert(worker_name(number), worker);
