Reckon with the longest lease after a restart of a worker

Cause: a start that reaches a restarted worker before its owner has noticed bears a deadline on the clock of the former life. The worker shortens it to hold_max_ms; owners reckoned with the length that they renew for. Why it works: no call can grant more than that from the time at which it takes effect, and calls with an earlier token take no effect once the new one was seen.

--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -34,7 +34,7 @@
         for change in changes {
             match change {
                 WorkerChange::Registered(entry) => {
-                    self.workers.on_registered(&entry);
+                    self.workers.on_registered(moment, &entry);
                     self.registrations.insert(moment, entry);
                 }
                 WorkerChange::Unregistered(worker) => {
--- a/crates/turmericfold-fleet/src/registrations.rs
+++ b/crates/turmericfold-fleet/src/registrations.rs
@@ -20,6 +20,19 @@
 struct Registration {
     entry: WorkerEntry,
     leaves_at: Option<MonotonicMs>,
+    /// When it was first known that the worker has restarted under its name, if it has.
+    restarted_at: Option<MonotonicMs>,
+}
+
+impl Registration {
+    /// Returns when it was first known that the worker has restarted, if a later registration of it
+    /// is `entry`.
+    fn restarted_at_by(&self, moment: Moment, entry: &WorkerEntry) -> Option<MonotonicMs> {
+        match self.entry.has_other_start(entry.started_ms) {
+            true => Some(moment.now),
+            false => self.restarted_at,
+        }
+    }
 }
 
 /// The registered workers, and those that departed recently.
@@ -34,7 +47,7 @@
 /// The last registration of a worker that is no longer registered.
 #[derive(Debug)]
 struct Departed {
-    entry: WorkerEntry,
+    registration: Registration,
     departed_at: MonotonicMs,
 }
 
@@ -55,9 +68,17 @@
             .and_then(|known| known.leaves_at)
             .unwrap_or(moment + remaining_ms);
         let leaves_at = entry.draining.then_some(leaves_at);
+        let departed = self.departed.get(&entry.id);
+        let earlier = known.or(departed.map(|departed| &departed.registration));
+        let restarted_at = earlier.and_then(|earlier| earlier.restarted_at_by(moment, &entry));
         let name = entry.id.clone();
         self.departed.remove(&name);
-        let known = self.by_name.insert(name, Registration { entry, leaves_at });
+        let registration = Registration {
+            entry,
+            leaves_at,
+            restarted_at,
+        };
+        let known = self.by_name.insert(name, registration);
         self.generation += u64::from(known.is_none());
     }
 
@@ -65,19 +86,29 @@
     pub(crate) fn remove(&mut self, moment: Moment, name: &InstanceName) {
         self.departed
             .retain(|_, departed| moment.since_ms(departed.departed_at) < DEPARTED_RETENTION_MS);
-        if let Some(removed) = self.by_name.remove(name) {
+        if let Some(registration) = self.by_name.remove(name) {
             self.generation += 1;
-            log::info!(worker:% = name, draining = removed.entry.draining; "worker is no longer registered");
-            let (entry, departed_at) = (removed.entry, moment.now);
-            self.departed
-                .insert(name.clone(), Departed { entry, departed_at });
+            log::info!(worker:% = name, draining = registration.entry.draining; "worker is no longer registered");
+            let departed = Departed {
+                registration,
+                departed_at: moment.now,
+            };
+            self.departed.insert(name.clone(), departed);
         }
     }
 
     /// Returns the last registration of a worker that has departed, if it is still
     /// retained.
     pub(crate) fn departed(&self, name: &InstanceName) -> Option<&WorkerEntry> {
-        self.departed.get(name).map(|departed| &departed.entry)
+        let departed = self.departed.get(name)?;
+        Some(&departed.registration.entry)
+    }
+
+    /// Returns when this process learned of the last restart of a worker under its name, if the
+    /// worker is registered or has departed recently.
+    pub(crate) fn restarted_at(&self, name: &InstanceName) -> Option<MonotonicMs> {
+        let departed = || Some(&self.departed.get(name)?.registration);
+        self.by_name.get(name).or_else(departed)?.restarted_at
     }
 
     /// Returns a number that differs after every change of the set of registered workers.
--- a/crates/turmericfold-fleet/src/settings.rs
+++ b/crates/turmericfold-fleet/src/settings.rs
@@ -12,6 +12,8 @@
     /// The duration of a worker's lease, in milliseconds: how long its tasks continue
     /// to run after the last renewal.
     pub worker_lease_ms: u64,
+    /// The longest lease that workers grant, in milliseconds; they shorten longer ones.
+    pub worker_lease_max_ms: u64,
     /// The maximum time that a worker takes to stop a run, in milliseconds.
     pub stop_timeout_ms: u64,
     /// The time for which the state of an ended job can be read, in milliseconds.
@@ -31,6 +33,10 @@
     /// successor poll the worker for the first time.
     pub const WORKER_LEASE_MS: u64 = 5_000;
 
+    /// The default of [`Self::worker_lease_max_ms`], in milliseconds, used unless the
+    /// platform specifies another.
+    const WORKER_LEASE_MAX_MS: u64 = 10_000;
+
     /// The default of [`Self::stop_timeout_ms`], in milliseconds, used unless the
     /// platform specifies another.
     const STOP_TIMEOUT_MS: u64 = 500;
@@ -45,6 +51,7 @@
             member,
             member_ttl_ms: Self::MEMBER_TTL_MS,
             worker_lease_ms: Self::WORKER_LEASE_MS,
+            worker_lease_max_ms: Self::WORKER_LEASE_MAX_MS,
             stop_timeout_ms: Self::STOP_TIMEOUT_MS,
             job_retention_ms: Self::JOB_RETENTION_MS,
         }
@@ -58,11 +65,12 @@
         self
     }
 
-    /// Limits the duration of a worker's lease to the longest that workers grant, in
-    /// milliseconds.
+    /// Sets the longest lease that workers grant, in milliseconds, which limits the duration
+    /// of their leases.
     #[must_use]
     pub fn with_worker_lease_max_ms(mut self, worker_lease_max_ms: u64) -> Self {
         self.worker_lease_ms = self.worker_lease_ms.min(worker_lease_max_ms);
+        self.worker_lease_max_ms = worker_lease_max_ms;
         self
     }
 
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -161,11 +161,11 @@
         let departed_since = unregistered_at.max(worker.earlier_renewal_at);
         let is_unresponsive = worker
             .last_answer_at
-            .is_none_or(|last_answer_at| moment.since_ms(last_answer_at) > self.lease_ms);
+            .is_none_or(|last_answer_at| moment.since_ms(last_answer_at) > self.leases.usual_ms);
         if !is_unresponsive && !self.has_left(worker) {
             return false;
         }
-        let is_lease_expired = self.have_earlier_leases_expired(moment, departed_since);
+        let is_lease_expired = self.have_earlier_leases_expired(moment, worker, departed_since);
         let has_nothing_to_report =
             worker.runs.is_empty() && worker.ends.values().all(|tracked| tracked.is_recorded);
         match worker.last_answer_at {
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -8,6 +8,7 @@
 mod fencing_token;
 mod isolation;
 mod lateness;
+mod leases;
 mod load;
 mod order;
 mod owner;
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -320,7 +320,7 @@
         key: RunKey,
         out: &mut Outbox,
     ) {
-        let lease_ms = self.lease_ms;
+        let lease_ms = self.leases.usual_ms;
         let may_act = self
             .worker(name)
             .is_some_and(|worker| self.may_act_on(context, worker));
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -10,6 +10,7 @@
 use super::authorities::AuthoritiesCall;
 use super::isolation::Isolation;
 use super::lateness::Lateness;
+use super::leases::LeaseLengths;
 use super::run::{OrderKind, Run};
 use super::worker::Worker;
 use crate::context::Context;
@@ -31,7 +32,7 @@
 /// owners.
 #[derive(Debug)]
 pub(crate) struct WorkerOwner {
-    pub(super) lease_ms: u64,
+    pub(super) leases: LeaseLengths,
     pub(super) stop_timeout_ms: u64,
     pub(super) workers: BTreeMap<InstanceName, Worker>,
     /// The highest known epoch of each job shard's ownership; orders under a lower epoch
@@ -52,7 +53,7 @@
     /// Creates the owner of no workers.
     pub(crate) fn new(settings: &FleetSettings) -> Self {
         Self {
-            lease_ms: settings.worker_lease_ms,
+            leases: LeaseLengths::new(settings),
             stop_timeout_ms: settings.stop_timeout_ms,
             workers: BTreeMap::new(),
             authorities: BTreeMap::new(),
@@ -81,6 +82,7 @@
         let mut worker = Worker::new(entry, epoch, moment.now);
         worker.late_ms_at_answer = self.lateness.total_ms(moment);
         worker.registered = registered;
+        worker.restarted_at = registrations.restarted_at(name);
         worker.unregistered_at = (!registered).then_some(moment.now);
         self.workers.insert(name.clone(), worker);
     }
@@ -133,8 +135,11 @@
     }
 
     /// Handles a new or changed registration of a worker.
-    pub(crate) fn on_registered(&mut self, entry: &WorkerEntry) {
+    pub(crate) fn on_registered(&mut self, moment: Moment, entry: &WorkerEntry) {
         if let Some(worker) = self.workers.get_mut(&entry.id) {
+            if worker.entry.has_other_start(entry.started_ms) {
+                worker.restarted_at = Some(moment.now);
+            }
             if worker.entry.address != entry.address {
                 worker.on_moved();
             }
@@ -331,6 +336,7 @@
         remaining_ms: None,
         capacity: turmericfold_types::Resources::default(),
         labels: Vec::new(),
+        started_ms: 0,
     }
 }
 
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -47,7 +47,7 @@
         name: &InstanceName,
         out: &mut Outbox,
     ) {
-        let lease_ms = self.lease_ms;
+        let lease_ms = self.leases.usual_ms;
         let may_renew = self.isolation.may_renew(context);
         let Some(worker) = self.worker_mut(name) else {
             return;
@@ -139,8 +139,8 @@
         listing: Listing,
         out: &mut Outbox,
     ) {
-        let lease_ms = self.lease_ms;
         let late_ms = self.lateness.total_ms(context.moment);
+        let leases = self.leases;
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
@@ -155,8 +155,9 @@
         detect_restart(worker, listing.started_ms, context.moment.now);
         worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
         if !worker.has_seen_token() {
-            // A call with an earlier token may have granted a lease of the same length.
-            let earlier_lease_until_ms = listing.clock_ms + lease_ms;
+            // A call with an earlier token may have granted a lease until now.
+            let earlier_lease_ms = leases.earlier_ms(context.moment, worker);
+            let earlier_lease_until_ms = listing.clock_ms + earlier_lease_ms;
             worker.lease_until_ms = worker.lease_until_ms.max(earlier_lease_until_ms);
         }
         worker.on_answered_poll(poll, context.moment.now);
@@ -309,6 +310,9 @@
     if worker.started_ms != 0 {
         log::warn!(worker:% = worker.id, born_ms = started_ms; "worker has restarted; its earlier lease and end numbers are void");
         worker.on_restarted(now);
+    } else if worker.entry.has_other_start(started_ms) {
+        // The registration is that of another life.
+        worker.restarted_at = Some(now);
     }
     worker.started_ms = started_ms;
 }
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -22,14 +22,16 @@
 const UNHEARD_LOG_INTERVAL_MS: u64 = 2_000;
 
 impl WorkerOwner {
-    /// Returns whether the leases that former owners have granted have certainly expired, if
-    /// none was renewed after `renewed_at`: every owner grants leases of the same length.
+    /// Returns whether the leases that former owners have granted to a worker have certainly
+    /// expired, if none was renewed after `renewed_at`.
     pub(super) fn have_earlier_leases_expired(
         &self,
         moment: Moment,
+        worker: &Worker,
         renewed_at: MonotonicMs,
     ) -> bool {
-        moment.since_ms(renewed_at) > self.lease_ms + EARLIER_LEASE_MARGIN_MS
+        let earlier_lease_ms = self.leases.earlier_ms(moment, worker);
+        moment.since_ms(renewed_at) > earlier_lease_ms + EARLIER_LEASE_MARGIN_MS
     }
 
     /// Returns whether no run is in progress on a worker that has never answered this process,
@@ -45,7 +47,7 @@
         is_certain_owner
             && worker.authorities_known
             && worker.last_answer_at.is_none()
-            && self.have_earlier_leases_expired(context.moment, renewed_at)
+            && self.have_earlier_leases_expired(context.moment, worker, renewed_at)
     }
 
     /// Returns whether a worker has not answered this process, its new owner, for a while.
@@ -60,13 +62,16 @@
     /// Gives up a worker that has not answered this process since its former owner may have
     /// renewed its lease, so that the owners of jobs do not wait for ever for its report.
     ///
-    /// This process does not know the worker's clock, but every owner grants leases of the
-    /// same length.
+    /// This process does not know the worker's clock, but how long the leases of all owners are.
     pub(super) fn give_up_unheard(&mut self, context: Context<'_>, name: &InstanceName) {
-        let late_ms = self
-            .worker(name)
-            .map_or(0, |worker| self.late_ms(context.moment, worker));
-        let max_silence_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS + late_ms;
+        let moment = context.moment;
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        let late_ms = self.late_ms(moment, worker);
+        let earlier_lease_ms = self.leases.earlier_ms(moment, worker);
+        let max_silence_ms =
+            earlier_lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS + late_ms;
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -70,7 +70,7 @@
     pub(crate) authorities_known: bool,
     /// The last reading of its clock, once it has answered a poll.
     pub(crate) clock: Option<WorkerClock>,
-    /// When this process last noticed that it has restarted.
+    /// When this process last learned that it has restarted under its name.
     pub(crate) restarted_at: Option<MonotonicMs>,
     /// When it started, as it reports, in milliseconds since 1970; 0 if not known yet.
     pub(crate) started_ms: u64,
--- a/crates/turmericfold-platform/src/task_worker.rs
+++ b/crates/turmericfold-platform/src/task_worker.rs
@@ -31,9 +31,19 @@
     pub capacity: Resources,
     /// Its kind and its rack, in this order.
     pub labels: Vec<EcoString>,
+    /// When it started, as it reports, in milliseconds since 1970; differs after every restart.
+    /// 0 if it does not report that.
+    pub started_ms: u64,
 }
 
 impl WorkerEntry {
+    /// Returns whether the worker reports another start than `started_ms`, in milliseconds since
+    /// 1970; false if one of them is 0, so not known.
+    pub fn has_other_start(&self, started_ms: u64) -> bool {
+        let is_known = self.started_ms != 0 && started_ms != 0;
+        is_known && self.started_ms != started_ms
+    }
+
     /// Returns the rack of the worker, if it is known.
     pub fn rack(&self) -> Option<&EcoString> {
         self.labels.get(1)
--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -99,6 +99,7 @@
         remaining_ms: None,
         capacity: Resources::new(8_000, 32 << 30),
         labels: Vec::new(),
+        started_ms: 0,
     }
 }
 
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -144,6 +144,7 @@
             remaining_ms: Some(5_000),
             capacity: resources(),
             labels: Vec::new(),
+            started_ms: 0,
         };
         let change = WorkerChange::Registered(entry);
         self.driven.deliver(Event::WorkersChanged(vec![change]));
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -41,6 +41,7 @@
 mod late_owners;
 mod late_reports;
 mod late_watches;
+mod long_leases;
 mod long_lists;
 mod lost_registrations;
 mod lost_renewals;
--- a/tests/features/replaced_workers.rs
+++ b/tests/features/replaced_workers.rs
@@ -102,6 +102,7 @@
         remaining_ms: None,
         capacity: Resources::new(8_000, 32 << 30),
         labels: Vec::new(),
+        started_ms: 0,
     }
 }
 
--- a/tests/features/room_waits.rs
+++ b/tests/features/room_waits.rs
@@ -225,6 +225,7 @@
         remaining_ms: None,
         capacity: Resources::new(8_000, 32 << 30),
         labels: Vec::new(),
+        started_ms: 0,
     }
 }
 
--- a/tests/features/start_doubts.rs
+++ b/tests/features/start_doubts.rs
@@ -210,6 +210,7 @@
         remaining_ms: None,
         capacity: Resources::new(8_000, 32 << 30),
         labels: Vec::new(),
+        started_ms: 0,
     }
 }
 
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -21,6 +21,9 @@
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.restart(now);
         }
+        if let Some(entry) = self.entries.get_mut(&name) {
+            entry.started_ms = self.workers[&name].started_ms();
+        }
         self.check_worker(&name);
     }
 
@@ -43,6 +46,7 @@
             remaining_ms: None,
             capacity: worker_capacity(),
             labels: vec!["a".into(), "rack-1".into()],
+            started_ms: self.worker_started_ms(&name),
         };
         self.entries.insert(name, entry);
     }
