--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -58,6 +58,7 @@
 mod rebalancing;
 mod recurring_jobs;
 mod replaced_workers;
+mod restart_soaks;
 mod restarted_workers;
 mod retries;
 mod rollout_changes;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet_world;
 pub mod fuzz;
 pub mod node_parts;
+pub mod restart_soak;
 pub mod shard_owner;
 pub mod shared_workers;
 mod site_decoder;
