--- a/crates/turmericfold-fleet/src/workers/acknowledgement.rs
+++ b/crates/turmericfold-fleet/src/workers/acknowledgement.rs
@@ -19,6 +19,20 @@
         self.unanswered_polls == 0 && self.has_seen_token() && !self.fenced
     }
 
+    /// Returns whether an end is not recorded yet.
+    pub(super) fn is_recording_ends(&self) -> bool {
+        self.ends.values().any(|tracked| !tracked.is_recorded)
+    }
+
+    /// Polls the worker at once if all its ends are recorded, to acknowledge them.
+    pub(super) fn acknowledge_soon(&mut self, now: MonotonicMs) {
+        self.note_acknowledgement(now);
+        let is_due = self.acknowledgement_due_since.is_some() && !self.is_recording_ends();
+        if is_due && self.is_known() {
+            self.next_poll_at = self.next_poll_at.min(now);
+        }
+    }
+
     /// Returns the number up to which the next poll acknowledges ends; 0 if it acknowledges none.
     pub(super) fn next_acknowledgement(&self) -> u64 {
         let may_acknowledge = self.is_known() && self.start_calls.are_settled();
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -65,7 +65,12 @@
     }
 
     /// Handles that the owner of jobs has recorded ends that the worker listed.
-    pub(super) fn on_ends_recorded(&mut self, name: &InstanceName, runs: &[RunKey]) {
+    pub(super) fn on_ends_recorded(
+        &mut self,
+        moment: Moment,
+        name: &InstanceName,
+        runs: &[RunKey],
+    ) {
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
@@ -75,6 +80,7 @@
             }
         }
         advance_acknowledged(worker);
+        worker.acknowledge_soon(moment.now);
     }
 
     /// Handles that the owner of jobs has recorded inferred ends, also those of runs of which
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -191,7 +191,7 @@
             worker.has_listed_all |= is_complete;
             advance_acknowledged(worker);
             worker.note_acknowledgement(context.moment.now);
-            worker.next_poll_at = context.moment + poll_interval_ms(worker);
+            worker.next_poll_at = context.moment + poll_interval_ms(worker, poll);
         }
     }
 
@@ -279,10 +279,14 @@
 }
 
 /// Returns the time until the next poll of a worker that has answered, in milliseconds.
-fn poll_interval_ms(worker: &Worker) -> u64 {
-    let is_recording_ends = worker.ends.values().any(|tracked| !tracked.is_recorded);
-    if is_recording_ends && worker.has_seen_token() {
+///
+/// An acknowledgement, and the poll that waits for ends after it, follow at once.
+fn poll_interval_ms(worker: &Worker, poll: Poll) -> u64 {
+    let has_acknowledged = poll.acknowledged_up_to > 0;
+    if worker.is_recording_ends() && worker.has_seen_token() {
         RECORDING_POLL_INTERVAL_MS
+    } else if has_acknowledged || worker.next_acknowledgement() > 0 {
+        0
     } else {
         MIN_POLL_INTERVAL_MS
     }
