Learn of a worker's restart from its registration, and reckon with late calls

Cause: the restart was noticed by polls only; until then the lease was reckoned on the clock of the former life, and calls that are late could still grant the longest lease. Change: a registration with another start raises the token and voids the clock; the leases then count as expired 12 s and one longest lease later, unless the worker answers. Why it works: no call of the former life takes effect after that, and none grants more.

--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -132,7 +132,12 @@
     if worker.fenced || worker.has_later_owner || !context.has_valid_registration {
         return None;
     }
-    let clock_ms = worker.clock?.earliest_ms(context.moment.now);
+    let now = context.moment.now;
+    let Some(clock) = worker.clock else {
+        let ended_at = worker.void_leases_end_at?;
+        return (now > ended_at).then(|| now.since_ms(ended_at));
+    };
+    let clock_ms = clock.earliest_ms(now);
     let expired_at_ms = worker.lease_until_ms + LEASE_EXPIRY_MARGIN_MS;
     (clock_ms > expired_at_ms).then(|| clock_ms - expired_at_ms)
 }
--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -4,12 +4,15 @@
 //! an earlier life of the worker, which was sent before its owner had noticed the restart, therefore
 //! grants the longest lease from the time at which it takes effect.
 
-use super::worker::Worker;
+use super::worker::{Poll, Worker};
 use crate::{FleetSettings, Moment};
 
 /// The longest time after which a call without an answer takes effect, in milliseconds.
 pub(super) const MAX_CALL_DELAY_MS: u64 = 12_000;
 
+/// The time that a clock which is 2% slow takes for 100 milliseconds, in milliseconds, rounded up.
+const SLOWEST_CLOCK_PERCENT: u64 = 103;
+
 /// The longest time for which an owner that has not noticed a restart sends deadlines on the
 /// clock of the former life, in milliseconds: a worker that does not answer gets none.
 const MAX_UNNOTICED_MS: u64 = 2_000;
@@ -33,7 +36,7 @@
     }
 
     /// Returns the longest lease that a worker may have got from calls with earlier tokens, in
-    /// milliseconds from the last of them.
+    /// milliseconds from the last of them that took effect.
     pub(super) fn earlier_ms(self, moment: Moment, worker: &Worker) -> u64 {
         match worker.has_settled(moment, self.max_ms) {
             true => self.usual_ms,
@@ -43,9 +46,55 @@
 }
 
 impl Worker {
+    /// Handles a registration that shows a new life of the worker before a poll does.
+    ///
+    /// Calls with deadlines on the clock of the former life may be on their way to the new one, whose
+    /// clock is not known.
+    pub(super) fn on_new_life_registered(
+        &mut self,
+        moment: Moment,
+        started_ms: u64,
+        leases: LeaseLengths,
+    ) {
+        if self.started_ms == 0 || self.started_ms == started_ms {
+            self.restarted_at = Some(moment.now);
+            return;
+        }
+        log::warn!(worker:% = self.id, born_ms = started_ms; "registration shows that the worker has restarted; it gets no starts until it has answered a poll");
+        self.on_restarted(moment.now);
+        self.started_ms = started_ms;
+        self.clock = None;
+        let longest_ms = MAX_CALL_DELAY_MS + leases.max_ms * SLOWEST_CLOCK_PERCENT / 100;
+        self.void_leases_end_at = Some(moment + longest_ms);
+    }
+
+    /// Records the leases that the worker may hold when it answers `poll`, by its clock.
+    pub(super) fn reckon_leases(
+        &mut self,
+        moment: Moment,
+        poll: Poll,
+        clock_ms: u64,
+        leases: LeaseLengths,
+    ) {
+        self.void_leases_end_at = None;
+        let obeys_earlier_calls = poll.token < self.leases_known_from;
+        if !self.has_known_leases() {
+            let delay_ms = if obeys_earlier_calls {
+                MAX_CALL_DELAY_MS
+            } else {
+                0
+            };
+            let earlier_ms = leases.earlier_ms(moment, self) + delay_ms;
+            self.lease_until_ms = self.lease_until_ms.max(clock_ms + earlier_ms);
+        }
+        if !obeys_earlier_calls {
+            self.lease_until_ms = self.lease_until_ms.min(clock_ms + leases.max_ms);
+        }
+    }
+
     /// Returns whether the worker has answered a poll with a token from which on all leases are
     /// known.
-    pub(super) fn has_known_leases(&self) -> bool {
+    fn has_known_leases(&self) -> bool {
         self.answered_token >= Some(self.leases_known_from)
     }
 
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -138,7 +138,7 @@
     pub(crate) fn on_registered(&mut self, moment: Moment, entry: &WorkerEntry) {
         if let Some(worker) = self.workers.get_mut(&entry.id) {
             if worker.entry.has_other_start(entry.started_ms) {
-                worker.restarted_at = Some(moment.now);
+                worker.on_new_life_registered(moment, entry.started_ms, self.leases);
             }
             if worker.entry.address != entry.address {
                 worker.on_moved(moment.now);
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -166,12 +166,7 @@
             worker.forgotten_up_to = worker.forgotten_up_to.max(poll.acknowledged_up_to);
         }
         worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
-        if !worker.has_known_leases() {
-            // A call with an earlier token may have granted a lease until now.
-            let earlier_lease_ms = leases.earlier_ms(context.moment, worker);
-            let earlier_lease_until_ms = listing.clock_ms + earlier_lease_ms;
-            worker.lease_until_ms = worker.lease_until_ms.max(earlier_lease_until_ms);
-        }
+        worker.reckon_leases(context.moment, poll, listing.clock_ms, leases);
         worker.on_answered_poll(poll, context.moment.now);
         let has_seen_token = worker.has_seen_token();
         let listed = update_running(worker, context.moment.now, &listing.running);
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -89,6 +89,9 @@
     pub(crate) acknowledgement_due_since: Option<MonotonicMs>,
     /// The start calls to it.
     pub(super) start_calls: StartCalls,
+    /// While its clock is not known after a restart: when all leases have expired that calls on the
+    /// former clock may have granted, at the latest.
+    pub(super) void_leases_end_at: Option<MonotonicMs>,
     /// The token from which on all leases that calls have granted are known.
     pub(super) leases_known_from: FencingToken,
     /// Until when it gets no starts, as an unanswered poll may still take effect.
@@ -162,6 +165,7 @@
             forgotten_up_to: 0,
             acknowledgement_due_since: None,
             start_calls: StartCalls::default(),
+            void_leases_end_at: None,
             leases_known_from: FencingToken::new(epoch),
             no_starts_until: now,
             poll: None,
--- a/tests/features/long_leases.rs
+++ b/tests/features/long_leases.rs
@@ -97,3 +97,18 @@
         plan().with_fault(RESTART_AT_MS + kill_after_ms, killed),
     );
 }
+
+/// Guards against the same where no poll shows the restart, as none is answered after it, but the
+/// registration does.
+#[rstest]
+fn unanswered_since_restart(
+    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(200, 900, 1_900)] late_ms: u64,
+) {
+    let late = FaultKind::LatePolls {
+        worker: 0,
+        late_ms,
+        for_ms: CUT_AT_MS - RESTART_AT_MS,
+    };
+    assert_runs_once(seed, plan().with_fault(RESTART_AT_MS, late));
+}
