Trust a worker's list of running runs over the reckoned end of its lease

Callers would see: two runs of a lasting task at once. Cause: a process that had started after a worker's restart reckoned with the usual lease; when the worker answered after a silence, its runs counted as over at that moment, though it listed them as running. Change: a list with runs in progress after the reckoned end of the lease shows that the worker holds a longer one; it counts with the longest.

--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -68,12 +68,14 @@
         self.void_leases_end_at = Some(moment + longest_ms);
     }
 
-    /// Records the leases that the worker may hold when it answers `poll`, by its clock.
+    /// Records the leases that the worker may hold when it answers `poll` at `clock_ms` on its
+    /// clock, with runs in progress if `is_running`.
     pub(super) fn reckon_leases(
         &mut self,
         moment: Moment,
         poll: Poll,
         clock_ms: u64,
+        is_running: bool,
         leases: LeaseLengths,
     ) {
         self.void_leases_end_at = None;
@@ -87,6 +89,10 @@
             let earlier_ms = leases.earlier_ms(moment, self) + delay_ms;
             self.lease_until_ms = self.lease_until_ms.max(clock_ms + earlier_ms);
         }
+        if is_running && self.lease_until_ms < clock_ms {
+            // Its runs would have ended, so it holds a lease that this process does not know.
+            self.lease_until_ms = clock_ms + leases.max_ms;
+        }
         if !obeys_earlier_calls {
             self.lease_until_ms = self.lease_until_ms.min(clock_ms + leases.max_ms);
         }
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -166,7 +166,8 @@
             worker.forgotten_up_to = worker.forgotten_up_to.max(poll.acknowledged_up_to);
         }
         worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
-        worker.reckon_leases(context.moment, poll, listing.clock_ms, leases);
+        let is_running = !listing.running.is_empty();
+        worker.reckon_leases(context.moment, poll, listing.clock_ms, is_running, leases);
         worker.on_answered_poll(poll, context.moment.now);
         let has_seen_token = worker.has_seen_token();
         let listed = update_running(worker, context.moment.now, &listing.running);
