--- /dev/null
+++ b/tests/features/acknowledgements.rs
@@ -0,0 +1,152 @@
+//! How the owner of a worker acknowledges recorded ends.
+
+use turmericfold_fleet::{CallId, Event, PeerMessage, WorkerCall, WorkerChange, WorkerResult};
+use turmericfold_platform::{PlatformError, PollCall, WorkerEntry};
+use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
+use turmericfold_tests::node_parts::{process, run};
+use turmericfold_tests::worker_owner::{JOB, WORKER, WorkerOwnerHarness, entry};
+use turmericfold_types::{InstanceName, MonotonicMs, Resources};
+
+/// How long the runs work, in milliseconds.
+const WORK_MS: u64 = 30;
+
+/// An owner whose worker has ended a run, and the worker.
+struct EndedRun {
+    harness: WorkerOwnerHarness,
+    worker: TaskWorkerModel,
+}
+
+impl EndedRun {
+    /// Creates them; the owner has listed the end, which is not recorded yet.
+    fn new() -> Self {
+        let mut harness = WorkerOwnerHarness::new();
+        let mut worker = TaskWorkerModel::new(entry().capacity, MonotonicMs(0));
+        harness.order_start();
+        let (call, start) = harness.take_start_call();
+        let reply = worker.start(MonotonicMs(harness.driven.now_ms), &start, behaviour());
+        harness.answer(call, WorkerResult::Start(Ok(reply)));
+        let mut ended = Self { harness, worker };
+        ended.harness.wait(WORK_MS + 20);
+        ended.harness.poll_and_answer(&mut ended.worker);
+        // A poll of the same life after the start has been answered.
+        ended.harness.wait(150);
+        ended.harness.poll_and_answer(&mut ended.worker);
+        ended
+    }
+
+    fn record_end(&mut self) {
+        self.harness.driven.deliver(Event::Peer {
+            from: process(1, 1),
+            messages: vec![PeerMessage::EndsRecorded {
+                worker: InstanceName::new(WORKER),
+                runs: vec![run(JOB, 1)],
+            }],
+        });
+    }
+
+    /// Lets the worker answer a poll.
+    fn answer_poll(&mut self, call: CallId, poll: &PollCall) {
+        let now = MonotonicMs(self.harness.driven.now_ms);
+        let reply = self.worker.poll(now, poll);
+        self.harness.answer(call, WorkerResult::Poll(Ok(reply)));
+    }
+
+    fn started_calls(&mut self) -> usize {
+        let calls = self.harness.driven.out.workers.iter();
+        calls
+            .filter(|request| matches!(request.worker_call, WorkerCall::Start(_)))
+            .count()
+    }
+
+    /// Takes the poll that acknowledges the end.
+    fn take_acknowledgement(&mut self) -> (CallId, PollCall) {
+        self.record_end();
+        let (call, poll) = self.harness.take_poll_call();
+        assert_eq!(poll.acknowledged_up_to, 1);
+        assert_eq!(poll.wait_ms, 0, "starts would wait for ends");
+        (call, poll)
+    }
+}
+
+fn behaviour() -> TaskBehaviour {
+    TaskBehaviour {
+        resources: Resources::default(),
+        work_ms: Some(WORK_MS),
+        always_fails: false,
+    }
+}
+
+fn poll_without_answer() -> WorkerResult {
+    WorkerResult::Poll(Err(PlatformError::unknown("no answer")))
+}
+
+/// Guards against a start that overtakes an acknowledgement for the former life of the worker.
+#[test]
+fn starts_wait() {
+    let mut ended = EndedRun::new();
+    let (call, poll) = ended.take_acknowledgement();
+    ended.harness.order_run(2);
+    ended.harness.wait(50);
+    assert_eq!(ended.started_calls(), 0, "the start did not wait");
+    ended.answer_poll(call, &poll);
+    assert_eq!(ended.started_calls(), 1, "the start still waits");
+}
+
+/// Guards against an acknowledgement without an answer that takes effect after a later start.
+#[test]
+fn unanswered_is_fenced() {
+    let mut ended = EndedRun::new();
+    let (call, poll) = ended.take_acknowledgement();
+    ended.harness.answer(call, poll_without_answer());
+    ended.harness.wait(150);
+    let (next_call, next_poll) = ended.harness.take_poll_call();
+    assert_eq!(next_poll.acknowledged_up_to, 0);
+    assert!(next_poll.token > poll.token, "the token has not risen");
+    ended.answer_poll(next_call, &next_poll);
+    let (again_call, again_poll) = ended.harness.take_poll_call();
+    assert_eq!(again_poll.acknowledged_up_to, 1, "it is not sent again");
+    ended.answer_poll(again_call, &again_poll);
+    ended.harness.order_run(2);
+    let (_, start) = ended.harness.take_start_call();
+    assert!(start.token > poll.token, "{} is too low", start.token);
+}
+
+/// Guards against an acknowledgement after a start that may have reached a later life.
+#[test]
+fn start_delays_it() {
+    let mut ended = EndedRun::new();
+    ended.harness.order_run(2);
+    let (start_call, start) = ended.harness.take_start_call();
+    let now = MonotonicMs(ended.harness.driven.now_ms);
+    let reply = ended.worker.start(now, &start, behaviour());
+    ended
+        .harness
+        .answer(start_call, WorkerResult::Start(Ok(reply)));
+    ended.record_end();
+    let (call, poll) = ended.harness.take_poll_call();
+    assert_eq!(poll.acknowledged_up_to, 0, "the start is not settled");
+    ended.answer_poll(call, &poll);
+    ended.harness.wait(30);
+    let (_, poll) = ended.harness.take_poll_call();
+    assert_eq!(poll.acknowledged_up_to, 1, "the start is settled");
+}
+
+/// Guards against an acknowledgement and a deadline of the former life at a new address.
+#[test]
+fn moved_worker_gets_none() {
+    let mut ended = EndedRun::new();
+    let (_, poll) = ended.take_acknowledgement();
+    let moved = WorkerEntry {
+        address: "10.1.0.2:8000".into(),
+        ..entry()
+    };
+    ended
+        .harness
+        .driven
+        .deliver(Event::WorkersChanged(vec![WorkerChange::Registered(moved)]));
+    ended.harness.wait(150);
+    let (_, next_poll) = ended.harness.take_poll_call();
+    assert_eq!(next_poll.acknowledged_up_to, 0);
+    assert_eq!(next_poll.lease_until_ms, None);
+    assert!(next_poll.token > poll.token, "the token has not risen");
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -5,6 +5,7 @@
     reason = "a failed step must fail its test"
 )]
 
+mod acknowledgements;
 mod batch_life;
 mod batch_limits;
 mod broken_rules;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod site_store;
 pub mod slow_link;
 pub mod task_worker_server;
+pub mod worker_owner;
 pub mod world;
 
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/tests/src/worker_owner.rs
@@ -0,0 +1,247 @@
+//! A single node that owns a worker, whose calls a test answers.
+
+use turmericfold_fleet::{
+    Authority, CallId, Event, JobShard, PeerMessage, RunDetails, StartOrder, StartOutcome,
+    WorkerCall, WorkerResult,
+};
+use turmericfold_jobs::{JobId, RunEnd};
+use turmericfold_platform::{
+    PlatformError, PollCall, PollReply, StartCall, StoreCall, StoreReply, StoreVersion, WorkerEntry,
+};
+use turmericfold_standin::TaskWorkerModel;
+use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources};
+
+use crate::driven_node::DrivenNode;
+use crate::fleet_world::SERVICE;
+use crate::node_parts::{owner_change, process, run};
+
+/// The job of the runs.
+pub const JOB: JobId = JobId(5);
+
+/// The name of the worker.
+pub const WORKER: &str = "worker-00";
+
+/// The epoch of the worker's ownership, unless a test sets another.
+pub const WORKER_EPOCH: StoreVersion = StoreVersion(5);
+
+const JOBS_EPOCH: StoreVersion = StoreVersion(6);
+
+/// A node that owns one worker. The test answers in place of the store, the worker and
+/// the owner of the job.
+pub struct WorkerOwnerHarness {
+    /// The node.
+    pub driven: DrivenNode,
+}
+
+impl Default for WorkerOwnerHarness {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl WorkerOwnerHarness {
+    /// Creates the node, which has heard the worker.
+    pub fn new() -> Self {
+        Self::with_worker_epoch(WORKER_EPOCH)
+    }
+
+    /// Creates the same with an epoch of the worker's ownership.
+    pub fn with_worker_epoch(worker_epoch: StoreVersion) -> Self {
+        let mut harness = Self {
+            driven: DrivenNode::new(process(0, 1)),
+        };
+        harness
+            .driven
+            .deliver(Event::WorkersReloaded(vec![entry()]));
+        let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
+        let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
+        harness.driven.deliver(Event::KeysChanged(vec![
+            owner_change(&worker_key, process(0, 1), worker_epoch),
+            owner_change(&jobs_key, process(1, 1), JOBS_EPOCH),
+        ]));
+        harness.driven.deliver(Event::Tick);
+        harness.answer_owner_ranges();
+        harness.answer_poll(1);
+        harness
+    }
+
+    /// Answers the reads of owners with none.
+    fn answer_owner_ranges(&mut self) {
+        let orders = std::mem::take(&mut self.driven.out.store);
+        for order in orders {
+            if matches!(&order.store_call, StoreCall::Range { prefix, .. } if prefix.contains("owners"))
+            {
+                let page = StoreReply::Page {
+                    keys: Vec::new(),
+                    more: false,
+                    version: JOBS_EPOCH,
+                };
+                self.driven.deliver(Event::Store {
+                    call: order.call,
+                    result: Ok(page),
+                });
+            }
+        }
+    }
+
+    /// Answers the next poll as a worker without runs, and returns the poll.
+    pub fn answer_poll(&mut self, started_ms: u64) -> PollCall {
+        let (call, poll) = self.take_poll_call();
+        let reply = PollReply::Runs {
+            clock_ms: 10,
+            started_ms,
+            running: Vec::new(),
+            finished: Vec::new(),
+        };
+        self.answer(call, WorkerResult::Poll(Ok(reply)));
+        poll
+    }
+
+    /// Delivers the result of a call to the worker.
+    pub fn answer(&mut self, call: CallId, result: WorkerResult) {
+        let worker = InstanceName::new(WORKER);
+        self.driven.deliver(Event::Worker {
+            worker,
+            call,
+            result,
+        });
+    }
+
+    /// Takes all calls to the worker and returns the one that matches.
+    pub fn take_call<Matches>(&mut self, matches: Matches) -> CallId
+    where
+        Matches: Fn(&WorkerCall) -> bool,
+    {
+        let select = |call: WorkerCall| matches(&call).then_some(());
+        self.take_call_where(select).0
+    }
+
+    /// Takes all calls to the worker and returns the one that is selected.
+    pub fn take_call_where<Select, Selected>(&mut self, select: Select) -> (CallId, Selected)
+    where
+        Select: Fn(WorkerCall) -> Option<Selected>,
+    {
+        let orders = std::mem::take(&mut self.driven.out.workers);
+        let found = orders
+            .into_iter()
+            .find_map(|order| Some((order.call, select(order.worker_call)?)));
+        found.expect("no call to the worker matches")
+    }
+
+    /// Takes all calls to the worker and returns the start call.
+    pub fn take_start_call(&mut self) -> (CallId, StartCall) {
+        self.take_call_where(|call| match call {
+            WorkerCall::Start(start) => Some(start),
+            _ => None,
+        })
+    }
+
+    /// Takes all calls to the worker and returns the poll.
+    pub fn take_poll_call(&mut self) -> (CallId, PollCall) {
+        self.take_call_where(|call| match call {
+            WorkerCall::Poll(poll) => Some(poll),
+            _ => None,
+        })
+    }
+
+    /// Lets time pass until calls are due.
+    pub fn wait(&mut self, wait_ms: u64) {
+        self.driven.now_ms += wait_ms;
+        self.driven.deliver(Event::Tick);
+    }
+
+    /// Lets a worker handle the next poll, without delivering its answer.
+    pub fn poll(&mut self, worker: &mut TaskWorkerModel) -> (CallId, WorkerResult) {
+        let (call, poll) = self.take_poll_call();
+        let reply = worker.poll(MonotonicMs(self.driven.now_ms), &poll);
+        (call, WorkerResult::Poll(Ok(reply)))
+    }
+
+    /// Lets a worker answer the next poll.
+    pub fn poll_and_answer(&mut self, worker: &mut TaskWorkerModel) {
+        let (call, result) = self.poll(worker);
+        self.answer(call, result);
+    }
+
+    /// Takes the ends reported to the owner of the job.
+    pub fn reported_ends(&mut self) -> Vec<RunEnd> {
+        let messages = std::mem::take(&mut self.driven.out.messages);
+        let ends = |message| match message {
+            PeerMessage::EndsReported { ends, .. } => ends,
+            _ => Vec::new(),
+        };
+        let ends = messages.into_values().flatten().flat_map(ends);
+        ends.map(|reported| reported.ended.end).collect()
+    }
+
+    /// Takes all calls to the worker and returns the identifier of the start call.
+    pub fn take_start(&mut self) -> CallId {
+        self.take_call(|call| matches!(call, WorkerCall::Start(_)))
+    }
+
+    /// Orders the first run as the owner of the job.
+    pub fn order_start(&mut self) {
+        self.order_run(1);
+    }
+
+    /// Orders a run by its number as the owner of the job.
+    pub fn order_run(&mut self, number: u64) {
+        let order = StartOrder {
+            authority: Authority {
+                shard: JobShard::of(JOB),
+                epoch: JOBS_EPOCH,
+            },
+            worker: InstanceName::new(WORKER),
+            worker_epoch: WORKER_EPOCH,
+            run: run(JOB, number),
+            payload: "visit".into(),
+            checkpoint: None,
+            details: RunDetails {
+                resources: Resources::default(),
+                wanted_millicores: 1_000,
+                filler: false,
+                latency_target_ms: None,
+                image: "".into(),
+                due_ms: 0,
+            },
+        };
+        self.driven.deliver(Event::Peer {
+            from: process(1, 1),
+            messages: vec![PeerMessage::Start(Box::new(order))],
+        });
+    }
+
+    /// Takes the start outcomes sent to the owner of the job.
+    pub fn outcomes(&mut self) -> Vec<StartOutcome> {
+        let messages = std::mem::take(&mut self.driven.out.messages);
+        let outcome = |message| match message {
+            PeerMessage::StartAnswer { outcome, .. } => Some(outcome),
+            _ => None,
+        };
+        messages
+            .into_values()
+            .flatten()
+            .filter_map(outcome)
+            .collect()
+    }
+}
+
+/// Returns the registration of the worker.
+pub fn entry() -> WorkerEntry {
+    WorkerEntry {
+        id: InstanceName::new(WORKER),
+        address: "10.1.0.1:8000".into(),
+        service: SERVICE.into(),
+        domain: FailureDomain::new("west"),
+        draining: false,
+        remaining_ms: None,
+        capacity: Resources::new(8_000, 32 << 30),
+        labels: Vec::new(),
+        started_ms: 0,
+    }
+}
+
+/// Returns the result of a start call without an answer.
+pub fn no_answer() -> WorkerResult {
+    WorkerResult::Start(Err(PlatformError::unknown("no answer")))
+}
