--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -2,6 +2,7 @@
 
 mod acknowledgement;
 mod authorities;
+mod calls;
 mod clock;
 mod ends;
 mod evidence;
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -1,18 +1,17 @@
-//! Handles orders to start and stop runs, and makes the calls to the workers.
+//! Handles orders to start and stop runs, and the results of the calls to the workers.
 
 use std::sync::Arc;
 
 use turmericfold_jobs::{EndedRun, RunEnd, RunKey};
-use turmericfold_platform::{PlatformError, StartCall, StartReply, StopCall, StoreVersion};
+use turmericfold_platform::{PlatformError, StartReply, StoreVersion};
 use turmericfold_types::{InstanceName, ProcessId};
 
-use super::owner::{WorkerOwner, keys_where};
+use super::owner::WorkerOwner;
 use super::refusal::{refusal, refusal_of};
 use super::run::{OrderKind, Run, RunPhase};
 use crate::context::Context;
 use crate::{
     Authority, CallId, Outbox, PeerMessage, ReportedEnd, StartOrder, StartOutcome, StartRefusal,
-    WorkerCall,
 };
 
 /// The number of start calls without an answer after which the run is stopped instead.
@@ -284,98 +283,6 @@
         }
     }
 
-    /// Retries start and stop calls that are due, and stops that did not take effect.
-    pub(super) fn retry_calls(
-        &mut self,
-        context: Context<'_>,
-        name: &InstanceName,
-        out: &mut Outbox,
-    ) {
-        let Some(worker) = self.worker(name) else {
-            return;
-        };
-        let due = keys_where(worker, |_, run| {
-            let is_unanswered = match run.phase {
-                RunPhase::Ordered => worker.has_seen_token(),
-                RunPhase::Running { .. } => false,
-                RunPhase::Stopping { .. } => true,
-            };
-            is_unanswered && run.call.is_none() && context.moment.has_reached(run.next_call_at)
-        });
-        for run in due {
-            let known = self.worker(name).and_then(|worker| worker.runs.get(&run));
-            match known.is_some_and(Run::is_stopping) {
-                true => self.send_stop(context, name, run, out),
-                false => self.send_start(context, name, run, out),
-            }
-        }
-    }
-
-    /// Sends the start call of an ordered run. It waits while this process may no longer own the
-    /// worker, and for the answer to an acknowledgement.
-    pub(super) fn send_start(
-        &mut self,
-        context: Context<'_>,
-        name: &InstanceName,
-        key: RunKey,
-        out: &mut Outbox,
-    ) {
-        let lease_ms = self.leases.usual_ms;
-        let now = context.moment.now;
-        let may_send = self
-            .worker(name)
-            .is_some_and(|worker| self.may_act_on(context, worker) && !worker.holds_starts(now));
-        let Some(worker) = self.worker_mut(name).filter(|_| may_send) else {
-            return;
-        };
-        let Some(clock) = worker.clock else {
-            return;
-        };
-        let renewed_until_ms = clock.estimated_ms(now) + lease_ms;
-        worker.lease_until_ms = worker.lease_until_ms.max(renewed_until_ms);
-        let (entry, token) = (worker.entry.clone(), worker.token());
-        let lease_until_ms = worker.lease_until_ms;
-        let Some(run) = worker.runs.get_mut(&key) else {
-            return;
-        };
-        let Some(order) = run.order.clone() else {
-            return;
-        };
-        let call = StartCall {
-            run: key,
-            payload: order.payload.clone(),
-            lease_until_ms,
-            token: token.value(),
-            checkpoint: order.checkpoint.clone(),
-        };
-        let id = out.call_worker(&entry, WorkerCall::Start(call));
-        run.call = Some(id);
-        run.start_token = Some(token);
-        worker.start_calls.on_sent(id);
-    }
-
-    fn send_stop(
-        &mut self,
-        context: Context<'_>,
-        name: &InstanceName,
-        key: RunKey,
-        out: &mut Outbox,
-    ) {
-        let Some(worker) = self.worker_mut(name) else {
-            return;
-        };
-        let (entry, token) = (worker.entry.clone(), worker.token());
-        let Some(run) = worker.runs.get_mut(&key) else {
-            return;
-        };
-        let call = StopCall {
-            run: key,
-            token: token.value(),
-        };
-        run.call = Some(out.call_worker(&entry, WorkerCall::Stop(call)));
-        run.next_call_at = context.moment.now;
-    }
-
     /// Reports the outcome of a start order to the owner of the run's job.
     pub(super) fn answer_start(
         &self,
