--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -68,9 +68,9 @@
         self.void_leases_end_at = Some(moment + longest_ms);
     }
 
-    /// Records the leases that the worker may hold when it answers `poll` at `clock_ms` on its
-    /// clock, with runs in progress if `is_running`.
-    pub(super) fn reckon_leases(
+    /// Updates the time until which the worker may hold a lease when it answers `poll` at `clock_ms`
+    /// on its clock, with runs in progress if `is_running`.
+    pub(super) fn update_lease_bound(
         &mut self,
         moment: Moment,
         poll: Poll,
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -167,7 +167,7 @@
         }
         worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
         let is_running = !listing.running.is_empty();
-        worker.reckon_leases(context.moment, poll, listing.clock_ms, is_running, leases);
+        worker.update_lease_bound(context.moment, poll, listing.clock_ms, is_running, leases);
         worker.on_answered_poll(poll, context.moment.now);
         let has_seen_token = worker.has_seen_token();
         let listed = update_running(worker, context.moment.now, &listing.running);
--- a/tests/features/restarted_workers.rs
+++ b/tests/features/restarted_workers.rs
@@ -54,7 +54,7 @@
 #[case::seed_35(35)]
 #[case::seed_51(51)]
 fn late_polls_discard_nothing(#[case] seed: u64) {
-    assert_runs_once(seed, late_plan(RESTART_AT_MS), 200);
+    assert_runs_once(seed, late_plan(), 200);
 }
 
 /// Guards against the same where each poll after the restart is late.
@@ -74,11 +74,11 @@
 }
 
 /// Returns a plan in which a worker restarts while some calls to workers take effect late.
-fn late_plan(restart_at_ms: u64) -> FaultPlan {
+fn late_plan() -> FaultPlan {
     let late = FaultKind::LateOrders { for_ms: 10_000 };
     FaultPlan::new()
         .with_fault(RESTART_AT_MS - 500, late)
-        .with_fault(restart_at_ms, FaultKind::RestartWorker { worker: 0 })
+        .with_fault(RESTART_AT_MS, FaultKind::RestartWorker { worker: 0 })
 }
 
 fn assert_runs_once(seed: u64, plan: FaultPlan, jobs: u64) {
