Acknowledge with the next review rather than inside the message

Polls within the handling of each record made more of the fleet's orders meet on the same room. Now they follow at the next review, up to 25 ms later.

--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -216,7 +216,6 @@
             } => self.on_stop(context, from, authority, &worker, run, out),
             PeerMessage::EndsRecorded { worker, runs } => {
                 self.on_ends_recorded(context.moment, &worker, &runs);
-                self.poll_if_due(context, &worker, out);
             }
             PeerMessage::InferredEndsRecorded { worker, runs } => {
                 self.on_inferred_ends_recorded(context, &worker, &runs);
