Tell by the clock in a start's answer which life of the worker it has reached

Change: the answer to a start bears the worker's clock. If it is near the estimate, and later than the clock of a life that began since the last list can be, the start has reached the known life. Why it is safe: a new life's clock begins anew, so it shows at most the time since that list and the age of its answer; while the known clock is not beyond that, and where there is no clock, the poll is sent as before. Result: acknowledgements::clock_settles_a_start and new_clock_settles_nothing (new; the first fails without the change).

--- a/crates/turmericfold-fleet/src/workers/clock.rs
+++ b/crates/turmericfold-fleet/src/workers/clock.rs
@@ -5,6 +5,13 @@
 /// The lowest rate of a worker's clock that is allowed for, in thousandths of true time.
 const MIN_CLOCK_RATE_PERMILLE: u64 = 980;
 
+/// The time by which a reading may precede its arrival, at most, in milliseconds: the timeout of
+/// a poll.
+const MAX_READING_AGE_MS: u64 = 1_500;
+
+/// The time by which an estimate of a worker's clock may be too low, in milliseconds.
+const ESTIMATE_MARGIN_MS: u64 = 100;
+
 /// A reading of a worker's clock, from which its present time is estimated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct WorkerClock {
@@ -24,6 +31,17 @@
         self.read_ms + now.since_ms(self.read_at) * MIN_CLOCK_RATE_PERMILLE / 1_000
     }
 
+    /// Returns whether `clock_ms`, in an answer that has arrived now, was certainly read in the same
+    /// life of the worker: it is near the estimate, and so late that the clock of a life that began
+    /// after this reading can't show it yet.
+    pub(crate) fn is_of_same_life(&self, clock_ms: u64, now: MonotonicMs) -> bool {
+        let elapsed_ms = now.since_ms(self.read_at);
+        let latest_ms = self.read_ms + elapsed_ms + ESTIMATE_MARGIN_MS;
+        let earliest_ms = self.read_ms.saturating_sub(MAX_READING_AGE_MS);
+        let next_life_ms = elapsed_ms + MAX_READING_AGE_MS;
+        earliest_ms > next_life_ms && (earliest_ms..=latest_ms).contains(&clock_ms)
+    }
+
     /// Returns the time that the worker's clock probably shows now, in milliseconds.
     pub(crate) fn estimated_ms(&self, now: MonotonicMs) -> u64 {
         self.read_ms + now.since_ms(self.read_at)
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -204,7 +204,7 @@
         }
         let may_have_started = run.unanswered_starts > 0;
         match (&result, may_have_started) {
-            (Ok(StartReply::Started), _) => {
+            (Ok(StartReply::Started { .. }), _) => {
                 run.phase = RunPhase::Running { since: now };
                 let filler = run.is_filler();
                 self.answer_start(context, name, key, StartOutcome::Started, out);
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -246,7 +246,7 @@
             WorkerResult::Poll(result) => self.on_poll(context, name, call, result, out),
             WorkerResult::Start(result) => {
                 if let Some(worker) = self.worker_mut(name) {
-                    worker.start_calls.on_result(call);
+                    worker.settle_start(context.moment.now, call, &result);
                 }
                 self.on_start_result(context, name, call, result, out);
             }
--- a/crates/turmericfold-platform/src/task_worker.rs
+++ b/crates/turmericfold-platform/src/task_worker.rs
@@ -70,7 +70,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartReply {
     /// The run is on the worker, started by this call or by an earlier one.
-    Started,
+    Started {
+        /// The worker's clock when it answered, in milliseconds, if the answer shows it.
+        clock_ms: Option<u64>,
+    },
     /// The worker has seen a higher fencing token.
     Fenced,
     /// The run, or one of the same task with a higher number, was stopped or has ended.
--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -206,8 +206,11 @@
             return StartReply::Fenced;
         }
         self.token = call.token;
+        let started = StartReply::Started {
+            clock_ms: Some(self.clock_ms(now)),
+        };
         if self.running.contains_key(&call.run) {
-            return StartReply::Started;
+            return started;
         }
         if call.lease_until_ms <= self.clock_ms(now) {
             return StartReply::LeasePassed;
@@ -234,7 +237,7 @@
             },
         );
         self.events.push(WorkerEvent::Started { run: call.run });
-        StartReply::Started
+        started
     }
 
     /// Handles a call that stops a run; returns false if the fencing token is too low.
--- a/tests/features/acknowledgements.rs
+++ b/tests/features/acknowledgements.rs
@@ -1,7 +1,8 @@
 //! How the owner of a worker acknowledges recorded ends.
 
+use rstest::rstest;
 use turmericfold_fleet::{CallId, Event, PeerMessage, WorkerCall, WorkerChange, WorkerResult};
-use turmericfold_platform::{PlatformError, PollCall, WorkerEntry};
+use turmericfold_platform::{PlatformError, PollCall, StartReply, WorkerEntry};
 use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
 use turmericfold_tests::node_parts::{process, run};
 use turmericfold_tests::worker_owner::{JOB, WORKER, WorkerOwnerHarness, entry};
@@ -150,3 +151,46 @@
     assert_eq!(next_poll.lease_until_ms, None);
     assert!(next_poll.token > poll.token, "the token has not risen");
 }
+
+/// How long the worker has been up when the tests of its clock begin, in milliseconds.
+const UP_MS: u64 = 10_000;
+
+/// Starts the second run on a worker that has been up for a while, with the clock in the answer that
+/// `clock_ms` chooses from the true one.
+fn start_with_clock<Choose>(clock_ms: Choose) -> EndedRun
+where
+    Choose: Fn(u64) -> u64,
+{
+    let mut ended = EndedRun::new();
+    ended.harness.wait(UP_MS);
+    for _ in 0..2 {
+        ended.harness.wait(150);
+        ended.harness.poll_and_answer(&mut ended.worker);
+    }
+    ended.harness.order_run(2);
+    let (call, start) = ended.harness.take_start_call();
+    let now = MonotonicMs(ended.harness.driven.now_ms);
+    ended.worker.start(now, &start, behaviour());
+    let reply = StartReply::Started {
+        clock_ms: Some(clock_ms(now.0)),
+    };
+    ended.harness.answer(call, WorkerResult::Start(Ok(reply)));
+    ended
+}
+
+/// Guards against a poll for each start, where the clock in its answer shows the life.
+#[test]
+fn clock_settles_a_start() {
+    let mut ended = start_with_clock(|now_ms| now_ms);
+    ended.take_acknowledgement();
+}
+
+/// Guards against an acknowledgement after a start whose answer shows the clock of a new life.
+#[rstest]
+fn new_clock_settles_nothing(#[values(0, 40, 1_000)] clock_ms: u64) {
+    let mut ended = start_with_clock(|_| clock_ms);
+    ended.record_end();
+    ended.harness.wait(30);
+    let (_, poll) = ended.harness.take_poll_call();
+    assert_eq!(poll.acknowledged_up_to, 0);
+}
