Hold a task while a run of it that was found is being stopped

Callers would see: two runs of a task at the same time. Change: such a run is active until its end is known. Runs whose end a worker has listed are not revived (late_reports::ended_run_stays_ended). Found runs are reported before the ends of the same list. An end that repeats an unrecorded one counts if the run is active again. Why it works: a task starts only without active runs; the stop is repeated until the worker's owner answers, which it does also for a run that is not there.

--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -1,6 +1,6 @@
 //! A job with the state that its owner keeps about it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use turmericfold_jobs::{Job, JobState, RunKey, TaskKey};
 use turmericfold_platform::StoreVersion;
@@ -67,6 +67,8 @@
     pub(crate) room_refusals: BTreeMap<TaskKey, RoomRefusals>,
     /// The ends that will be recorded with the next write of the progress.
     pub(crate) unrecorded_ends: Vec<ReceivedEnd>,
+    /// The ended runs of open tasks whose ends no worker has listed, so that they may turn up.
+    pub(crate) inferred_ends: BTreeSet<RunKey>,
     /// The callers that wait for the job to be stored.
     pub(crate) submit_callers: Vec<Caller>,
     /// The callers that wait for the cancellation to be stored.
@@ -90,6 +92,7 @@
             failed_on: BTreeMap::new(),
             room_refusals: BTreeMap::new(),
             unrecorded_ends: Vec::new(),
+            inferred_ends: BTreeSet::new(),
             submit_callers: Vec::new(),
             cancel_callers: Vec::new(),
         }
@@ -122,6 +125,27 @@
         self.unrecorded_ends.iter().any(is_same)
     }
 
+    /// Records whether the worker has listed the end of a run, or it was inferred.
+    pub(crate) fn record_evidence(&mut self, end: &ReportedEnd) {
+        let run = end.ended.run;
+        match end.listed {
+            true => self.inferred_ends.remove(&run),
+            false => self.inferred_ends.insert(run),
+        };
+        if self.job.task(run.task).is_none_or(|task| task.done) {
+            self.inferred_ends
+                .retain(|inferred| inferred.task != run.task);
+        }
+    }
+
+    /// Returns whether a run that was found on a worker is really in progress, though its end may
+    /// have been inferred, and its task is open.
+    pub(crate) fn may_be_running(&self, run: RunKey) -> bool {
+        let is_open = self.job.task(run.task).is_some_and(|task| !task.done);
+        let is_over = self.job.has_ended(run) && !self.inferred_ends.contains(&run);
+        is_open && !is_over && !self.job.state().is_final()
+    }
+
     /// Records that a worker has refused to start an interrupted task for want of room.
     pub(crate) fn record_room_refusal(
         &mut self,
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -295,7 +295,7 @@
                 out.send(from, message);
             } else {
                 log::info!(job:% = run.task.job, run:% = run, worker:% = worker; "run found on a worker is unwanted; stopping it");
-                self.stop_unwanted(from, worker, *run, out);
+                self.stop_unwanted(context, from, worker, *run, out);
             }
         }
     }
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -147,7 +147,7 @@
                 .get(&JobShard::of(run.task.job))
                 .is_some_and(Shard::is_loaded);
             if is_loaded && self.adopt(context, &report.worker, *run).is_none() {
-                self.stop_unwanted(from, &report.worker, *run, out);
+                self.stop_unwanted(context, from, &report.worker, *run, out);
                 unsettled.insert(JobShard::of(run.task.job));
             }
         }
@@ -203,6 +203,18 @@
             return None;
         }
         entry.job.record_start();
+        self.track_found(context, worker, run, &details);
+        Some(details)
+    }
+
+    /// Tracks a run that is on a worker.
+    fn track_found(
+        &mut self,
+        context: Context<'_>,
+        worker: &InstanceName,
+        run: RunKey,
+        details: &RunDetails,
+    ) {
         let epoch = context
             .ownership
             .owner(&Unit::Worker(worker.clone()))
@@ -211,7 +223,7 @@
         if let Some(tracked) = self.runs.get_mut(&run) {
             tracked.is_confirmed = true;
             tracked.worker_epoch = epoch;
-            return Some(details);
+            return;
         }
         self.runs.insert(
             run,
@@ -229,7 +241,26 @@
                 progress_percent: 0,
             },
         );
-        Some(details)
+    }
+
+    /// Keeps the task of an unwanted run from starting until that run has ended.
+    fn track_unwanted(&mut self, context: Context<'_>, worker: &InstanceName, run: RunKey) {
+        let Some(entry) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let Some(step) = entry.job.step_spec(run.task) else {
+            return;
+        };
+        if step.copies_allowed || !entry.may_be_running(run) {
+            return;
+        }
+        let details = details_of(&entry.job, step);
+        if entry.job.add_run(run, worker.clone()) {
+            self.track_found(context, worker, run, &details);
+            if let Some(tracked) = self.runs.get_mut(&run) {
+                tracked.is_stopping = true;
+            }
+        }
     }
 
     /// Ends a run whose worker has departed or does not know the run.
@@ -279,14 +310,16 @@
         }
     }
 
-    /// Stops an unwanted run that was found on a worker.
+    /// Stops an unwanted run that was found on a worker; its task starts again only after its end.
     pub(super) fn stop_unwanted(
-        &self,
+        &mut self,
+        context: Context<'_>,
         from: &ProcessId,
         worker: &InstanceName,
         run: RunKey,
         out: &mut Outbox,
     ) {
+        self.track_unwanted(context, worker, run);
         if let Some(shard) = self.shards.get(&JobShard::of(run.task.job)) {
             let message = PeerMessage::Stop {
                 authority: shard.authority,
--- a/crates/turmericfold-fleet/src/jobs/run_ends.rs
+++ b/crates/turmericfold-fleet/src/jobs/run_ends.rs
@@ -55,7 +55,7 @@
             // Another process may have claimed the shard and know the job.
             return context.has_valid_registration;
         };
-        if entry.is_repeated(end) {
+        if entry.is_repeated(end) && entry.job.has_ended(run) {
             return false;
         }
         if let Some(tracked) = tracked {
@@ -86,6 +86,7 @@
             entry.job.record_start();
         }
         let change = entry.job.end_run(&end.ended);
+        entry.record_evidence(end);
         // A repeated end may belong to a change that is still being written.
         let is_unrecorded = change.must_persist || entry.is_writing || entry.dirty_since.is_some();
         if is_unrecorded {
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -172,6 +172,8 @@
         let has_seen_token = worker.has_seen_token();
         let listed = update_running(worker, context.moment.now, &listing.running);
         let started = listed.started;
+        // The owners of jobs learn of found runs before they learn of ends.
+        self.resend_reports(context, name, out);
         let ended: Vec<RunKey> = listing.finished.iter().map(|listed| listed.run).collect();
         for run in started {
             self.answer_start(context, name, run, StartOutcome::Started, out);
--- a/tests/features/late_reports.rs
+++ b/tests/features/late_reports.rs
@@ -116,6 +116,11 @@
     }
 
     fn report_end(&mut self, run: RunKey) {
+        self.report_lapse(run, true);
+    }
+
+    /// Reports that a run has lapsed, as its worker has listed or its owner has inferred.
+    fn report_lapse(&mut self, run: RunKey, listed: bool) {
         let ended = EndedRun {
             run,
             end: RunEnd::Lapsed,
@@ -126,7 +131,7 @@
             worker_epoch: self.worker_epoch,
             ends: vec![ReportedEnd {
                 ended,
-                listed: true,
+                listed,
                 ran_ms: 500,
             }],
         });
@@ -279,3 +284,26 @@
     harness.report_end(ordered[0]);
     assert!(!harness.has_acknowledged(), "the end is acknowledged");
 }
+
+/// Guards against a start beside a run that counted as over and is found again, while it stops.
+#[test]
+fn found_run_holds_its_task() {
+    let mut harness = JobOwnerHarness::new();
+    harness.submit();
+    harness.report_usable(true);
+    let first = harness.ordered_runs()[0];
+    harness.report_lapse(first, false);
+    harness.report_usable(true);
+    let second = harness.ordered_runs()[0];
+    let worker = InstanceName::new(WORKER);
+    let runs = vec![first];
+    harness.receive(PeerMessage::RunsFound { worker, runs });
+    harness.report_lapse(second, false);
+    for _ in 0..5 {
+        harness.report_usable(true);
+        assert_eq!(harness.ordered_runs(), [], "the first run is not over");
+    }
+    harness.report_end(first);
+    harness.report_usable(true);
+    assert_eq!(harness.ordered_runs().len(), 1, "the task waits for ever");
+}
