Store with the owner of a worker which of its lives is settled

Cause: a process that had started after a worker's restart could not know of it, and counted the leases that its predecessor's calls had granted with the usual length. Change: the stored owner of a worker bears the start (born) of the worker from which on no call from before a restart takes effect. If the registration, or the first list, shows another start, the new owner counts with the longest lease, until it has known that start for long enough. The start is replaced once it has been known for 30 s. No write is added. An owner that an older version stored has no start, and counts as before. Why it works: a call of a former life takes effect for 14 s after a restart at most, and grants 10 s.

--- a/crates/turmericfold-fleet/src/member.rs
+++ b/crates/turmericfold-fleet/src/member.rs
@@ -29,4 +29,31 @@
     pub process: ProcessId,
     /// The number of times that the unit has been assigned an owner, from 1.
     pub term: u32,
+    /// If the unit is a worker: its start, in milliseconds since 1970, of which the owners so far
+    /// know that it is not followed by a restart, or that no call from before one takes effect any
+    /// more. 0 if not known.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub worker_started_ms: u64,
+}
+
+impl Owner {
+    /// Creates the owner of a unit whose worker's start, if it is a worker, is not known.
+    pub fn new(process: ProcessId, term: u32) -> Self {
+        Self {
+            process,
+            term,
+            worker_started_ms: 0,
+        }
+    }
+
+    /// Sets the start of the worker, in milliseconds since 1970.
+    #[must_use]
+    pub fn with_worker_started_ms(mut self, worker_started_ms: u64) -> Self {
+        self.worker_started_ms = worker_started_ms;
+        self
+    }
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -117,7 +117,7 @@
                     Unit::Worker(worker) => {
                         log::info!(worker:% = worker, epoch = owned.epoch.0; "acquired a worker under a new epoch");
                         self.workers
-                            .on_acquired(moment, &self.registrations, &worker, owned.epoch);
+                            .on_acquired(moment, &self.registrations, &worker, &owned);
                     }
                 },
                 OwnershipChange::Lost { unit } => match unit {
--- a/crates/turmericfold-fleet/src/ownership/claims.rs
+++ b/crates/turmericfold-fleet/src/ownership/claims.rs
@@ -5,20 +5,23 @@
 use turmericfold_platform::Expectation;
 use turmericfold_types::InstanceName;
 
+use super::fleet_state::FleetState;
 use super::state::Ownership;
 use super::transfer::Transfer;
 use crate::assignment::Shares;
 use crate::keys;
 use crate::membership::Membership;
-use crate::{JobShard, Unit};
+use crate::{JobShard, Moment, Unit};
 
 impl Ownership {
     /// Returns the claims that this process should make.
-    pub(super) fn claims(
-        &self,
-        membership: &Membership,
-        claimable_workers: &BTreeSet<InstanceName>,
-    ) -> Vec<Transfer> {
+    pub(super) fn claims(&self, moment: Moment, fleet: FleetState<'_>) -> Vec<Transfer> {
+        let FleetState {
+            membership,
+            registrations,
+            configuration,
+        } = fleet;
+        let claimable_workers = registrations.claimable(configuration);
         let mut jobs = Shares::new(
             membership.assignable_members(),
             &self.counts(membership, is_job_shard),
@@ -28,7 +31,7 @@
             &self.counts(membership, is_worker),
         );
         let mut units: BTreeSet<Unit> = JobShard::all().map(Unit::Jobs).collect();
-        units.extend(claimable_workers.iter().cloned().map(Unit::Worker));
+        units.extend(claimable_workers.into_iter().map(Unit::Worker));
         units.extend(self.owners.keys().cloned());
         let mut claims = Vec::new();
         for unit in units {
@@ -36,7 +39,7 @@
             // A handover drops the unit before its call is sent; if the call failed, the
             // store still names this process, which claims the unit under a new epoch.
             if owner == Some(&self.me) && !self.owned_units.contains_key(&unit) {
-                claims.push(self.transfer(unit, self.me.clone()));
+                claims.push(self.transfer(moment, registrations, unit, self.me.clone()));
                 continue;
             }
             if owner.is_some_and(|owner| membership.find(owner).is_some()) {
@@ -48,7 +51,7 @@
                 &mut workers
             };
             if shares.assign(&unit).as_ref() == Some(&self.me.instance) {
-                claims.push(self.claim(unit, membership));
+                claims.push(self.claim(moment, fleet, unit));
             }
         }
         claims
@@ -74,7 +77,8 @@
     ///
     /// The owner may have registered again meanwhile, so the store is to check that its
     /// registration is still gone, or that of another process of its instance.
-    fn claim(&self, unit: Unit, membership: &Membership) -> Transfer {
+    fn claim(&self, moment: Moment, fleet: FleetState<'_>, unit: Unit) -> Transfer {
+        let membership = fleet.membership;
         let registration = self.owners.get(&unit).map(|owned| {
             let instance = &owned.owner.process.instance;
             Expectation {
@@ -84,7 +88,7 @@
         });
         Transfer {
             registration,
-            ..self.transfer(unit, self.me.clone())
+            ..self.transfer(moment, fleet.registrations, unit, self.me.clone())
         }
     }
 }
--- a/crates/turmericfold-fleet/src/ownership/handover.rs
+++ b/crates/turmericfold-fleet/src/ownership/handover.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use super::claims::{is_job_shard, is_worker};
+use super::fleet_state::FleetState;
 use super::state::Ownership;
 use crate::assignment::Shares;
 use crate::membership::Membership;
@@ -19,7 +20,17 @@
 
 impl Ownership {
     /// Hands over all units of this process.
-    pub(super) fn hand_over_all(&mut self, membership: &Membership, out: &mut Outbox) {
+    pub(super) fn hand_over_all(
+        &mut self,
+        moment: Moment,
+        fleet: FleetState<'_>,
+        out: &mut Outbox,
+    ) {
+        let FleetState {
+            membership,
+            registrations,
+            ..
+        } = fleet;
         let others = || {
             membership
                 .assignable_members()
@@ -38,7 +49,8 @@
             let receiver =
                 receiver.and_then(|name| others().find(|it| it.process.instance == name));
             if let Some(receiver) = receiver {
-                transfers.push(self.transfer(unit.clone(), receiver.process.clone()));
+                let to = receiver.process.clone();
+                transfers.push(self.transfer(moment, registrations, unit.clone(), to));
             }
         }
         if !transfers.is_empty() {
@@ -58,12 +70,17 @@
     pub(super) fn balance<IsComplete>(
         &mut self,
         moment: Moment,
-        membership: &Membership,
+        fleet: FleetState<'_>,
         is_complete: IsComplete,
         out: &mut Outbox,
     ) where
         IsComplete: Fn(&Unit) -> bool,
     {
+        let FleetState {
+            membership,
+            registrations,
+            ..
+        } = fleet;
         self.next_balance_at = moment + MIN_BALANCE_INTERVAL_MS;
         for kind in [is_job_shard, is_worker] {
             let counts = self.counts(membership, kind);
@@ -76,7 +93,8 @@
             let mut units = self.owned_units.keys();
             let unit = units.rfind(|unit| kind(unit) && is_complete(unit));
             if let (Some(receiver), Some(unit)) = (receiver, unit) {
-                let transfer = self.transfer(unit.clone(), receiver.process.clone());
+                let to = receiver.process.clone();
+                let transfer = self.transfer(moment, registrations, unit.clone(), to);
                 self.send_transfers(vec![transfer], out);
                 return;
             }
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -157,7 +157,7 @@
         let FleetState {
             membership,
             registrations,
-            configuration,
+            ..
         } = fleet;
         self.track_members(moment, membership);
         let is_ready = self.loaded && membership.is_loaded() && self.claim_call.is_none();
@@ -165,7 +165,7 @@
             return;
         }
         if should_hand_over {
-            self.hand_over_all(membership, out);
+            self.hand_over_all(moment, fleet, out);
             return;
         }
         let is_claim_delay_over = membership
@@ -180,11 +180,11 @@
         {
             return;
         }
-        let claims = self.claims(membership, &registrations.claimable(configuration));
+        let claims = self.claims(moment, fleet);
         if !claims.is_empty() {
             self.send_transfers(claims, out);
         } else if self.may_balance(moment) {
-            self.balance(moment, membership, is_complete, out);
+            self.balance(moment, fleet, is_complete, out);
         }
     }
 
--- a/crates/turmericfold-fleet/src/ownership/transfer.rs
+++ b/crates/turmericfold-fleet/src/ownership/transfer.rs
@@ -7,7 +7,8 @@
 
 use super::state::Ownership;
 use crate::keys;
-use crate::{Outbox, Owner, Unit};
+use crate::registrations::Registrations;
+use crate::{Moment, Outbox, Owner, Unit};
 
 /// The number of entries that one unit adds to a transaction: its expected version and
 /// the write.
@@ -28,15 +29,24 @@
 
 impl Ownership {
     /// Returns the change that makes `to` the owner of a unit.
-    pub(super) fn transfer(&self, unit: Unit, to: ProcessId) -> Transfer {
+    pub(super) fn transfer(
+        &self,
+        moment: Moment,
+        registrations: &Registrations,
+        unit: Unit,
+        to: ProcessId,
+    ) -> Transfer {
         let current = self.owners.get(&unit);
+        let term = current.map_or(1, |owned| owned.owner.term + 1);
+        let known_ms = current.map_or(0, |owned| owned.owner.worker_started_ms);
+        let started_ms = match &unit {
+            Unit::Worker(worker) => registrations.settled_start_ms(moment, worker, known_ms),
+            Unit::Jobs(_) => 0,
+        };
         Transfer {
             expected: current.map(|owned| owned.epoch),
             registration: None,
-            owner: Owner {
-                process: to,
-                term: current.map_or(1, |owned| owned.owner.term + 1),
-            },
+            owner: Owner::new(to, term).with_worker_started_ms(started_ms),
             unit,
         }
     }
--- a/crates/turmericfold-fleet/src/registrations.rs
+++ b/crates/turmericfold-fleet/src/registrations.rs
@@ -15,11 +15,17 @@
 /// milliseconds; longer than a new owner needs to take the worker over.
 const DEPARTED_RETENTION_MS: u64 = 60_000;
 
+/// The time after which no call from before a restart of a worker takes effect, and the leases of
+/// such calls have expired, in milliseconds.
+const START_SETTLING_MS: u64 = 30_000;
+
 /// The registration of a worker.
 #[derive(Debug, Clone)]
 struct Registration {
     entry: WorkerEntry,
     leaves_at: Option<MonotonicMs>,
+    /// Since when the present start of the worker is known.
+    start_known_since: MonotonicMs,
     /// When it was first known that the worker has restarted under its name, if it has.
     restarted_at: Option<MonotonicMs>,
 }
@@ -71,11 +77,14 @@
         let departed = self.departed.get(&entry.id);
         let earlier = known.or(departed.map(|departed| &departed.registration));
         let restarted_at = earlier.and_then(|earlier| earlier.restarted_at_by(moment, &entry));
+        let same_start = earlier.filter(|earlier| !earlier.entry.has_other_start(entry.started_ms));
+        let start_known_since = same_start.map_or(moment.now, |known| known.start_known_since);
         let name = entry.id.clone();
         self.departed.remove(&name);
         let registration = Registration {
             entry,
             leaves_at,
+            start_known_since,
             restarted_at,
         };
         let known = self.by_name.insert(name, registration);
@@ -100,15 +109,46 @@
     /// Returns the last registration of a worker that has departed, if it is still
     /// retained.
     pub(crate) fn departed(&self, name: &InstanceName) -> Option<&WorkerEntry> {
-        let departed = self.departed.get(name)?;
-        Some(&departed.registration.entry)
+        Some(&self.departed.get(name)?.registration.entry)
+    }
+
+    /// Returns since when this process knows that a worker which is registered, or has departed
+    /// recently, has restarted under its name: it has seen that, or the worker has another start
+    /// than `settled_start_ms`, from which on no call from before a restart takes effect.
+    pub(crate) fn restart_known_since(
+        &self,
+        name: &InstanceName,
+        settled_start_ms: u64,
+    ) -> Option<MonotonicMs> {
+        let known = self.last(name)?;
+        let is_other = known.entry.has_other_start(settled_start_ms);
+        let inferred = is_other.then_some(known.start_known_since);
+        known.restarted_at.or(inferred)
+    }
+
+    /// Returns the start of a worker, in milliseconds since 1970, to be stored for its next owners:
+    /// its present one, or `known_ms`, which the last owner stored, while calls from before a restart
+    /// since then may still take effect.
+    pub(crate) fn settled_start_ms(
+        &self,
+        moment: Moment,
+        name: &InstanceName,
+        known_ms: u64,
+    ) -> u64 {
+        let Some(known) = self.last(name) else {
+            return known_ms;
+        };
+        let is_settled = moment.since_ms(known.start_known_since) >= START_SETTLING_MS;
+        match known_ms == 0 || is_settled {
+            true => known.entry.started_ms,
+            false => known_ms,
+        }
     }
 
-    /// Returns when this process learned of the last restart of a worker under its name, if the
-    /// worker is registered or has departed recently.
-    pub(crate) fn restarted_at(&self, name: &InstanceName) -> Option<MonotonicMs> {
+    /// Returns the present or last registration of a worker.
+    fn last(&self, name: &InstanceName) -> Option<&Registration> {
         let departed = || Some(&self.departed.get(name)?.registration);
-        self.by_name.get(name).or_else(departed)?.restarted_at
+        self.by_name.get(name).or_else(departed)
     }
 
     /// Returns a number that differs after every change of the set of registered workers.
--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -68,6 +68,14 @@
         self.void_leases_end_at = Some(moment + longest_ms);
     }
 
+    /// Returns whether a worker that answers for the first time is in another life than the one that
+    /// its registration shows, or than the one that its former owners knew.
+    pub(super) fn is_other_life(&self, started_ms: u64) -> bool {
+        let is_settled = self.settled_start_ms == 0 || self.settled_start_ms == started_ms;
+        let is_known = self.restarted_at.is_some();
+        self.entry.has_other_start(started_ms) || !(is_settled || is_known)
+    }
+
     /// Updates the time until which the worker may hold a lease when it answers `poll` at `clock_ms`
     /// on its clock, with runs in progress if `is_running`.
     pub(super) fn update_lease_bound(
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -14,6 +14,7 @@
 use super::run::{OrderKind, Run};
 use super::worker::Worker;
 use crate::context::Context;
+use crate::ownership::Owned;
 use crate::policy::interference::InterferenceModel;
 use crate::registrations::Registrations;
 use crate::{
@@ -73,16 +74,17 @@
         moment: Moment,
         registrations: &Registrations,
         name: &InstanceName,
-        epoch: StoreVersion,
+        owned: &Owned,
     ) {
         let present = registrations.entry(name);
         let registered = present.is_some();
         let known = present.or_else(|| registrations.departed(name));
         let entry = known.cloned().unwrap_or_else(|| placeholder_entry(name));
-        let mut worker = Worker::new(entry, epoch, moment.now);
+        let mut worker = Worker::new(entry, owned.epoch, moment.now);
         worker.late_ms_at_answer = self.lateness.total_ms(moment);
         worker.registered = registered;
-        worker.restarted_at = registrations.restarted_at(name);
+        worker.settled_start_ms = owned.owner.worker_started_ms;
+        worker.restarted_at = registrations.restart_known_since(name, worker.settled_start_ms);
         worker.unregistered_at = (!registered).then_some(moment.now);
         self.workers.insert(name.clone(), worker);
     }
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -320,8 +320,7 @@
     if worker.started_ms != 0 {
         log::warn!(worker:% = worker.id, born_ms = started_ms; "worker has restarted; its earlier lease and end numbers are void");
         worker.on_restarted(now);
-    } else if worker.entry.has_other_start(started_ms) {
-        // The registration is that of another life.
+    } else if worker.is_other_life(started_ms) {
         worker.restarted_at = Some(now);
     }
     let has_restarted = worker.started_ms != 0;
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -75,6 +75,9 @@
     pub(crate) authorities_known: bool,
     /// The last reading of its clock, once it has answered a poll.
     pub(crate) clock: Option<WorkerClock>,
+    /// The start of which its former owners know that no call from before takes effect any more,
+    /// in milliseconds since 1970; 0 if not known.
+    pub(super) settled_start_ms: u64,
     /// When this process last learned that it has restarted under its name.
     pub(crate) restarted_at: Option<MonotonicMs>,
     /// When it started, as it reports, in milliseconds since 1970; 0 if not known yet.
@@ -158,6 +161,7 @@
             presumed_lost: false,
             authorities_known: false,
             clock: None,
+            settled_start_ms: 0,
             restarted_at: None,
             started_ms: 0,
             lease_until_ms: 0,
--- a/tests/features/long_leases.rs
+++ b/tests/features/long_leases.rs
@@ -28,6 +28,10 @@
 
 /// Returns a plan in which a worker restarts, and is cut off a while later.
 fn plan() -> FaultPlan {
+    plan_with_cut(CUT_AT_MS)
+}
+
+fn plan_with_cut(cut_at_ms: u64) -> FaultPlan {
     let worker = 0;
     let restart = FaultKind::RestartWorker { worker };
     let plan = FaultPlan::new().with_fault(RESTART_AT_MS, restart);
@@ -38,7 +42,7 @@
             worker,
             for_ms,
         };
-        plan.with_fault(CUT_AT_MS, cut)
+        plan.with_fault(cut_at_ms, cut)
     })
 }
 
@@ -112,3 +116,15 @@
     };
     assert_runs_once(seed, plan().with_fault(RESTART_AT_MS, late));
 }
+
+/// Guards against the same by processes that have all started after the restart.
+#[rstest]
+fn new_processes_reckon_with_it(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(90, 150, 300)] kill_after_ms: u64,
+    #[values(1_500, 2_500)] cut_after_ms: u64,
+) {
+    let killed = FaultKind::KillAll { down_ms: 300 };
+    let plan = plan_with_cut(CUT_AT_MS + cut_after_ms);
+    assert_runs_once(seed, plan.with_fault(RESTART_AT_MS + kill_after_ms, killed));
+}
--- a/tests/features/restart_soaks.rs
+++ b/tests/features/restart_soaks.rs
@@ -6,14 +6,6 @@
 
 /// Guards against tasks that run twice, in whatever order such faults come.
 #[rstest]
-fn tasks_run_once(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 1476)] seed: u64) {
-    assert_eq!(soak(seed), [], "promises were broken");
-}
-
-/// Guards against the same where a process starts after a restart that it can't know of.
-#[rstest]
-#[ignore = "KNOWN-RED: 17"]
-#[case::seed_1731(1731)]
-fn new_process_runs_once(#[case] seed: u64) {
+fn tasks_run_once(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 1476, 1731)] seed: u64) {
     assert_eq!(soak(seed), [], "promises were broken");
 }
--- a/tests/features/successors.rs
+++ b/tests/features/successors.rs
@@ -96,7 +96,7 @@
 }
 
 fn owner(process: ProcessId) -> String {
-    serde_json::to_string(&Owner { process, term: 1 }).unwrap()
+    serde_json::to_string(&Owner::new(process, 1)).unwrap()
 }
 
 fn change(key: &str, value: String, version: u64) -> KeyChange {
--- a/tests/src/node_parts.rs
+++ b/tests/src/node_parts.rs
@@ -30,7 +30,7 @@
 ///
 /// Panics if the owner can't be encoded.
 pub fn owner_change(key: &str, process: ProcessId, version: StoreVersion) -> KeyChange {
-    let owner = Owner { process, term: 1 };
+    let owner = Owner::new(process, 1);
     KeyChange {
         key: key.into(),
         version,
--- a/tests/src/shard_owner.rs
+++ b/tests/src/shard_owner.rs
@@ -55,10 +55,7 @@
 
     /// Returns this process as an owner.
     pub fn owner(&self) -> Owner {
-        Owner {
-            process: self.process.clone(),
-            term: 1,
-        }
+        Owner::new(self.process.clone(), 1)
     }
 
     /// Reports a change of the owner of the job's shard, or its deletion.
@@ -104,10 +101,7 @@
             let key = format!("turmericfold/fleet/members/{}", process.instance);
             stored(key, &member(process.clone()), version)
         });
-        let owner = Owner {
-            process: peer,
-            term: 1,
-        };
+        let owner = Owner::new(peer, 1);
         let owners = JobShard::all()
             .filter(|shard| *shard != JobShard::of(JOB))
             .map(|shard| {
