Make no call to a worker that a pause of the process has delayed

Callers would see: a task that runs twice, as a process that was paused acts on a permission that has run out, at a worker that has restarted meanwhile and so has seen no token. Cause: a call is decided in the node and made by a task of its own; a process that is paused in between makes it when it goes on, whatever has happened since. Only the fencing token stopped it, which a restarted worker has forgotten. Change: a call that begins 700 ms after it was ordered or later, on the clock that counts suspension, is not made, and fails as one without effect. Why it works: what the node decided holds for the registration's time at least; a call that waits for a connection in the client is given up after 700 ms as before.

--- a/crates/turmericfold-fleet/src/outbox.rs
+++ b/crates/turmericfold-fleet/src/outbox.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use turmericfold_platform::{PaceCall, PollCall, StartCall, StopCall, StoreCall, WorkerEntry};
+use turmericfold_platform::{
+    PaceCall, PlatformError, PollCall, StartCall, StopCall, StoreCall, WorkerEntry,
+};
 use turmericfold_types::ProcessId;
 
-use crate::{CallId, CallerAnswer, PeerMessage};
+use crate::{CallId, CallerAnswer, PeerMessage, WorkerResult};
 
 /// A call to a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,6 +22,18 @@
     Poll(PollCall),
 }
 
+impl WorkerCall {
+    /// Returns the result of this call if it fails.
+    pub fn failed(&self, error: PlatformError) -> WorkerResult {
+        match self {
+            Self::Start(_) => WorkerResult::Start(Err(error)),
+            Self::Stop(_) => WorkerResult::Stop(Err(error)),
+            Self::Pace(_) => WorkerResult::Pace(Err(error)),
+            Self::Poll(_) => WorkerResult::Poll(Err(error)),
+        }
+    }
+}
+
 /// A store call to make.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreRequest {
--- a/crates/turmericfold/src/fleet/driver.rs
+++ b/crates/turmericfold/src/fleet/driver.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 use turmericfold_fleet::{
     CallId, CallerAnswer, Event, FleetNode, FleetSettings, Moment, Outbox, StoreRequest,
-    WorkerCall, WorkerRequest, WorkerResult,
+    WorkerRequest,
 };
 use turmericfold_peer::Delivery;
 use turmericfold_platform::{BootClock, Clock, Store, TaskWorkers};
@@ -21,6 +21,7 @@
 use super::shared_configuration::SharedConfiguration;
 use super::stop_time::StopTime;
 use super::wall_clock::WallClock;
+use super::worker_calls::call_worker;
 
 /// Interval of the node's tick events, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 25;
@@ -284,27 +285,9 @@
     }
 
     fn call_worker(&mut self, request: WorkerRequest) {
-        let workers = self.workers.clone();
-        self.calls.spawn_local(async move {
-            let WorkerRequest {
-                call,
-                worker,
-                worker_call,
-            } = request;
-            let result = match worker_call {
-                WorkerCall::Start(start) => {
-                    WorkerResult::Start(workers.start(&worker, start).await)
-                }
-                WorkerCall::Stop(stop) => WorkerResult::Stop(workers.stop(&worker, stop).await),
-                WorkerCall::Pace(pace) => WorkerResult::Pace(workers.pace(&worker, pace).await),
-                WorkerCall::Poll(poll) => WorkerResult::Poll(workers.poll(&worker, poll).await),
-            };
-            Event::Worker {
-                worker: worker.id,
-                call,
-                result,
-            }
-        });
+        let (workers, clock, ordered_at) = (self.workers.clone(), self.clock, self.clock.now());
+        self.calls
+            .spawn_local(call_worker(workers, clock, ordered_at, request));
     }
 
     fn may_end(&self) -> bool {
--- a/crates/turmericfold/src/fleet/mod.rs
+++ b/crates/turmericfold/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod wall_clock;
 mod watch;
 mod watches;
+mod worker_calls;
 
 pub use caller_requests::{CallerRequestSender, PendingCallerRequest, RequestClaim};
 pub use driver::{Driver, DriverEnd, DriverInputs};
@@ -20,3 +21,4 @@
 pub use stop_time::StopTime;
 pub use wall_clock::WallClock;
 pub use watches::{PlatformDecoder, Watches};
+pub use worker_calls::call_worker;
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -1,7 +1,7 @@
 //! Transmits calls and messages, subject to the active faults.
 
 use rand::Rng;
-use turmericfold_fleet::{CallId, Event, PeerMessage, WorkerCall, WorkerResult};
+use turmericfold_fleet::{CallId, Event, PeerMessage, WorkerCall};
 use turmericfold_platform::{PlatformError, StoreCall};
 use turmericfold_types::{InstanceName, ProcessId};
 
@@ -109,13 +109,7 @@
         worker: &InstanceName,
         worker_call: &WorkerCall,
     ) {
-        let failed = || PlatformError::unknown("no answer");
-        let result = match worker_call {
-            WorkerCall::Start(_) => WorkerResult::Start(Err(failed())),
-            WorkerCall::Stop(_) => WorkerResult::Stop(Err(failed())),
-            WorkerCall::Pace(_) => WorkerResult::Pace(Err(failed())),
-            WorkerCall::Poll(_) => WorkerResult::Poll(Err(failed())),
-        };
+        let result = worker_call.failed(PlatformError::unknown("no answer"));
         let event = Event::Worker {
             worker: worker.clone(),
             call,
