Test what stops and paces of a former life, or by a former owner, can do

The rest of the list of calls that may act on a worker's next life. late_stop_bars_nothing: a stop that takes effect in the next life ends the former run and bars no later one. uncertain_owner_denies_nothing: a process without a registration does not say that a run is not there. numbers_rise: a stop or pace names its run, and no later run of the task bears the same number, also after all processes were killed.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -28,6 +28,7 @@
 mod fleet_policy;
 mod fleet_takeover;
 mod floods;
+mod former_calls;
 mod forwarding;
 mod full_fleets;
 mod gangs;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -221,6 +221,11 @@
         self.oracle.running_tasks(job)
     }
 
+    /// Returns the numbers of the runs of a job in progress, by task.
+    pub fn running_numbers(&self, job: JobId) -> Vec<RunNumber> {
+        self.oracle.running_numbers(job)
+    }
+
     /// Returns the highest number of a run in progress, if there is one.
     pub fn highest_run_number(&self) -> Option<RunNumber> {
         self.oracle.highest_run_number()
--- a/tests/src/fleet_world/oracle.rs
+++ b/tests/src/fleet_world/oracle.rs
@@ -103,6 +103,12 @@
             .collect()
     }
 
+    pub(super) fn running_numbers(&self, job: JobId) -> Vec<RunNumber> {
+        let tasks = self.tasks.iter().filter(|(task, _)| task.job == job);
+        let runs = tasks.flat_map(|(_, history)| history.running.keys());
+        runs.map(|run| run.number).collect()
+    }
+
     /// Returns the highest number of a run in progress, if there is one.
     pub fn highest_run_number(&self) -> Option<RunNumber> {
         let running = self.tasks.values().flat_map(|task| task.running.keys());
--- a/tests/src/worker_owner.rs
+++ b/tests/src/worker_owner.rs
@@ -157,6 +157,22 @@
         (call, WorkerResult::Poll(Ok(reply)))
     }
 
+    /// Lets a worker handle the next poll, if one is sent, without delivering its answer; other
+    /// calls stay.
+    pub fn poll_if_sent(&mut self, worker: &mut TaskWorkerModel) -> Option<(CallId, WorkerResult)> {
+        let is_poll = |call: &WorkerCall| matches!(call, WorkerCall::Poll(_));
+        let workers = &mut self.driven.out.workers;
+        let index = workers
+            .iter()
+            .position(|request| is_poll(&request.worker_call))?;
+        let request = workers.remove(index);
+        let WorkerCall::Poll(poll) = request.worker_call else {
+            return None;
+        };
+        let reply = worker.poll(MonotonicMs(self.driven.now_ms), &poll);
+        Some((request.call, WorkerResult::Poll(Ok(reply))))
+    }
+
     /// Lets a worker answer the next poll.
     pub fn poll_and_answer(&mut self, worker: &mut TaskWorkerModel) {
         let (call, result) = self.poll(worker);
