--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -68,7 +68,7 @@
             ownership: Ownership::new(me.clone()),
             jobs: JobOwner::new(settings),
             workers: WorkerOwner::new(settings),
-            registrations: Registrations::default(),
+            registrations: Registrations::new(settings),
             workers_loaded: false,
             configuration: None,
             configuration_sync: ConfigurationSync::new(me.clone()),
--- a/crates/turmericfold-fleet/src/registrations.rs
+++ b/crates/turmericfold-fleet/src/registrations.rs
@@ -5,7 +5,8 @@
 use turmericfold_platform::WorkerEntry;
 use turmericfold_types::{InstanceName, MonotonicMs, ServiceName};
 
-use crate::{Configuration, Moment};
+use crate::workers::LeaseLengths;
+use crate::{Configuration, FleetSettings, Moment};
 
 /// The assumed remaining time of a draining worker that does not report one, in
 /// milliseconds.
@@ -15,10 +16,6 @@
 /// milliseconds; longer than a new owner needs to take the worker over.
 const DEPARTED_RETENTION_MS: u64 = 60_000;
 
-/// The time after which no call from before a restart of a worker takes effect, and the leases of
-/// such calls have expired, in milliseconds.
-const START_SETTLING_MS: u64 = 30_000;
-
 /// The registration of a worker.
 #[derive(Debug, Clone)]
 struct Registration {
@@ -48,6 +45,9 @@
     departed: BTreeMap<InstanceName, Departed>,
     /// The number of changes of the set of registered workers.
     generation: u64,
+    /// The time after which no call from before a restart of a worker takes effect, and the leases
+    /// of such calls have expired, in milliseconds.
+    start_settling_ms: u64,
 }
 
 /// The last registration of a worker that is no longer registered.
@@ -58,6 +58,14 @@
 }
 
 impl Registrations {
+    /// Creates an empty set; the workers grant leases as `settings` say.
+    pub(crate) fn new(settings: &FleetSettings) -> Self {
+        Self {
+            start_settling_ms: LeaseLengths::new(settings).settling_ms(),
+            ..Self::default()
+        }
+    }
+
     /// Records a new or changed registration of a worker.
     pub(crate) fn insert(&mut self, moment: Moment, entry: WorkerEntry) {
         let known = self.by_name.get(&entry.id);
@@ -138,7 +146,7 @@
         let Some(known) = self.last(name) else {
             return known_ms;
         };
-        let is_settled = moment.since_ms(known.start_known_since) >= START_SETTLING_MS;
+        let is_settled = moment.since_ms(known.start_known_since) >= self.start_settling_ms;
         match known_ms == 0 || is_settled {
             true => known.entry.started_ms,
             false => known_ms,
--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -19,7 +19,7 @@
 
 /// The lengths of the leases of workers.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct LeaseLengths {
+pub(crate) struct LeaseLengths {
     /// The length that an owner renews for, in milliseconds.
     pub(super) usual_ms: u64,
     /// The longest that a worker grants, in milliseconds.
@@ -28,17 +28,23 @@
 
 impl LeaseLengths {
     /// Creates the lengths from the settings.
-    pub(super) fn new(settings: &FleetSettings) -> Self {
+    pub(crate) fn new(settings: &FleetSettings) -> Self {
         Self {
             usual_ms: settings.worker_lease_ms,
             max_ms: settings.worker_lease_max_ms,
         }
     }
 
+    /// Returns the time after a restart of a worker from which all leases have expired that calls
+    /// with deadlines on the clock of its former life have granted, in milliseconds.
+    pub(crate) fn settling_ms(self) -> u64 {
+        MAX_UNNOTICED_MS + MAX_CALL_DELAY_MS + self.max_ms
+    }
+
     /// Returns the longest lease that a worker may have got from calls with earlier tokens, in
     /// milliseconds from the last of them that took effect.
     pub(super) fn earlier_ms(self, moment: Moment, worker: &Worker) -> u64 {
-        match worker.has_settled(moment, self.max_ms) {
+        match worker.has_settled(moment, self) {
             true => self.usual_ms,
             false => self.max_ms,
         }
@@ -114,9 +120,8 @@
 
     /// Returns whether all leases have expired that calls with deadlines on the clock of an earlier
     /// life of the worker may have granted.
-    fn has_settled(&self, moment: Moment, lease_max_ms: u64) -> bool {
-        let settling_ms = MAX_UNNOTICED_MS + MAX_CALL_DELAY_MS + lease_max_ms;
+    fn has_settled(&self, moment: Moment, leases: LeaseLengths) -> bool {
         self.restarted_at
-            .is_none_or(|at| moment.since_ms(at) >= settling_ms)
+            .is_none_or(|at| moment.since_ms(at) >= leases.settling_ms())
     }
 }
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -27,4 +27,5 @@
 mod waiting_starts;
 mod worker;
 
+pub(crate) use leases::LeaseLengths;
 pub(crate) use owner::WorkerOwner;
