Log why a filler is refused, and why a job without a run waits

Callers saw a job that could run and did not; no line told why. A worker's owner said NoRoom both for a lack of resources and for a filler that was not worth starting there, and only lasting jobs logged the reason of their wait. Now a refused order names its cause, and each second a process logs the job that has waited longest without a run (2 s at least), with the reason and for a filler the highest value of a worker with room. No decision changes; what the owner of a job gets stays NoRoom.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -192,14 +192,15 @@
         })
     }
 
-    fn choose_by_demand<Choose>(
+    /// Chooses by what a task requires of its worker.
+    pub(super) fn choose_by_demand<Choose, Chosen>(
         &self,
         service: &ServiceName,
         task: TaskKey,
         choose: Choose,
-    ) -> Option<usize>
+    ) -> Option<Chosen>
     where
-        Choose: FnOnce(Demand<'_>) -> Option<usize>,
+        Choose: FnOnce(Demand<'_>) -> Option<Chosen>,
     {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step_spec(task)?;
--- a/crates/turmericfold-fleet/src/jobs/waiting_steps.rs
+++ b/crates/turmericfold-fleet/src/jobs/waiting_steps.rs
@@ -1,21 +1,28 @@
-//! Logs why tasks that last are not ordered, at intervals for each job.
+//! Logs why tasks are not ordered: of each lasting job at intervals, and of the other job that
+//! has waited longest without a run.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use turmericfold_jobs::{JobId, TaskKey};
-use turmericfold_types::MonotonicMs;
+use turmericfold_types::{MonotonicMs, ServiceName};
 
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
 use crate::context::Context;
+use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
+use crate::policy::placement::best_filler_value;
 use crate::workers::WorkerOwner;
 use crate::{Configuration, JobShard, Moment};
 
 /// The least time between two log lines about one job, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 2_000;
 
+/// The least time between two log lines about jobs that do not last, in milliseconds: the search
+/// for the reason reads all workers.
+const OTHER_LOG_INTERVAL_MS: u64 = 1_000;
+
 /// Why the tasks of a step are not ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WaitReason {
@@ -32,6 +39,13 @@
         /// The most free processor time of one of them, in millicores.
         best_free_millicores: u64,
     },
+    /// On no worker with room is a filler worth starting.
+    NotWorthStarting {
+        /// The number of workers with room.
+        offers: usize,
+        /// The highest value of one of them, in thousandths of the full speed.
+        best_value_permille: i64,
+    },
     /// All workers with room have just refused a run.
     WorkersBackedOff,
     /// A worker has room; the next pass over the tasks orders them.
@@ -45,51 +59,85 @@
     next_log_at: MonotonicMs,
 }
 
-/// The lasting jobs with tasks that wait, with the first such step of each.
+/// The jobs with tasks that wait.
 #[derive(Debug, Default)]
 pub(super) struct WaitingSteps {
-    by_job: BTreeMap<JobId, WaitingStep>,
+    /// The lasting jobs, with the first such step of each.
+    lasting: BTreeMap<JobId, WaitingStep>,
+    /// The other jobs of which no run is in progress.
+    others: BTreeMap<JobId, WaitingStep>,
+    /// When one of the others may be logged next.
+    next_other_log_at: MonotonicMs,
 }
 
 impl WaitingSteps {
     /// Replaces the jobs that wait; returns those that have waited and are to be logged now,
     /// with the time for which they wait in milliseconds.
-    fn update(&mut self, moment: Moment, waiting: &[JobId]) -> Vec<(JobId, u64)> {
-        let mut by_job = BTreeMap::new();
-        let mut due = Vec::new();
-        for job in waiting {
-            let mut step = self.by_job.remove(job).unwrap_or(WaitingStep {
-                since: moment.now,
-                next_log_at: moment + LOG_INTERVAL_MS,
-            });
-            if moment.has_reached(step.next_log_at) {
-                step.next_log_at = moment + LOG_INTERVAL_MS;
-                due.push((*job, moment.since_ms(step.since)));
-            }
-            by_job.insert(*job, step);
-        }
-        self.by_job = by_job;
+    fn update(&mut self, moment: Moment, lasting: &[JobId], others: &[JobId]) -> Vec<(JobId, u64)> {
+        let mut due = update_waiting(&mut self.lasting, moment, lasting);
+        update_waiting(&mut self.others, moment, others);
+        due.extend(self.next_other(moment));
         due
     }
+
+    /// Returns the other job that has waited longest, if it is to be logged now.
+    fn next_other(&mut self, moment: Moment) -> Option<(JobId, u64)> {
+        if !moment.has_reached(self.next_other_log_at) {
+            return None;
+        }
+        let waited_ms = |step: &WaitingStep| moment.since_ms(step.since);
+        let longest = self
+            .others
+            .iter()
+            .max_by_key(|(_, step)| waited_ms(step))
+            .map(|(job, step)| (*job, waited_ms(step)));
+        let due = longest.filter(|(_, waited_ms)| *waited_ms >= LOG_INTERVAL_MS)?;
+        self.next_other_log_at = moment + OTHER_LOG_INTERVAL_MS;
+        Some(due)
+    }
+}
+
+/// Replaces the jobs that wait; returns those whose next line is due, with the time for which
+/// they wait in milliseconds.
+fn update_waiting(
+    known: &mut BTreeMap<JobId, WaitingStep>,
+    moment: Moment,
+    waiting: &[JobId],
+) -> Vec<(JobId, u64)> {
+    let mut by_job = BTreeMap::new();
+    let mut due = Vec::new();
+    for job in waiting {
+        let mut step = known.remove(job).unwrap_or(WaitingStep {
+            since: moment.now,
+            next_log_at: moment + LOG_INTERVAL_MS,
+        });
+        if moment.has_reached(step.next_log_at) {
+            step.next_log_at = moment + LOG_INTERVAL_MS;
+            due.push((*job, moment.since_ms(step.since)));
+        }
+        by_job.insert(*job, step);
+    }
+    *known = by_job;
+    due
 }
 
 impl JobOwner {
-    /// Logs the lasting jobs whose tasks wait, with the reason.
+    /// Logs the jobs whose tasks wait, with the reason.
     pub(super) fn log_waiting_steps(
         &mut self,
         context: Context<'_>,
         workers: &WorkerOwner,
         configuration: Option<&Arc<Configuration>>,
     ) {
-        let is_waiting =
-            |entry: &&JobEntry| entry.job.spec().is_long_running() && entry.job.has_startable();
-        let waiting: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(is_waiting)
-            .map(|entry| entry.job.id)
-            .collect();
-        let due = self.waiting_steps.update(context.moment, &waiting);
+        let waiting = |which: fn(&JobEntry) -> bool| -> Vec<JobId> {
+            let startable = self.jobs.values().filter(|it| it.job.has_startable());
+            let waiting = startable.filter(|entry| which(entry));
+            waiting.map(|entry| entry.job.id).collect()
+        };
+        let lasting = waiting(|entry| entry.job.spec().is_long_running());
+        let others =
+            waiting(|entry| !entry.job.spec().is_long_running() && !entry.job.has_active_runs());
+        let due = self.waiting_steps.update(context.moment, &lasting, &others);
         if due.is_empty() {
             return;
         }
@@ -111,23 +159,36 @@
             return;
         };
         let tasks = entry.job.startable();
-        let is_lasting = |task: &&TaskKey| {
+        let is_lasting = entry.job.spec().is_long_running();
+        let lasts = |task: &&TaskKey| {
             let step = entry.job.step_spec(**task);
             step.is_some_and(|step| step.long_running)
         };
-        let Some(task) = tasks.iter().find(is_lasting) else {
+        let Some(task) = tasks.iter().find(|task| !is_lasting || lasts(task)) else {
             return;
         };
         let waiting = tasks.iter().filter(|other| other.step == task.step).count();
         let reason = self.wait_reason(workers, configuration, *task, offers);
-        log::info!(
-            job:% = job,
-            step = task.step,
-            waiting = waiting,
-            waited_ms = waited_ms,
-            reason:? = reason;
-            "tasks that last wait to be ordered"
-        );
+        let is_filler = entry.job.step_spec(*task).is_some_and(|step| step.filler);
+        match is_lasting {
+            true => log::info!(
+                job:% = job,
+                step = task.step,
+                waiting = waiting,
+                waited_ms = waited_ms,
+                reason:? = reason;
+                "tasks that last wait to be ordered"
+            ),
+            false => log::info!(
+                job:% = job,
+                step = task.step,
+                waiting = waiting,
+                waited_ms = waited_ms,
+                filler = is_filler,
+                reason:? = reason;
+                "job has no run in progress; its tasks wait to be ordered"
+            ),
+        }
     }
 
     fn wait_reason(
@@ -162,10 +223,30 @@
         if fits(offers) {
             return WaitReason::OrderPending;
         }
-        match fits(&without_backoffs(offers)) {
-            true => WaitReason::WorkersBackedOff,
-            false => no_room(offers),
+        let all_offers = without_backoffs(offers);
+        if fits(&all_offers) {
+            return WaitReason::WorkersBackedOff;
         }
+        self.not_worth_starting(interference, service, task, &all_offers)
+            .unwrap_or_else(|| no_room(offers))
+    }
+
+    /// Returns the reason of a filler for which there is room.
+    fn not_worth_starting(
+        &self,
+        interference: &InterferenceModel,
+        service: &ServiceName,
+        task: TaskKey,
+        offers: &[Offer],
+    ) -> Option<WaitReason> {
+        let (best_value_permille, offers) = self.choose_by_demand(service, task, |demand| {
+            let is_filler = demand.step.filler;
+            is_filler.then(|| best_filler_value(interference, demand, offers))?
+        })?;
+        Some(WaitReason::NotWorthStarting {
+            offers,
+            best_value_permille,
+        })
     }
 }
 
--- a/crates/turmericfold-fleet/src/policy/filler.rs
+++ b/crates/turmericfold-fleet/src/policy/filler.rs
@@ -59,6 +59,16 @@
     filler: Filler<'_>,
     offer: &Offer,
 ) -> Option<i64> {
+    let value_permille = filler_value_permille(interference, filler, offer);
+    (value_permille >= MIN_FILLER_VALUE_PERMILLE).then_some(value_permille / VALUE_STEP_PERMILLE)
+}
+
+/// Returns the speed of a filler less its costs, in thousandths of its full speed.
+pub(crate) fn filler_value_permille(
+    interference: &InterferenceModel,
+    filler: Filler<'_>,
+    offer: &Offer,
+) -> i64 {
     let speed_permille = offer.speed_permille(interference, filler);
     let slack_loss_permille = offer.slack_loss_permille(interference, filler);
     let no_serving_cost_permille = match offer.worker.serving.is_empty() {
@@ -66,6 +76,5 @@
         false => 0,
     };
     let slack_cost_permille = SLACK_COST_PERMILLE * slack_loss_permille / 1_000;
-    let value_permille = speed_permille - slack_cost_permille - no_serving_cost_permille;
-    (value_permille >= MIN_FILLER_VALUE_PERMILLE).then_some(value_permille / VALUE_STEP_PERMILLE)
+    speed_permille - slack_cost_permille - no_serving_cost_permille
 }
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -15,7 +15,7 @@
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::{InstanceName, ServiceName};
 
-use crate::policy::filler::{Filler, filler_value};
+use crate::policy::filler::{Filler, filler_value, filler_value_permille};
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 
@@ -94,6 +94,19 @@
     has_same_image_only: bool,
 }
 
+/// Returns the highest value of a worker with room for a filler, in thousandths of its full
+/// speed, and the number of such workers.
+pub(crate) fn best_filler_value(
+    interference: &InterferenceModel,
+    demand: Demand<'_>,
+    offers: &[Offer],
+) -> Option<(i64, usize)> {
+    let fitting = || offers.iter().filter(|offer| fits(demand, offer));
+    let filler = Filler::of_step(demand.step);
+    let values = fitting().map(|offer| filler_value_permille(interference, filler, offer));
+    Some((values.max()?, fitting().count()))
+}
+
 /// Returns the index of the best offer for the task, if any is good enough.
 pub fn choose_offer(
     interference: &InterferenceModel,
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -7,7 +7,7 @@
 use turmericfold_types::{InstanceName, ProcessId};
 
 use super::owner::WorkerOwner;
-use super::refusal::{refusal, refusal_of};
+use super::refusal::{RefusalCause, refusal_cause, refusal_of};
 use super::run::{OrderKind, Run, RunPhase};
 use crate::context::Context;
 use crate::{
@@ -67,19 +67,21 @@
             send_end(from, &name, worker.epoch, tracked.end.clone(), out);
             return;
         }
-        let refusal = match self.may_act_on(context, worker) {
-            true => refusal(context, worker, self.interference(), &order, is_admitted),
-            false => Some(StartRefusal::WorkerUnusable),
+        let cause = match self.may_act_on(context, worker) {
+            true => refusal_cause(context, worker, self.interference(), &order, is_admitted),
+            false => Some(RefusalCause::WorkerUnusable),
         };
-        if refusal == Some(StartRefusal::NoRoom) && kind.waits_for_room && worker.may_hold(&order) {
+        if cause == Some(RefusalCause::NoRoom) && kind.waits_for_room && worker.may_hold(&order) {
             self.hold_order(context, &name, order);
             return;
         }
-        if let Some(refusal) = refusal {
+        if let Some(cause) = cause {
+            let refusal = cause.refusal();
             log::info!(
                 run:% = run,
                 worker:% = name,
                 refusal:? = refusal,
+                cause:? = cause,
                 free_millicores = worker.free_resources().cpu_millicores,
                 registration_valid = context.has_valid_registration;
                 "refused a start order; the run is barred from starting on the worker"
--- a/crates/turmericfold-fleet/src/workers/refusal.rs
+++ b/crates/turmericfold-fleet/src/workers/refusal.rs
@@ -11,26 +11,56 @@
 use crate::policy::offer::Offer;
 use crate::{StartOrder, StartRefusal};
 
+/// Why the owner of a worker refuses an order to start a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RefusalCause {
+    /// The order comes from a former owner of the job.
+    OldAuthority,
+    /// The run is barred from starting.
+    Barred,
+    /// The worker takes no runs now.
+    WorkerUnusable,
+    /// The worker lacks resources that the run would reserve.
+    NoRoom,
+    /// The worker has the resources, but a filler would be too slow on it or take too much
+    /// slack.
+    NotWorthStarting,
+}
+
+impl RefusalCause {
+    /// Returns the refusal that the owner of the job gets.
+    pub(super) fn refusal(self) -> StartRefusal {
+        match self {
+            Self::OldAuthority => StartRefusal::OldAuthority,
+            Self::Barred => StartRefusal::Superseded,
+            Self::WorkerUnusable => StartRefusal::WorkerUnusable,
+            Self::NoRoom | Self::NotWorthStarting => StartRefusal::NoRoom,
+        }
+    }
+}
+
 /// Returns why an order to start a run on a worker is refused, if it is.
-pub(super) fn refusal(
+pub(super) fn refusal_cause(
     context: Context<'_>,
     worker: &Worker,
     interference: &InterferenceModel,
     order: &StartOrder,
     is_admitted: bool,
-) -> Option<StartRefusal> {
+) -> Option<RefusalCause> {
     if !is_admitted {
-        return Some(StartRefusal::OldAuthority);
+        return Some(RefusalCause::OldAuthority);
     }
     if worker.barred.contains_key(&order.run) {
-        return Some(StartRefusal::Superseded);
+        return Some(RefusalCause::Barred);
     }
     if !worker.is_usable(context.moment) {
-        return Some(StartRefusal::WorkerUnusable);
+        return Some(RefusalCause::WorkerUnusable);
+    }
+    if !order.details.resources.fits_in(&worker.free_resources()) {
+        return Some(RefusalCause::NoRoom);
     }
-    let fits = order.details.resources.fits_in(&worker.free_resources())
-        && is_worth_starting(context, worker, interference, order);
-    (!fits).then_some(StartRefusal::NoRoom)
+    let is_worth_starting = is_worth_starting(context, worker, interference, order);
+    (!is_worth_starting).then_some(RefusalCause::NotWorthStarting)
 }
 
 /// Returns whether a filler would still be worth starting: fillers that other job owners
--- a/crates/turmericfold-jobs/src/job.rs
+++ b/crates/turmericfold-jobs/src/job.rs
@@ -299,6 +299,12 @@
         }
     }
 
+    /// Returns whether any run of the job may be in progress.
+    pub fn has_active_runs(&self) -> bool {
+        let mut steps = self.occurrences.values().flat_map(|it| &it.steps);
+        steps.any(Step::has_active_runs)
+    }
+
     /// Returns all runs that may be in progress, with their workers.
     pub fn active_runs(&self) -> Vec<(RunKey, InstanceName)> {
         let mut runs = Vec::new();
--- a/crates/turmericfold-jobs/src/step.rs
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -36,6 +36,12 @@
         usize::try_from(self.waiting_count).is_ok_and(|waiting| waiting == self.tasks.len())
     }
 
+    /// Returns whether a run of any task may be in progress.
+    pub fn has_active_runs(&self) -> bool {
+        let settled = u64::from(self.done_count) + u64::from(self.waiting_count);
+        settled < self.tasks.len() as u64
+    }
+
     /// Returns the progress to persist.
     pub(crate) fn progress(&self) -> StepProgress {
         let mut progress = StepProgress::default();
