Keep one run of a starved job in progress, also where a filler is slow

Cause: a filler is started only where its speed less its costs is at least half of its full speed. The cost of the slack that it takes does not depend on how much slack there is, so if each worker runs a task with a latency target, a filler with a large share or a strong effect is worth it nowhere, and its job waits without a bound. From then on the job keeps one run in progress: its order is judged by room alone, by both owners. Such a run gets only the pace that other fillers leave, and does not count against them, so it takes nothing from jobs that can still be in time. The new order is a message of its own, which an older process can't decode.

--- a/crates/turmericfold-fleet/src/jobs/gang.rs
+++ b/crates/turmericfold-fleet/src/jobs/gang.rs
@@ -79,6 +79,7 @@
             service,
             siblings_by_worker: &BTreeMap::new(),
             failed_on: &failed_on,
+            is_starved: entry.needs_any_run(step),
         };
         place_gang(interference, demand, offers)
     }
--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -2,12 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use turmericfold_jobs::{Job, JobState, RunKey, TaskKey};
+use turmericfold_jobs::{Job, JobState, RunKey, StepSpec, TaskKey};
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::caller::Caller;
 use super::room_refusals::RoomRefusals;
+use super::starvation::Starvation;
 use crate::{Moment, ReportedEnd};
 
 /// An end of a run that was reported to the owner of its job.
@@ -69,6 +70,8 @@
     pub(crate) unrecorded_ends: Vec<ReceivedEnd>,
     /// The ended runs of open tasks whose ends no worker has listed, so that they may turn up.
     pub(crate) inferred_ends: BTreeSet<RunKey>,
+    /// How long the job has had no run.
+    pub(crate) starvation: Starvation,
     /// The callers that wait for the job to be stored.
     pub(crate) submit_callers: Vec<Caller>,
     /// The callers that wait for the cancellation to be stored.
@@ -93,6 +96,7 @@
             room_refusals: BTreeMap::new(),
             unrecorded_ends: Vec::new(),
             inferred_ends: BTreeSet::new(),
+            starvation: Starvation::default(),
             submit_callers: Vec::new(),
             cancel_callers: Vec::new(),
         }
@@ -157,6 +161,13 @@
         refusals.record(moment, worker);
     }
 
+    /// Returns whether the next run of a step starts also where it is not worth it: the job has
+    /// been without a run for too long, and has none now. A gang starts as a whole.
+    pub(crate) fn needs_any_run(&self, step: &StepSpec) -> bool {
+        let has_none = step.gang || !self.job.has_active_runs();
+        step.filler && has_none && self.starvation.is_starved()
+    }
+
     /// Marks the progress as different from the stored progress.
     pub(crate) fn mark_dirty(&mut self, now: MonotonicMs) {
         self.dirty_since.get_or_insert(now);
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod run_review;
 mod schedule;
 mod shard;
+mod starvation;
 mod tracked_runs;
 mod waiting;
 mod waiting_steps;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of jobs, which schedules their runs and persists their progress.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use turmericfold_jobs::{JobId, RunKey};
@@ -212,6 +212,7 @@
             self.evacuate(context, workers, out);
             self.open_due_occurrences(context.moment);
             self.expire_waiting_callers(context.moment, out);
+            self.find_starved_jobs(context.moment);
             self.log_waiting_steps(context, workers, configuration);
         }
         self.write_due(context.moment, out);
@@ -300,6 +301,19 @@
         }
     }
 
+    /// Finds the jobs that have been without a run for too long.
+    fn find_starved_jobs(&mut self, moment: Moment) {
+        let confirmed = self.runs.iter().filter(|(_, run)| run.is_confirmed);
+        let running: BTreeSet<JobId> = confirmed.map(|(run, _)| run.task.job).collect();
+        for (id, entry) in &mut self.jobs {
+            let is_idle = entry.job.has_startable() && !running.contains(id);
+            if entry.starvation.update(moment, is_idle) {
+                log::info!(job:% = id; "job has had no run for long; keeping one run of it in progress, also where a filler is slow");
+                self.should_start_tasks = true;
+            }
+        }
+    }
+
     fn open_due_occurrences(&mut self, moment: Moment) {
         for entry in self.jobs.values_mut() {
             if entry.job.open_due_occurrences(moment.unix_ms) {
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -215,6 +215,7 @@
             service,
             siblings_by_worker: &siblings_by_worker,
             failed_on,
+            is_starved: entry.needs_any_run(step),
         };
         choose(demand)
     }
@@ -245,6 +246,7 @@
             return;
         };
         let is_lasting = step.long_running;
+        let is_starved = entry.needs_any_run(step);
         let details = details_of(&entry.job, step);
         let filler_millicores = details.filler_millicores();
         let checkpoint = entry.job.checkpoint(task);
@@ -256,6 +258,7 @@
             epoch = authority.epoch.0,
             free_millicores = offer.worker.free.cpu_millicores,
             waits_for_room = waits_for_room,
+            starved = is_starved,
             resumes = checkpoint.is_some(),
             registration_valid = context.has_valid_registration;
             "ordering a run"
@@ -285,12 +288,13 @@
             details,
         };
         let order = Box::new(message);
-        let message = match is_lasting {
-            true => PeerMessage::StartLasting {
+        let message = match (is_lasting, is_starved) {
+            (true, _) => PeerMessage::StartLasting {
                 order,
                 waits_for_room,
             },
-            false => PeerMessage::Start(order),
+            (false, true) => PeerMessage::StartStarved(order),
+            (false, false) => PeerMessage::Start(order),
         };
         out.send(&owned.owner.process, message);
         self.runs.insert(run, tracked);
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -162,13 +162,16 @@
     /// Sends the numbers of jobs that wait for their first start, for every shard that the
     /// sender owns and has loaded.
     PendingReport(Vec<ShardPending>),
+    /// Orders a run of a job that has had none for long: a filler starts also on a worker where
+    /// it is slow.
+    StartStarved(Box<StartOrder>),
 }
 
 impl PeerMessage {
     /// Returns the kind of the message, as counted in logs.
     pub fn kind(&self) -> &'static str {
         match self {
-            Self::Start(_) | Self::StartLasting { .. } => "start order",
+            Self::Start(_) | Self::StartLasting { .. } | Self::StartStarved(_) => "start order",
             Self::StartAnswer { outcome, .. } => match outcome {
                 StartOutcome::Started => "started",
                 StartOutcome::Refused(_) => "refused start",
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod evacuation;
 pub mod filler;
+pub(crate) mod filler_value;
 pub mod gang;
 pub mod interference;
 pub mod offer;
--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -15,7 +15,8 @@
 use turmericfold_jobs::StepSpec;
 use turmericfold_types::{InstanceName, ServiceName};
 
-use crate::policy::filler::{Filler, filler_value, filler_value_permille};
+use crate::policy::filler::Filler;
+use crate::policy::filler_value::FillerValue;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 
@@ -30,6 +31,8 @@
     pub siblings_by_worker: &'job BTreeMap<InstanceName, u32>,
     /// The workers on which the task has failed.
     pub failed_on: &'job [InstanceName],
+    /// Whether a filler is started also on a worker where that is not worth it.
+    pub is_starved: bool,
 }
 
 impl Demand<'_> {
@@ -67,7 +70,7 @@
     },
     /// A filler.
     Filler {
-        /// Its speed less its costs, in units of `VALUE_STEP_PERMILLE`.
+        /// Its rounded value.
         value: i64,
         /// Whether this process owns the worker.
         is_own: bool,
@@ -103,8 +106,8 @@
 ) -> Option<(i64, usize)> {
     let fitting = || offers.iter().filter(|offer| fits(demand, offer));
     let filler = Filler::of_step(demand.step);
-    let values = fitting().map(|offer| filler_value_permille(interference, filler, offer));
-    Some((values.max()?, fitting().count()))
+    let values = fitting().map(|offer| FillerValue::of(interference, filler, offer));
+    Some((values.max()?.permille(), fitting().count()))
 }
 
 /// Returns the index of the best offer for the task, if any is good enough.
@@ -153,9 +156,14 @@
         .as_ref()
         .is_none_or(|rack| worker.labels.contains(rack));
     let preference = if step.filler {
-        let value = filler_value(interference, Filler::of_step(step), offer)?;
-        let is_own = offer.is_own;
-        Preference::Filler { value, is_own }
+        let value = FillerValue::of(interference, Filler::of_step(step), offer);
+        if !value.is_worth_starting() && !demand.is_starved {
+            return None;
+        }
+        Preference::Filler {
+            value: value.rounded(),
+            is_own: offer.is_own,
+        }
     } else if step.latency_target_ms.is_some() {
         Preference::Serving(co_location(demand, offer))
     } else {
--- a/crates/turmericfold-fleet/src/workers/load.rs
+++ b/crates/turmericfold-fleet/src/workers/load.rs
@@ -63,7 +63,7 @@
         let fillers: u64 = self
             .runs
             .values()
-            .filter(|run| run.is_filler())
+            .filter(|run| run.is_filler() && !run.is_starved)
             .map(|run| run.wanted_millicores() * u64::from(run.pace_percent) / 100)
             .sum();
         let serving_use = reserved_millicores(true) * self.serving_use_permille / 1_000;
@@ -100,7 +100,10 @@
     /// of the image `serving`.
     fn wanted_slack(&self, interference: &InterferenceModel, serving: &EcoString) -> f64 {
         let capacity_millicores = self.entry.capacity.cpu_millicores.max(1) as f64;
-        let fillers = self.runs.values().filter(|run| run.is_filler());
+        let fillers = self
+            .runs
+            .values()
+            .filter(|run| run.is_filler() && !run.is_starved);
         fillers
             .filter_map(|run| run.details.as_ref())
             .map(|details| {
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -68,7 +68,14 @@
             return;
         }
         let cause = match self.may_act_on(context, worker) {
-            true => refusal_cause(context, worker, self.interference(), &order, is_admitted),
+            true => refusal_cause(
+                context,
+                worker,
+                self.interference(),
+                &order,
+                kind,
+                is_admitted,
+            ),
             false => Some(RefusalCause::WorkerUnusable),
         };
         if cause == Some(RefusalCause::NoRoom) && kind.waits_for_room && worker.may_hold(&order) {
@@ -99,6 +106,7 @@
         if let Some(worker) = self.worker_mut(&name) {
             let mut ordered = Run::ordered(order, context.moment.now);
             ordered.is_lasting = kind.is_lasting;
+            ordered.is_starved = kind.is_starved;
             worker.runs.insert(run, ordered);
         }
         self.send_start(context, &name, run, out);
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -208,6 +208,14 @@
                 let kind = OrderKind {
                     is_lasting: true,
                     waits_for_room,
+                    ..OrderKind::default()
+                };
+                self.on_start(context, from, *order, kind, out);
+            }
+            PeerMessage::StartStarved(order) => {
+                let kind = OrderKind {
+                    is_starved: true,
+                    ..OrderKind::default()
                 };
                 self.on_start(context, from, *order, kind, out);
             }
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -204,7 +204,8 @@
             .map(|details| details.image.clone())
             .unwrap_or_default(),
         pace_percent: f64::from(run.pace_percent),
-        is_late: details.is_some_and(|details| context.moment.unix_ms > details.due_ms),
+        is_late: run.is_starved
+            || details.is_some_and(|details| context.moment.unix_ms > details.due_ms),
         progress_percent: run.progress_percent,
         full_pace_share: share(wanted, worker),
     }
--- a/crates/turmericfold-fleet/src/workers/refusal.rs
+++ b/crates/turmericfold-fleet/src/workers/refusal.rs
@@ -4,9 +4,11 @@
 
 use turmericfold_platform::{PlatformError, StartReply};
 
+use super::run::OrderKind;
 use super::worker::Worker;
 use crate::context::Context;
-use crate::policy::filler::{Filler, filler_value};
+use crate::policy::filler::Filler;
+use crate::policy::filler_value::FillerValue;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 use crate::{StartOrder, StartRefusal};
@@ -45,6 +47,7 @@
     worker: &Worker,
     interference: &InterferenceModel,
     order: &StartOrder,
+    kind: OrderKind,
     is_admitted: bool,
 ) -> Option<RefusalCause> {
     if !is_admitted {
@@ -59,7 +62,8 @@
     if !order.details.resources.fits_in(&worker.free_resources()) {
         return Some(RefusalCause::NoRoom);
     }
-    let is_worth_starting = is_worth_starting(context, worker, interference, order);
+    let is_worth_starting =
+        kind.is_starved || is_worth_starting(context, worker, interference, order);
     (!is_worth_starting).then_some(RefusalCause::NotWorthStarting)
 }
 
@@ -76,7 +80,7 @@
     };
     let summary = worker.summary(context.moment, interference);
     let offer = Offer::new(Arc::new(summary), true);
-    filler_value(interference, filler, &offer).is_some()
+    FillerValue::of(interference, filler, &offer).is_worth_starting()
 }
 
 /// Returns the refusal to report for a reply that is not a success.
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -33,6 +33,9 @@
     pub(crate) is_lasting: bool,
     /// Whether the order waits for room if there is none.
     pub(crate) waits_for_room: bool,
+    /// Whether the run's job has had none for long, so that a filler starts also where it is
+    /// slow.
+    pub(crate) is_starved: bool,
 }
 
 /// A run on a worker, as the worker's owner sees it.
@@ -44,6 +47,8 @@
     pub(crate) order: Option<Arc<StartOrder>>,
     /// Whether it is known to run until its job is cancelled.
     pub(crate) is_lasting: bool,
+    /// Whether it was started for a starved job, and uses only what other fillers leave.
+    pub(crate) is_starved: bool,
     /// Its phase.
     pub(crate) phase: RunPhase,
     /// The start or stop call in progress.
@@ -91,6 +96,7 @@
             details: None,
             order: None,
             is_lasting: false,
+            is_starved: false,
             phase: RunPhase::Running { since: now },
             call: None,
             start_token: None,
--- a/tests/features/filler_placement.rs
+++ b/tests/features/filler_placement.rs
@@ -117,6 +117,7 @@
         service: &service,
         siblings_by_worker: &siblings,
         failed_on: &[],
+        is_starved: false,
     };
     let chosen =
         choose_offer(&InterferenceModel::default(), demand, &offers).map(|index| &offers[index]);
--- a/tests/features/gangs.rs
+++ b/tests/features/gangs.rs
@@ -147,6 +147,7 @@
         service: &service,
         siblings_by_worker: &siblings,
         failed_on: &[],
+        is_starved: false,
     };
     place_gang(&InterferenceModel::default(), demand, offers)
 }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -77,6 +77,7 @@
 mod stale_configurations;
 mod stale_owners;
 mod start_doubts;
+mod starved_fillers;
 mod successors;
 mod unanswered_watches;
 mod unheard_handovers;
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -312,6 +312,7 @@
         service: &service,
         siblings_by_worker: &siblings_by_worker,
         failed_on: &[],
+        is_starved: false,
     };
     choose_offer(interference, demand, offers)
 }
