--- a/crates/turmericfold-control/src/node/mod.rs
+++ b/crates/turmericfold-control/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The decision logic of one entry process.
 
 mod claims;
+mod heads;
 mod lease;
 mod paces;
 mod peers;
