--- a/crates/turmericfold-policy/src/batch/scheduler/mod.rs
+++ b/crates/turmericfold-policy/src/batch/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod eviction;
 mod relief;
+mod run_start;
 mod runs;
 mod starts;
 mod tasks;
