Ask once for the reservation that a task may hold

Cause: the size of a task's reservation and the check of quota and profile stood in the same two steps at four places (two kinds of start, the starved tasks and the preemption). Change: permitted_reservation does both; reservation and may_hold become private. Same calls in the same order, no change of behaviour.

--- a/crates/turmericfold-policy/src/batch/scheduler/eviction.rs
+++ b/crates/turmericfold-policy/src/batch/scheduler/eviction.rs
@@ -79,12 +79,9 @@
             },
             _ => return,
         };
-        let Some((_, reservation)) = self.reservation(key) else {
+        let Some((_, reservation)) = self.permitted_reservation(key) else {
             return;
         };
-        if !self.may_hold(key, &reservation) {
-            return;
-        }
         let workers = self.workers.all_keys().len();
         let Some((worker, victims)) =
             self.cheapest_preemption(key, &reservation.amount, preemption)
--- a/crates/turmericfold-policy/src/batch/scheduler/run_start.rs
+++ b/crates/turmericfold-policy/src/batch/scheduler/run_start.rs
@@ -11,9 +11,17 @@
 use super::BatchScheduler;
 
 impl BatchScheduler {
+    /// Returns the reservation for a task, or `None` if the size of its kind must first
+    /// be learned from the active runs, or quota or profile forbid to hold it.
+    pub(super) fn permitted_reservation(&self, key: TaskKey) -> Option<(KindKey, Reservation)> {
+        let (kind, reservation) = self.reservation(key)?;
+        self.may_hold(key, &reservation)
+            .then_some((kind, reservation))
+    }
+
     /// Returns the reservation for a task, or `None` if the size of its kind must first
     /// be learned from the active runs.
-    pub(super) fn reservation(&self, key: TaskKey) -> Option<(KindKey, Reservation)> {
+    fn reservation(&self, key: TaskKey) -> Option<(KindKey, Reservation)> {
         let entry = self.tasks.get(key)?;
         let declared = &entry.record.spec.resources;
         let is_learning = !self.governor.is_frozen();
@@ -28,7 +36,7 @@
     }
 
     /// Returns whether quota and profile allow the task to hold its reservation.
-    pub(super) fn may_hold(&self, key: TaskKey, reservation: &Reservation) -> bool {
+    fn may_hold(&self, key: TaskKey, reservation: &Reservation) -> bool {
         let Some(entry) = self.tasks.get(key) else {
             return false;
         };
--- a/crates/turmericfold-policy/src/batch/scheduler/starts.rs
+++ b/crates/turmericfold-policy/src/batch/scheduler/starts.rs
@@ -159,12 +159,9 @@
         progress: &mut TickProgress,
         ignore_interference: bool,
     ) -> Attempt {
-        let Some((kind, reservation)) = self.reservation(key) else {
+        let Some((kind, reservation)) = self.permitted_reservation(key) else {
             return Attempt::Blocked;
         };
-        if !self.may_hold(key, &reservation) {
-            return Attempt::Blocked;
-        }
         let shape = (kind, reservation.amount.cpu_millicores);
         let has_pending = self
             .tasks
@@ -232,12 +229,9 @@
         placed: &mut Vec<(TaskKey, WorkerKey, Reservation)>,
         ignore_interference: bool,
     ) -> Attempt {
-        let Some((kind, reservation)) = self.reservation(key) else {
+        let Some((kind, reservation)) = self.permitted_reservation(key) else {
             return Attempt::Blocked;
         };
-        if !self.may_hold(key, &reservation) {
-            return Attempt::Blocked;
-        }
         let siblings: Vec<_> = placed.iter().map(|(_, worker, _)| *worker).collect();
         let Some(worker) =
             self.choose_worker(now, key, &reservation, &siblings, ignore_interference)
@@ -267,12 +261,9 @@
         if has_pending || now.since_ms(entry.known_at) < STARVED_MS {
             return;
         }
-        let Some((_, reservation)) = self.reservation(key) else {
+        let Some((_, reservation)) = self.permitted_reservation(key) else {
             return;
         };
-        if !self.may_hold(key, &reservation) {
-            return;
-        }
         let worker = self.placement.draw(self.workers.all_keys());
         let fits_empty = |worker: &WorkerKey| {
             self.workers
