--- a/crates/turmericfold-policy/src/requests/mod.rs
+++ b/crates/turmericfold-policy/src/requests/mod.rs
@@ -7,6 +7,7 @@
 mod drain_rate;
 mod endpoint_health;
 mod endpoint_state;
+mod grant;
 mod peer_choice;
 mod profile_state;
 mod request_scheduler;
@@ -20,10 +21,9 @@
 pub use drain_rate::DrainRate;
 pub use endpoint_health::{EndpointHealth, FULL_WEIGHT_PERMILLE, Outcome};
 pub use endpoint_state::EndpointDeclaration;
+pub use grant::{Decision, Grant, GrantEnd, Offer};
 pub use peer_choice::{PeerChoice, PeerLoad, PeerNeed};
-pub use request_scheduler::{
-    Decision, EndpointKey, Grant, GrantEnd, GroupLoad, Offer, RequestScheduler,
-};
+pub use request_scheduler::{EndpointKey, GroupLoad, RequestScheduler};
 pub use retry_budget::RetryBudget;
 pub use service_bounds::QueueUsage;
 pub use slot_ledger::{SlotKey, SlotLedger};
