Separate the state of one worker from the ledger of all

Cause: batch/worker_ledger.rs had 414 lines and two types with their impls; the ledger reached into the state, and the removal of a task's pending reservation stood three times. Change: WorkerState moves to batch/worker_state.rs (about 215 lines), with a method for each change that the ledger makes; remove_pending stands once. Same steps in the same order, no change of behaviour.

--- a/crates/turmericfold-policy/src/batch/mod.rs
+++ b/crates/turmericfold-policy/src/batch/mod.rs
@@ -18,6 +18,7 @@
 mod task_table;
 mod team_ledger;
 mod worker_ledger;
+mod worker_state;
 
 pub use event::{BatchAction, BatchEvent, RunEnd, StartReason, TaskChange, TaskRecord};
 pub use scheduler::BatchScheduler;
--- a/crates/turmericfold-policy/src/batch/placement.rs
+++ b/crates/turmericfold-policy/src/batch/placement.rs
@@ -8,7 +8,8 @@
 use super::failure_attribution::{Eligibility, FailureAttribution};
 use super::interference::{InterferenceModel, KindShare};
 use super::keys::{KindKey, TaskKey, WorkerKey};
-use super::worker_ledger::{WorkerLedger, WorkerState};
+use super::worker_ledger::WorkerLedger;
+use super::worker_state::WorkerState;
 
 /// Workers drawn at random for one decision. The bound keeps the cost of a decision
 /// independent of the number of workers.
--- a/crates/turmericfold-policy/src/batch/worker_ledger.rs
+++ b/crates/turmericfold-policy/src/batch/worker_ledger.rs
@@ -1,54 +1,13 @@
-//! Capacity and reservations of every worker.
+//! The workers of a shard, by key, name and free capacity.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 use ecow::EcoString;
 use slotmap::SlotMap;
 use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources};
 
-use super::interference::KindShare;
 use super::keys::{KindKey, TaskKey, WorkerKey};
-
-/// Share of a worker kept free for use that measurements do not show yet, in
-/// thousandths. It does not apply to a worker without runs, so a task may fill it.
-const HEADROOM_PERMILLE: u64 = 50;
-
-/// Resources that a run reserves and uses.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RunUsage {
-    pub(crate) kind: KindKey,
-    /// Resources reserved for the run.
-    pub(crate) reserved: Resources,
-    /// Latest measured use, if any measurement arrived.
-    pub(crate) observed: Option<Resources>,
-}
-
-/// Resources reserved for a task that has not started yet.
-#[derive(Debug, Clone, Copy)]
-struct PendingReservation {
-    task: TaskKey,
-    amount: Resources,
-    expires_at: MonotonicMs,
-}
-
-#[derive(Debug)]
-pub(crate) struct WorkerState {
-    pub(crate) name: InstanceName,
-    /// Total resources of the worker.
-    pub(crate) capacity: Resources,
-    pub(crate) failure_domain: FailureDomain,
-    pub(crate) rack: EcoString,
-    /// Whether it accepts no new runs.
-    pub(crate) draining: bool,
-    /// The runs on the worker, by task.
-    pub(crate) runs: BTreeMap<TaskKey, RunUsage>,
-    reserved: Resources,
-    /// Sum over all runs of the larger of reservation and measured use.
-    charged: Resources,
-    /// Share of the processor capacity that each kind uses.
-    shares: Vec<KindShare>,
-    pending: Vec<PendingReservation>,
-}
+use super::worker_state::WorkerState;
 
 /// The workers of a shard.
 ///
@@ -198,33 +157,17 @@
         kind: KindKey,
         reserved: Resources,
     ) {
-        let usage = RunUsage {
-            kind,
-            reserved,
-            observed: None,
-        };
-        self.update(key, |worker| {
-            worker
-                .pending
-                .retain(|reservation| reservation.task != task);
-            worker.runs.insert(task, usage);
-        });
+        self.update(key, |worker| worker.add_run(task, kind, reserved));
     }
 
     /// Releases the resources that a task holds on a worker.
     pub(crate) fn release(&mut self, key: WorkerKey, task: TaskKey) {
-        self.update(key, |worker| {
-            worker.runs.remove(&task);
-        });
+        self.update(key, |worker| worker.remove_run(task));
     }
 
     /// Records a measurement of a run.
     pub(crate) fn observe(&mut self, key: WorkerKey, task: TaskKey, used: Resources) {
-        self.update(key, |worker| {
-            if let Some(usage) = worker.runs.get_mut(&task) {
-                usage.observed = Some(used);
-            }
-        });
+        self.update(key, |worker| worker.observe(task, used));
     }
 
     /// Reserves `amount` for a task that has not started yet, until `expires_at`.
@@ -235,25 +178,12 @@
         amount: Resources,
         expires_at: MonotonicMs,
     ) {
-        self.update(key, |worker| {
-            worker
-                .pending
-                .retain(|reservation| reservation.task != task);
-            worker.pending.push(PendingReservation {
-                task,
-                amount,
-                expires_at,
-            });
-        });
+        self.update(key, |worker| worker.add_pending(task, amount, expires_at));
     }
 
     /// Releases the pending reservation of a task on a worker.
     pub(crate) fn drop_pending(&mut self, key: WorkerKey, task: TaskKey) {
-        self.update(key, |worker| {
-            worker
-                .pending
-                .retain(|reservation| reservation.task != task);
-        });
+        self.update(key, |worker| worker.remove_pending(task));
     }
 
     /// Releases the pending reservations that have expired.
@@ -261,20 +191,11 @@
         let expired: Vec<_> = self
             .workers
             .iter()
-            .filter(|(_, worker)| {
-                worker
-                    .pending
-                    .iter()
-                    .any(|reservation| reservation.expires_at <= now)
-            })
+            .filter(|(_, worker)| worker.has_expired_pending(now))
             .map(|(key, _)| key)
             .collect();
         for key in expired {
-            self.update(key, |worker| {
-                worker
-                    .pending
-                    .retain(|reservation| reservation.expires_at > now);
-            });
+            self.update(key, |worker| worker.remove_expired_pending(now));
         }
     }
 
@@ -311,104 +232,3 @@
         self.capacity = capacity;
     }
 }
-
-impl WorkerState {
-    fn new(name: InstanceName) -> Self {
-        Self {
-            name,
-            capacity: Resources::default(),
-            failure_domain: FailureDomain::default(),
-            rack: EcoString::new(),
-            draining: true,
-            runs: BTreeMap::new(),
-            reserved: Resources::default(),
-            charged: Resources::default(),
-            shares: Vec::new(),
-            pending: Vec::new(),
-        }
-    }
-
-    /// Returns the sum of the reservations of all runs.
-    pub(crate) fn reserved(&self) -> Resources {
-        self.reserved
-    }
-
-    /// Returns the share of the processor capacity that each kind uses.
-    pub(crate) fn shares(&self) -> &[KindShare] {
-        &self.shares
-    }
-
-    /// Returns a processor share in thousandths of the worker's capacity.
-    pub(crate) fn cpu_permille(&self, cpu_millicores: u64) -> u64 {
-        cpu_millicores * 1_000 / self.capacity.cpu_millicores.max(1)
-    }
-
-    /// Returns the sum of the measured use, or of the reservation for runs without a
-    /// measurement.
-    pub(crate) fn estimated_use(&self) -> Resources {
-        self.runs.values().fold(Resources::default(), |sum, run| {
-            sum.plus(&run.observed.unwrap_or(run.reserved))
-        })
-    }
-
-    fn fits(&self, task: TaskKey, amount: &Resources) -> bool {
-        self.fits_after_release(task, amount, &Resources::default())
-    }
-
-    /// Returns whether `amount` would fit for `task` once `freed` is released.
-    pub(crate) fn fits_after_release(
-        &self,
-        task: TaskKey,
-        amount: &Resources,
-        freed: &Resources,
-    ) -> bool {
-        let pending = self
-            .pending
-            .iter()
-            .filter(|reservation| reservation.task != task)
-            .fold(Resources::default(), |sum, reservation| {
-                sum.plus(&reservation.amount)
-            });
-        let reserved = self.reserved.minus(freed);
-        let taken = self.charged.minus(freed).plus(&pending);
-        let limit = match reserved == Resources::default() {
-            true => self.capacity,
-            false => self.capacity.minus(&self.headroom()),
-        };
-        amount.plus(&taken).fits_in(&limit) && amount.plus(&reserved).fits_in(&self.capacity)
-    }
-
-    fn headroom(&self) -> Resources {
-        Resources::new(
-            self.capacity.cpu_millicores * HEADROOM_PERMILLE / 1_000,
-            self.capacity.memory_bytes / 1_000 * HEADROOM_PERMILLE,
-        )
-    }
-
-    fn free_cpu_millicores(&self) -> u64 {
-        self.capacity
-            .cpu_millicores
-            .saturating_sub(self.charged.cpu_millicores)
-    }
-
-    fn recompute(&mut self) {
-        self.reserved = Resources::default();
-        self.charged = Resources::default();
-        self.shares.clear();
-        let capacity_millicores = self.capacity.cpu_millicores.max(1);
-        for run in self.runs.values() {
-            let used = run.observed.unwrap_or_default();
-            self.reserved = self.reserved.plus(&run.reserved);
-            self.charged = self.charged.plus(&run.reserved.max(&used));
-            let cpu = run.observed.unwrap_or(run.reserved).cpu_millicores;
-            let share_permille = cpu * 1_000 / capacity_millicores;
-            match self.shares.iter_mut().find(|share| share.kind == run.kind) {
-                Some(share) => share.share_permille += share_permille,
-                None => self.shares.push(KindShare {
-                    kind: run.kind,
-                    share_permille,
-                }),
-            }
-        }
-    }
-}
