--- a/crates/turmericfold-standin/src/lib.rs
+++ b/crates/turmericfold-standin/src/lib.rs
@@ -15,6 +15,8 @@
 mod store_model;
 mod task_worker_model;
 mod worker_model;
+mod worker_run;
+mod worker_violation;
 
 pub use endpoint::{EndpointFaults, EndpointStandIn, EndpointViolation};
 pub use fault::{CallFault, CallFaults};
@@ -25,4 +27,5 @@
 pub use scripted_endpoint::{Reaction, ReceivedRequest, ScriptedEndpoint};
 pub use store_model::StoreModel;
 pub use task_worker_model::{LEASE_MAX_MS, TaskBehaviour, TaskWorkerModel, WorkerEvent};
-pub use worker_model::{OverloadMargin, WorkerFaults, WorkerModel, WorkerViolation};
+pub use worker_model::{WorkerFaults, WorkerModel};
+pub use worker_violation::{OverloadMargin, WorkerViolation};
--- a/crates/turmericfold-standin/src/platform_server.rs
+++ b/crates/turmericfold-standin/src/platform_server.rs
@@ -17,7 +17,8 @@
 use crate::fault::{CallFault, CallFaults};
 use crate::instance_list::InstanceListModel;
 use crate::store_model::StoreModel;
-use crate::worker_model::{WorkerModel, WorkerViolation};
+use crate::worker_model::WorkerModel;
+use crate::worker_violation::WorkerViolation;
 
 /// The size of the largest request body that is accepted.
 const MAX_BODY_BYTES: u64 = 16 << 20;
--- a/crates/turmericfold-standin/src/worker_model.rs
+++ b/crates/turmericfold-standin/src/worker_model.rs
@@ -9,11 +9,12 @@
     WorkerSyncReply,
 };
 use turmericfold_types::{
-    Epoch, Incarnation, InstanceName, KindName, MonotonicMs, Resources, ServiceName, ShardId,
-    TaskId,
+    Epoch, Incarnation, InstanceName, MonotonicMs, Resources, ServiceName, ShardId, TaskId,
 };
 
 use crate::kind_behaviour::KindBehaviours;
+use crate::worker_run::Run;
+use crate::worker_violation::{OverloadMargin, WorkerViolation};
 
 /// The faults injected into one worker.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -24,32 +25,6 @@
     pub usage_delay_ms: u64,
 }
 
-/// A violation of a rule, detected on a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum WorkerViolation {
-    /// A task had two runs in progress at the same time.
-    DoubleRun {
-        /// The worker of the second run.
-        worker: InstanceName,
-        /// The task.
-        task: TaskId,
-    },
-    /// The reservations exceeded the capacity of the worker.
-    Overload {
-        /// The worker.
-        worker: InstanceName,
-        /// The sum of the reservations.
-        reserved: Resources,
-    },
-    /// The actual usage exceeded the capacity of the worker beyond the margin.
-    TrueOverload {
-        /// The worker.
-        worker: InstanceName,
-        /// The actual usage.
-        used: Resources,
-    },
-}
-
 /// The maximum usage of a run whose kind has no [`KindBehaviour`]: 1 core and 1 GiB.
 ///
 /// [`KindBehaviour`]: crate::KindBehaviour
@@ -59,15 +34,6 @@
     accelerators: u32::MAX,
 };
 
-/// The tolerated excess of actual usage over the capacity of a worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct OverloadMargin {
-    /// The usage that is always tolerated above the capacity, in thousandths of it.
-    pub excess_permille: u64,
-    /// How long a higher usage is tolerated, in milliseconds.
-    pub max_excess_ms: u64,
-}
-
 /// A worker that runs tasks under leases.
 #[derive(Debug, Clone)]
 pub struct WorkerModel {
@@ -88,25 +54,6 @@
     excess_since: Option<MonotonicMs>,
 }
 
-#[derive(Debug, Clone)]
-struct Run {
-    shard: ShardId,
-    task: TaskId,
-    kind: KindName,
-    reserved: Resources,
-    /// The usage while the run is not throttled.
-    demand: Resources,
-    lease_until: MonotonicMs,
-    advanced_at: MonotonicMs,
-    /// The completed work, in milliseconds at full speed.
-    done_ms: u64,
-    /// The total work, in milliseconds at full speed.
-    work_ms: u64,
-    share_permille: u32,
-    evict_at: Option<MonotonicMs>,
-    started_at: MonotonicMs,
-}
-
 impl WorkerModel {
     /// Creates a worker without runs.
     pub fn new(name: InstanceName, capacity: Resources) -> Self {
@@ -430,13 +377,3 @@
         }
     }
 }
-
-impl Run {
-    fn used(&self) -> Resources {
-        let share = u64::from(self.share_permille);
-        Resources {
-            cpu_millicores: self.demand.cpu_millicores * share / 1_000,
-            ..self.demand
-        }
-    }
-}
