Accept the connections of both endpoint stand-ins in one loop

Cause: the loop that accepts connections until the stop, and then closes them, stood in endpoint.rs and in scripted_endpoint.rs. Change: accept_until in accept.rs serves both; what each does with a new connection before it is spawned stays with it.

--- a/crates/turmericfold-standin/src/endpoint.rs
+++ b/crates/turmericfold-standin/src/endpoint.rs
@@ -15,8 +15,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
 
+use crate::accept::accept_until;
 use crate::gate::EndpointGate;
 
 /// The number of open connections above which an endpoint records a violation.
@@ -124,20 +124,11 @@
     where
         Stop: Future<Output = ()>,
     {
-        let mut connections = JoinSet::new();
-        tokio::pin!(stop);
-        loop {
-            tokio::select! {
-                () = &mut stop => break,
-                accepted = listener.accept() => {
-                    let Ok((stream, _)) = accepted else { continue };
-                    let _ = stream.set_nodelay(true);
-                    connections.spawn(self.clone().serve_connection(TokioIo::new(stream)));
-                }
-                Some(_) = connections.join_next() => {}
-            }
-        }
-        connections.shutdown().await;
+        accept_until(listener, stop, |stream| {
+            let _ = stream.set_nodelay(true);
+            self.clone().serve_connection(TokioIo::new(stream))
+        })
+        .await;
     }
 
     async fn serve_connection(self, io: TokioIo<tokio::net::TcpStream>) {
--- a/crates/turmericfold-standin/src/lib.rs
+++ b/crates/turmericfold-standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`TaskWorkerModel`]. The endpoints are small HTTP servers. Faults are injected
 //! through typed switches.
 
+mod accept;
 mod endpoint;
 mod fault;
 mod gate;
--- a/crates/turmericfold-standin/src/scripted_endpoint.rs
+++ b/crates/turmericfold-standin/src/scripted_endpoint.rs
@@ -8,7 +8,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+
+use crate::accept::accept_until;
 
 /// The size above which a request is not read and its connection is closed.
 const MAX_REQUEST_BYTES: usize = 1 << 20;
@@ -121,20 +122,11 @@
     where
         Stop: Future<Output = ()>,
     {
-        let mut connections = JoinSet::new();
-        tokio::pin!(stop);
-        loop {
-            tokio::select! {
-                () = &mut stop => break,
-                accepted = listener.accept() => {
-                    let Ok((stream, _)) = accepted else { continue };
-                    self.lock().connections += 1;
-                    connections.spawn(self.clone().serve_connection(stream));
-                }
-                Some(_) = connections.join_next() => {}
-            }
-        }
-        connections.shutdown().await;
+        accept_until(listener, stop, |stream| {
+            self.lock().connections += 1;
+            self.clone().serve_connection(stream)
+        })
+        .await;
     }
 
     async fn serve_connection(self, mut stream: TcpStream) {
