Look up the worker of a task's active run in one place

Cause: the status of a task and the time line each had the same four steps from a task to the name of the worker that runs it. Change: active_worker does it for both.

--- a/crates/turmericfold-policy/src/batch/scheduler/mod.rs
+++ b/crates/turmericfold-policy/src/batch/scheduler/mod.rs
@@ -281,12 +281,7 @@
     }
 
     fn status_of(&self, entry: &TaskEntry) -> TaskStatus {
-        let worker = entry
-            .state_machine
-            .active()
-            .and_then(|active| self.workers.get(active.worker))
-            .map(|worker| worker.name.clone());
-        let mut status = entry.status(worker);
+        let mut status = entry.status(self.active_worker(entry));
         if entry.state_machine.is_waiting()
             && let Some(reason) = self.waiting_reason(entry)
         {
@@ -295,6 +290,13 @@
         status
     }
 
+    /// Returns the worker of the active run of a task, if any.
+    fn active_worker(&self, entry: &TaskEntry) -> Option<InstanceName> {
+        let active = entry.state_machine.active()?;
+        let worker = self.workers.get(active.worker)?;
+        Some(worker.name.clone())
+    }
+
     /// Returns why a waiting task can't be placed now, if the reason is certain.
     fn waiting_reason(&self, entry: &TaskEntry) -> Option<EcoString> {
         if let Some(misfit) = self.misfit(&self.min_size(&entry.record.spec)) {
--- a/crates/turmericfold-policy/src/batch/scheduler/tasks.rs
+++ b/crates/turmericfold-policy/src/batch/scheduler/tasks.rs
@@ -146,12 +146,7 @@
         let Some(entry) = self.tasks.get(key) else {
             return;
         };
-        let worker = entry
-            .state_machine
-            .active()
-            .and_then(|active| self.workers.get(active.worker))
-            .map(|worker| worker.name.clone());
-        let event = entry.state_event(state, worker, cause);
+        let event = entry.state_event(state, self.active_worker(entry), cause);
         self.actions.push(event);
     }
 
