Read a configuration for plan and apply in one place

Cause: both commands read the configuration, printed its faults and ended as faulty in the same lines. Change: read_or_print_faults in check.rs does it for both; print_faults becomes private. Output and exit codes stay.

--- a/crates/turmericfold/src/commands/apply.rs
+++ b/crates/turmericfold/src/commands/apply.rs
@@ -12,7 +12,7 @@
 use turmericfold_types::{InstanceName, Revision};
 
 use super::block_on;
-use super::check::print_faults;
+use super::check::read_or_print_faults;
 use super::plan::print_plan;
 use crate::args::ApplyOptions;
 use crate::exit::ExitCode;
@@ -27,12 +27,8 @@
 
 /// Puts a configuration in force on all processes, or starts a trial of it.
 pub(super) fn apply(path: &Path, options: &ApplyOptions) -> Result<ExitCode> {
-    let configuration = match Configuration::read(path) {
-        Ok(configuration) => configuration,
-        Err(faults) => {
-            print_faults(&faults);
-            return Ok(ExitCode::Faulty);
-        }
+    let Some(configuration) = read_or_print_faults(path) else {
+        return Ok(ExitCode::Faulty);
     };
     let view = FleetView::new(&options.source)?;
     block_on(apply_to(&view, configuration, options))?
--- a/crates/turmericfold/src/commands/check.rs
+++ b/crates/turmericfold/src/commands/check.rs
@@ -35,8 +35,13 @@
     }
 }
 
+/// Reads a configuration; prints its faults and returns `None` if it has any.
+pub(super) fn read_or_print_faults(path: &Path) -> Option<Configuration> {
+    Configuration::read(path).inspect_err(print_faults).ok()
+}
+
 /// Prints every fault to standard error.
-pub(super) fn print_faults(faults: &Faults) {
+fn print_faults(faults: &Faults) {
     eprintln!("{faults}");
     eprintln!("{} faults", faults.0.len());
 }
--- a/crates/turmericfold/src/commands/plan.rs
+++ b/crates/turmericfold/src/commands/plan.rs
@@ -7,18 +7,14 @@
 use turmericfold_config::{Configuration, LiveStats, effects};
 
 use super::block_on;
-use super::check::print_faults;
+use super::check::read_or_print_faults;
 use crate::exit::ExitCode;
 use crate::fleet_view::{FleetSource, FleetView, StoredRecord, live_stats};
 
 /// Shows the effects that a configuration would have.
 pub(super) fn plan(path: &Path, source: &FleetSource, as_json: bool) -> Result<ExitCode> {
-    let configuration = match Configuration::read(path) {
-        Ok(configuration) => configuration,
-        Err(faults) => {
-            print_faults(&faults);
-            return Ok(ExitCode::Faulty);
-        }
+    let Some(configuration) = read_or_print_faults(path) else {
+        return Ok(ExitCode::Faulty);
     };
     let view = FleetView::new(source)?;
     block_on(async {
