Name the error after a write whose outcome is not known once

Cause: apply and withdraw each spelled out the same message. Change: one constant, to the letter the same text.

--- a/crates/turmericfold/src/commands/apply.rs
+++ b/crates/turmericfold/src/commands/apply.rs
@@ -25,6 +25,10 @@
 /// Timeout of `--wait` outside a trial, in milliseconds.
 const WAIT_TIMEOUT_MS: u64 = 30_000;
 
+/// The error after a write whose outcome is not known.
+const UNKNOWN_OUTCOME: &str =
+    "the outcome of the write is not known; run `turmericfold status` to see what is in force";
+
 /// Puts a configuration in force on all processes, or starts a trial of it.
 pub(super) fn apply(path: &Path, options: &ApplyOptions) -> Result<ExitCode> {
     let Some(configuration) = read_or_print_faults(path) else {
@@ -72,9 +76,7 @@
             }
             Ok(ExitCode::Done)
         }
-        WriteOutcome::Unknown | WriteOutcome::InvalidReply => bail!(
-            "the outcome of the write is not known; run `turmericfold status` to see what is in force"
-        ),
+        WriteOutcome::Unknown | WriteOutcome::InvalidReply => bail!(UNKNOWN_OUTCOME),
     }
 }
 
@@ -256,9 +258,7 @@
                 Ok(ExitCode::Done)
             }
             WriteOutcome::Conflict(present) => Ok(report_conflict(&stored, &present)),
-            WriteOutcome::Unknown | WriteOutcome::InvalidReply => bail!(
-                "the outcome of the write is not known; run `turmericfold status` to see what is in force"
-            ),
+            WriteOutcome::Unknown | WriteOutcome::InvalidReply => bail!(UNKNOWN_OUTCOME),
         }
     })?
 }
