Word the fault of an unreadable file in one place

Cause: the fault of a file and that of a directory that can't be read were built by the same lines twice. Change: unreadable builds both. The text and its mark stay.

--- a/crates/turmericfold-config/src/read.rs
+++ b/crates/turmericfold-config/src/read.rs
@@ -123,16 +123,18 @@
     ecow::eco_format!("{}", path.display())
 }
 
+/// Returns the fault of a file or directory that can't be read.
+fn unreadable(path: &Path, error: &std::io::Error) -> Fault {
+    let mark = Mark::whole_file(display_path(path));
+    Fault::new(&mark, "", ecow::eco_format!("can't be read: {error}"))
+}
+
 fn read_text(path: &Path, faults: &mut Vec<Fault>) -> Option<String> {
     let mark = Mark::whole_file(display_path(path));
     let bytes = match std::fs::read(path) {
         Ok(bytes) => bytes,
         Err(error) => {
-            faults.push(Fault::new(
-                &mark,
-                "",
-                ecow::eco_format!("can't be read: {error}"),
-            ));
+            faults.push(unreadable(path, &error));
             return None;
         }
     };
@@ -162,11 +164,7 @@
             })
             .collect(),
         Err(error) => {
-            faults.push(Fault::new(
-                &mark,
-                "",
-                ecow::eco_format!("can't be read: {error}"),
-            ));
+            faults.push(unreadable(path, &error));
             return Vec::new();
         }
     };
