Log when a task is over its target beside fillers that work

Cause of the blindness: `chose new paces` logs the worst tail, the number of changes and the first pace. It tells neither what this process expected of the task's slack, nor how much the fillers may use, nor how many runs the decision couldn't pace, and it is silent if nothing changes.

Change: one line with the worst task (run, tail_ms, target_ms, over_ms, predicted_slack), the fillers that work (number, share of the worker at their paces) and the number of runs whose pace can't be set now, at most every 450 ms for a worker: once for each decision.

Evidence: filler_paces::late_tasks_are_logged, over a new model of a worker with fillers (tests/src/shared_worker.rs) and captured log lines.

--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -13,6 +13,7 @@
 mod leases;
 mod load;
 mod order;
+mod over_target;
 mod owner;
 mod pace;
 mod permission;
--- /dev/null
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -0,0 +1,78 @@
+//! Tasks that are over their latency target beside fillers.
+
+use turmericfold_jobs::RunKey;
+use turmericfold_types::InstanceName;
+
+use super::owner::WorkerOwner;
+use super::pace::{MIN_PACE_CHANGE_INTERVAL_MS, share};
+use super::run::{Run, RunPhase};
+use super::worker::Worker;
+use crate::Moment;
+
+impl Worker {
+    /// Updates since when a task has been over its target, from the last measurements.
+    pub(super) fn update_over_target(&mut self, moment: Moment) {
+        let is_over = self.worst_task().is_some_and(|(_, _, slack)| slack < 1.0);
+        let since = self.over_target_since.unwrap_or(moment.now);
+        self.over_target_since = is_over.then_some(since);
+    }
+
+    /// Returns the ready task with the least measured slack, and that slack.
+    pub(super) fn worst_task(&self) -> Option<(RunKey, &Run, f64)> {
+        let measured = self.runs.iter();
+        let measured = measured.filter_map(|(key, run)| Some((*key, run, run.measured_slack()?)));
+        measured.min_by(|(.., one), (.., other)| one.total_cmp(other))
+    }
+
+    /// Returns the fillers that work, as far as is known.
+    fn working_fillers(&self) -> impl Iterator<Item = &Run> {
+        let fillers = self.runs.values().filter(|run| run.is_filler());
+        fillers.filter(|run| run.pace_percent > 0)
+    }
+
+    /// Returns the number of runs whose pace can't be set now, and which may be fillers that
+    /// work: they have no details yet, their start or pace call is not answered, or they are
+    /// being stopped.
+    fn unpaced_runs(&self) -> usize {
+        let is_unpaced = |run: &&Run| {
+            let is_running = matches!(run.phase, RunPhase::Running { .. });
+            run.details.is_none() || run.is_filler() && (!is_running || run.pace_call.is_some())
+        };
+        self.runs.values().filter(is_unpaced).count()
+    }
+}
+
+impl WorkerOwner {
+    /// Logs that a task is over its target beside fillers that work, at most once for each
+    /// decision about their pace.
+    pub(super) fn log_over_target(&mut self, moment: Moment, name: &InstanceName) {
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        let is_due = moment.since_ms(worker.over_target_logged_at) >= MIN_PACE_CHANGE_INTERVAL_MS;
+        let Some(since) = worker.over_target_since.filter(|_| is_due) else {
+            return;
+        };
+        let fillers = worker.working_fillers().count();
+        let Some((run, task, _)) = worker.worst_task().filter(|_| fillers > 0) else {
+            return;
+        };
+        let paced = |run: &Run| run.wanted_millicores() * u64::from(run.pace_percent) / 100;
+        let paced_millicores: u64 = worker.working_fillers().map(paced).sum();
+        log::info!(
+            worker:% = name,
+            run:% = run,
+            tail_ms = task.measurement,
+            target_ms = task.latency_target_ms().unwrap_or_default(),
+            over_ms = moment.since_ms(since),
+            predicted_slack = task.predicted_slack(self.interference()).unwrap_or_default(),
+            fillers = fillers,
+            filler_share = share(paced_millicores, worker),
+            unpaced = worker.unpaced_runs();
+            "task is over its latency target beside fillers that work; deciding their pace"
+        );
+        if let Some(worker) = self.worker_mut(name) {
+            worker.over_target_logged_at = moment.now;
+        }
+    }
+}
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -5,7 +5,7 @@
 use turmericfold_types::InstanceName;
 
 use super::owner::{WorkerOwner, keys_where};
-use super::run::{Run, RunPhase};
+use super::run::{Run, RunPhase, SERVING_READY_PERCENT};
 use super::worker::Worker;
 use crate::context::Context;
 use crate::policy::interference::{FillerUse, InterferenceModel};
@@ -14,10 +14,7 @@
 
 /// The least time between two changes of pace on one worker, in milliseconds: the
 /// measurements span the last half second.
-const MIN_PACE_CHANGE_INTERVAL_MS: u64 = 450;
-
-/// The progress that a long-running task reports once it is ready, in percent.
-const SERVING_READY_PERCENT: u32 = 100;
+pub(super) const MIN_PACE_CHANGE_INTERVAL_MS: u64 = 450;
 
 impl WorkerOwner {
     /// Updates the interference model from the measurements of a poll, and sets the pace of
@@ -29,6 +26,7 @@
         out: &mut Outbox,
     ) {
         self.learn_interference(context, name);
+        self.log_over_target(context.moment, name);
         let Some(worker) = self.worker(name) else {
             return;
         };
@@ -70,6 +68,7 @@
             return;
         };
         worker.update_serving_use(context.moment);
+        worker.update_over_target(context.moment);
         let uses = filler_uses(worker);
         let keys = keys_where(worker, |_, run| {
             run.latency_target_ms().is_some() && run.progress_percent >= SERVING_READY_PERCENT
@@ -173,10 +172,9 @@
     let is_ready = |run: &&Run| run.progress_percent >= SERVING_READY_PERCENT;
     let task = |run: &Run| {
         let (image, _) = run.serving()?;
-        let slack_loss = run.slack_tracker.slack_loss(interference, image);
         Some(ServingTask {
             image: image.clone(),
-            slack: run.slack_tracker.predicted_slack(slack_loss)?,
+            slack: run.predicted_slack(interference)?,
         })
     };
     worker
@@ -231,7 +229,7 @@
 }
 
 /// Returns the share of the worker's processor time, from 0 to 1.
-fn share(millicores: u64, worker: &Worker) -> f64 {
+pub(super) fn share(millicores: u64, worker: &Worker) -> f64 {
     millicores as f64 / worker.entry.capacity.cpu_millicores.max(1) as f64
 }
 
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -7,8 +7,12 @@
 
 use super::fencing_token::FencingToken;
 use super::slack::SlackTracker;
+use crate::policy::interference::InterferenceModel;
 use crate::{CallId, RunDetails, StartOrder};
 
+/// The progress that a long-running task reports once it is ready, in percent.
+pub(super) const SERVING_READY_PERCENT: u32 = 100;
+
 /// The phase of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -142,6 +146,22 @@
         Some((&details.image, details.latency_target_ms?))
     }
 
+    /// Returns the slack that the run is expected to have soon without fillers, if it has a
+    /// target and was measured.
+    pub(crate) fn predicted_slack(&self, interference: &InterferenceModel) -> Option<f64> {
+        let (image, _) = self.serving()?;
+        let slack_loss = self.slack_tracker.slack_loss(interference, image);
+        self.slack_tracker.predicted_slack(slack_loss)
+    }
+
+    /// Returns the latency target divided by the last measured tail latency, if the run has a
+    /// target and is ready; below 1 it is over its target.
+    pub(crate) fn measured_slack(&self) -> Option<f64> {
+        let is_ready = self.progress_percent >= SERVING_READY_PERCENT;
+        let target_ms = self.latency_target_ms().filter(|_| is_ready)?;
+        Some(target_ms as f64 / self.measurement.max(1) as f64)
+    }
+
     /// Returns the latency target in milliseconds, if the run has one.
     pub(crate) fn latency_target_ms(&self) -> Option<u64> {
         self.details.as_ref()?.latency_target_ms
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -138,6 +138,10 @@
     pub(crate) ends: BTreeMap<RunKey, TrackedEnd>,
     /// The runs that must not start any more, with the time until which each is kept.
     pub(crate) barred: BTreeMap<RunKey, MonotonicMs>,
+    /// Since when a task on it has been measured over its latency target, if one is.
+    pub(super) over_target_since: Option<MonotonicMs>,
+    /// When it was last logged that a task is over its target beside fillers that work.
+    pub(super) over_target_logged_at: MonotonicMs,
     /// When the pace of fillers was last changed.
     pub(crate) paced_at: MonotonicMs,
     /// The part of their reservation that its tasks with a latency target use, in
@@ -190,6 +194,8 @@
             waiting_orders: WaitingOrders::default(),
             ends: BTreeMap::new(),
             barred: BTreeMap::new(),
+            over_target_since: None,
+            over_target_logged_at: MonotonicMs::default(),
             paced_at: now,
             serving_use_permille: DEFAULT_SERVING_USE_PERMILLE,
         }
--- /dev/null
+++ b/tests/features/filler_paces.rs
@@ -0,0 +1,72 @@
+//! The pace of fillers beside tasks with a latency target: no task is over its target for long
+//! because of fillers, also if the learned effects are wrong or calls are lost.
+
+use rstest::rstest;
+use turmericfold_fleet::policy::pacing::MIN_SLACK;
+use turmericfold_tests::captured_logs::{self, LogLine};
+use turmericfold_tests::shared_worker::{Conditions, SharedWorker};
+
+/// The duration of a simulation, in milliseconds.
+const SIMULATED_MS: u64 = 60_000;
+
+/// With right estimates and in calm, fillers use the slack that the tasks have to spare.
+#[rstest]
+#[case("all run at full pace", 4.0, 2.0, 0.75)]
+#[case("they share what is left", 2.0, 3.0, (2.0 - MIN_SLACK) / 3.0)]
+fn calm_fillers_use_the_slack(
+    #[case] scenario: &str,
+    #[case] slack: f64,
+    #[case] effect: f64,
+    #[case] expected_share: f64,
+) {
+    let mut worker = SharedWorker::new(Conditions {
+        effect,
+        learned_effect: Some(effect),
+        slacks: (slack, slack),
+        ..Conditions::default()
+    });
+    worker.start_all(3, 6, 1_000);
+    worker.run_for(10_000);
+    worker.paced_share_sum = 0.0;
+    let started_ms = worker.now_ms();
+    worker.run_for(SIMULATED_MS);
+    let steps = (worker.now_ms() - started_ms) as f64 / 10.0;
+    let mean_share = worker.paced_share_sum / steps;
+    assert!(
+        mean_share >= expected_share * 0.93,
+        "{scenario}: {mean_share} of {expected_share}"
+    );
+}
+
+fn set_load(worker: &mut SharedWorker, slack: f64, duration_ms: u64) {
+    worker.conditions.slacks = (slack, slack);
+    worker.run_for(duration_ms);
+}
+
+/// A task over its target beside fillers that work is logged, at most once for each decision.
+#[test]
+fn late_tasks_are_logged() {
+    let mut worker = SharedWorker::new(Conditions {
+        effect: 1.2,
+        learned_effect: Some(40.0),
+        ..Conditions::default()
+    });
+    worker.start_all(2, 6, 1_000);
+    captured_logs::capture();
+    worker.run_for(8_000);
+    let is_late = |line: &LogLine| line.message.contains("over its latency target");
+    assert!(!captured_logs::take().iter().any(is_late), "in calm");
+    set_load(&mut worker, 1.2, 2_500);
+    let lines: Vec<LogLine> = captured_logs::take().into_iter().filter(is_late).collect();
+    assert!((1..=5).contains(&lines.len()), "{lines:?}");
+    let fields = &lines[0].fields;
+    let number = |name: &str| fields[name].parse::<f64>().unwrap();
+    assert!(fields.contains_key("worker") && fields.contains_key("run"));
+    assert_eq!(number("target_ms"), 150.0);
+    assert!(number("tail_ms") > 150.0, "{fields:?}");
+    assert_eq!(number("over_ms"), 0.0);
+    assert!(number("predicted_slack") > 0.0, "{fields:?}");
+    assert_eq!(number("fillers"), 6.0);
+    assert!((0.0..0.8).contains(&number("filler_share")), "{fields:?}");
+    assert_eq!(number("unpaced"), 0.0);
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -22,6 +22,7 @@
 mod endpoint_faults;
 mod endpoint_health;
 mod faulty_files;
+mod filler_paces;
 mod filler_placement;
 mod fleet_jobs;
 mod fleet_ownership;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod batch_world;
 mod http_probe;
 
+pub mod captured_logs;
 pub mod cut_fleet;
 pub mod driven_node;
 pub mod fleet_world;
@@ -15,6 +16,7 @@
 pub mod node_parts;
 pub mod restart_soak;
 pub mod shard_owner;
+pub mod shared_worker;
 pub mod shared_workers;
 mod site_decoder;
 pub mod site_store;
--- a/tests/src/worker_owner.rs
+++ b/tests/src/worker_owner.rs
@@ -4,7 +4,7 @@
     Authority, CallId, Event, JobShard, PeerMessage, RunDetails, StartOrder, StartOutcome,
     WorkerCall, WorkerResult,
 };
-use turmericfold_jobs::{JobId, RunEnd};
+use turmericfold_jobs::{JobId, RunEnd, RunKey};
 use turmericfold_platform::{
     PlatformError, PollCall, PollReply, StartCall, StoreCall, StoreReply, StoreVersion, WorkerEntry,
 };
@@ -202,6 +202,19 @@
 
     /// Orders a run by its number as the owner of the job.
     pub fn order_run(&mut self, number: u64) {
+        let details = RunDetails {
+            resources: Resources::default(),
+            wanted_millicores: 1_000,
+            filler: false,
+            latency_target_ms: None,
+            image: "".into(),
+            due_ms: 0,
+        };
+        self.order_with(run(JOB, number), details);
+    }
+
+    /// Orders a run with these details as the owner of the job.
+    pub fn order_with(&mut self, run: RunKey, details: RunDetails) {
         let order = StartOrder {
             authority: Authority {
                 shard: JobShard::of(JOB),
@@ -209,17 +222,10 @@
             },
             worker: InstanceName::new(WORKER),
             worker_epoch: WORKER_EPOCH,
-            run: run(JOB, number),
+            run,
             payload: "visit".into(),
             checkpoint: None,
-            details: RunDetails {
-                resources: Resources::default(),
-                wanted_millicores: 1_000,
-                filler: false,
-                latency_target_ms: None,
-                image: "".into(),
-                due_ms: 0,
-            },
+            details,
         };
         self.driven.deliver(Event::Peer {
             from: process(1, 1),
