Set the pace of a filler that a former owner or a lost call may have changed

Cause: a filler found after a takeover, and one whose pace call failed or had no answer, counted as at 100%. If 100% was wanted, no call was sent: one that is at 0 on its worker stayed there for good.

Change: the known pace is a type with the two states known and unknown. A found filler and one whose call got no answer are unknown: they count as at full pace, and the next decision always sends a call. A call that certainly had no effect changes nothing.

Evidence: filler_paces::found_fillers_are_paced and filler_paces::lost_paces_are_set_again with a lost raise failed on the code before (pace Some(0) instead of Some(100)), and pass now.

--- /dev/null
+++ b/crates/turmericfold-fleet/src/workers/filler_pace.rs
@@ -0,0 +1,91 @@
+//! The pace of a filler, as the owner of its worker knows it.
+
+use turmericfold_platform::PlatformError;
+
+use crate::CallId;
+
+/// The pace of a run at its start, and the highest, in percent.
+const FULL_PACE_PERCENT: u32 = 100;
+
+/// What is known of the pace of a run on its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KnownPace {
+    /// It is this, in percent.
+    Percent(u32),
+    /// A former owner of the worker may have set it, or a call that set it got no answer.
+    Unknown,
+}
+
+/// A pace call in progress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PaceCallInProgress {
+    call: CallId,
+    percent: u32,
+}
+
+/// The pace of a filler.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct FillerPace {
+    known: KnownPace,
+    call: Option<PaceCallInProgress>,
+}
+
+impl FillerPace {
+    /// Returns the pace of a run that this process starts.
+    pub(super) fn of_started() -> Self {
+        Self {
+            known: KnownPace::Percent(FULL_PACE_PERCENT),
+            call: None,
+        }
+    }
+
+    /// Returns the pace of a run that was found on its worker.
+    pub(super) fn of_found() -> Self {
+        Self {
+            known: KnownPace::Unknown,
+            call: None,
+        }
+    }
+
+    /// Returns the highest pace that the run may have now, in percent.
+    pub(crate) fn highest_percent(&self) -> u32 {
+        let known_percent = match self.known {
+            KnownPace::Percent(percent) => percent,
+            KnownPace::Unknown => FULL_PACE_PERCENT,
+        };
+        let ordered_percent = self.call.map_or(0, |call| call.percent);
+        known_percent.max(ordered_percent)
+    }
+
+    /// Returns whether a call that sets the pace is in progress.
+    pub(super) fn is_being_set(&self) -> bool {
+        self.call.is_some()
+    }
+
+    /// Returns whether the run may have another pace than `percent`, so that a call is needed.
+    pub(super) fn may_differ_from(&self, percent: u32) -> bool {
+        self.known != KnownPace::Percent(percent)
+    }
+
+    /// Records that a call is sent that sets the pace.
+    pub(super) fn on_call_sent(&mut self, call: CallId, percent: u32) {
+        self.call = Some(PaceCallInProgress { call, percent });
+    }
+
+    /// Records the result of a call; returns false if it is not the one in progress.
+    pub(super) fn on_call_result(
+        &mut self,
+        call: CallId,
+        result: &Result<(), PlatformError>,
+    ) -> bool {
+        let Some(sent) = self.call.take_if(|sent| sent.call == call) else {
+            return false;
+        };
+        match result {
+            Ok(()) => self.known = KnownPace::Percent(sent.percent),
+            Err(error) if error.has_no_effect() => {}
+            Err(_) => self.known = KnownPace::Unknown,
+        }
+        true
+    }
+}
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -8,6 +8,7 @@
 mod evidence;
 mod expiry;
 mod fencing_token;
+mod filler_pace;
 mod isolation;
 mod lateness;
 mod leases;
--- a/crates/turmericfold-fleet/src/workers/over_target.rs
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -27,7 +27,7 @@
     /// Returns the fillers that work, as far as is known.
     fn working_fillers(&self) -> impl Iterator<Item = &Run> {
         let fillers = self.runs.values().filter(|run| run.is_filler());
-        fillers.filter(|run| run.pace_percent > 0)
+        fillers.filter(|run| run.pace.highest_percent() > 0)
     }
 
     /// Returns the number of runs whose pace can't be set now, and which may be fillers that
@@ -36,7 +36,7 @@
     fn unpaced_runs(&self) -> usize {
         let is_unpaced = |run: &&Run| {
             let is_running = matches!(run.phase, RunPhase::Running { .. });
-            run.details.is_none() || run.is_filler() && (!is_running || run.pace_call.is_some())
+            run.details.is_none() || run.is_filler() && (!is_running || run.pace.is_being_set())
         };
         self.runs.values().filter(is_unpaced).count()
     }
@@ -57,7 +57,8 @@
         let Some((run, task, _)) = worker.worst_task().filter(|_| fillers > 0) else {
             return;
         };
-        let paced = |run: &Run| run.wanted_millicores() * u64::from(run.pace_percent) / 100;
+        let paced =
+            |run: &Run| run.wanted_millicores() * u64::from(run.pace.highest_percent()) / 100;
         let paced_millicores: u64 = worker.working_fillers().map(paced).sum();
         log::info!(
             worker:% = name,
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -47,17 +47,14 @@
             return;
         };
         let serving = serving_tasks(self.interference(), worker);
-        let keys: Vec<RunKey> = paced_fillers(worker).map(|(key, _)| *key).collect();
         let fillers: Vec<FillerTask> = paced_fillers(worker)
             .map(|(_, run)| filler_task(context, worker, run))
             .collect();
         let wanted = filler_paces(self.interference(), &serving, &fillers);
-        let changes: Vec<(RunKey, u32)> = keys
-            .into_iter()
-            .zip(&fillers)
+        let changes: Vec<(RunKey, u32)> = paced_fillers(worker)
             .zip(wanted)
-            .map(|((key, filler), percent)| (key, filler.pace_percent as u32, percent as u32))
-            .filter(|(_, before, percent)| before != percent)
+            .map(|((key, run), percent)| (*key, run, percent as u32))
+            .filter(|(_, run, percent)| run.pace.may_differ_from(*percent))
             .map(|(key, _, percent)| (key, percent))
             .collect();
         self.order_paces(context, name, &changes, out);
@@ -138,31 +135,28 @@
                 token,
             };
             if let Some(run) = worker.runs.get_mut(key) {
-                run.pace_percent = *percent;
-                run.pace_call = Some(out.call_worker(&entry, WorkerCall::Pace(call)));
+                let id = out.call_worker(&entry, WorkerCall::Pace(call));
+                run.pace.on_call_sent(id, *percent);
             }
         }
     }
 
-    /// Handles the result of a pace call; after a failure the pace is decided again.
+    /// Handles the result of a pace call; without an answer the pace is set again at the next
+    /// decision.
     pub(super) fn on_pace_result(
         &mut self,
         name: &InstanceName,
         call: CallId,
         result: &Result<(), PlatformError>,
     ) {
-        let run = self.worker_mut(name).and_then(|worker| {
-            let mut runs = worker.runs.values_mut();
-            runs.find(|run| run.pace_call == Some(call))
-        });
-        let Some(run) = run else {
+        let Some(worker) = self.worker_mut(name) else {
             return;
         };
-        run.pace_call = None;
-        if let Err(error) = result {
-            log::info!(worker:% = name, error:% = error; "pace call to a worker failed; assuming full pace until the next decision");
-            // Full pace is assumed, so that the pace is lowered again where necessary.
-            run.pace_percent = 100;
+        let mut runs = worker.runs.iter_mut();
+        let found =
+            runs.find_map(|(key, run)| run.pace.on_call_result(call, result).then_some(key));
+        if let (Some(run), Err(error)) = (found, result) {
+            log::info!(run:% = run, worker:% = name, error:% = error; "pace call to a worker failed; setting the pace again at the next decision");
         }
     }
 }
@@ -191,7 +185,7 @@
     worker
         .runs
         .iter()
-        .filter(move |(_, run)| run.is_filler() && running(run) && run.pace_call.is_none())
+        .filter(move |(_, run)| run.is_filler() && running(run) && !run.pace.is_being_set())
 }
 
 fn filler_task(context: Context<'_>, worker: &Worker, run: &Run) -> FillerTask {
@@ -201,7 +195,7 @@
         image: details
             .map(|details| details.image.clone())
             .unwrap_or_default(),
-        pace_percent: f64::from(run.pace_percent),
+        pace_percent: f64::from(run.pace.highest_percent()),
         is_late: details.is_some_and(|details| context.moment.unix_ms > details.due_ms),
         progress_percent: run.progress_percent,
         full_pace_share: share(wanted, worker),
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -6,6 +6,7 @@
 use turmericfold_types::MonotonicMs;
 
 use super::fencing_token::FencingToken;
+use super::filler_pace::FillerPace;
 use super::slack::SlackTracker;
 use crate::policy::interference::InterferenceModel;
 use crate::{CallId, RunDetails, StartOrder};
@@ -68,10 +69,8 @@
     /// Its tail latency in milliseconds if it has a latency target, else the millicores
     /// that it uses.
     pub(crate) measurement: u64,
-    /// The pace that was ordered last, in percent.
-    pub(crate) pace_percent: u32,
-    /// The pace call in progress.
-    pub(crate) pace_call: Option<CallId>,
+    /// Its pace, if it is a filler.
+    pub(crate) pace: FillerPace,
     /// The history of its slack, if it has a latency target.
     pub(crate) slack_tracker: SlackTracker,
     /// When the run was last reported to its job's owner as found.
@@ -84,6 +83,7 @@
         Self {
             details: Some(order.details.clone()),
             order: Some(order),
+            pace: FillerPace::of_started(),
             ..Self::found(now)
         }
         .with_phase(RunPhase::Ordered)
@@ -104,8 +104,7 @@
             progress_percent: 0,
             checkpoint: None,
             measurement: 0,
-            pace_percent: 100,
-            pace_call: None,
+            pace: FillerPace::of_found(),
             slack_tracker: SlackTracker::default(),
             reported_at: MonotonicMs::default(),
         }
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use turmericfold_fleet::policy::pacing::MIN_SLACK;
 use turmericfold_tests::captured_logs::{self, LogLine};
-use turmericfold_tests::shared_worker::{Conditions, SharedWorker};
+use turmericfold_tests::shared_worker::{Conditions, SharedWorker, filler_details, filler_key};
 
 /// The duration of a simulation, in milliseconds.
 const SIMULATED_MS: u64 = 60_000;
@@ -38,11 +38,40 @@
     );
 }
 
+/// A filler that a former owner has slowed down gets its full pace back.
+#[test]
+fn found_fillers_are_paced() {
+    let mut worker = SharedWorker::new(Conditions::default());
+    worker.add_found(filler_key(1), filler_details(1_000), 0);
+    worker.run_for(4_000);
+    assert_eq!(worker.pace_percent(filler_key(1)), Some(100));
+    assert_eq!(worker.pace_calls.len(), 1, "{:?}", worker.pace_calls);
+}
+
 fn set_load(worker: &mut SharedWorker, slack: f64, duration_ms: u64) {
     worker.conditions.slacks = (slack, slack);
     worker.run_for(duration_ms);
 }
 
+/// A filler whose pace call got no answer is slowed down, or gets its full pace back, in spite
+/// of that.
+#[rstest]
+fn lost_paces_are_set_again(
+    #[values(None, Some(0))] delay_ms: Option<u64>,
+    #[values(true, false)] is_raise_lost: bool,
+) {
+    let mut worker = SharedWorker::new(Conditions::default());
+    worker.lost_paces_delay_ms = delay_ms;
+    worker.start_all(1, 1, 1_000);
+    worker.run_for(5_000);
+    worker.lost_paces = u32::from(!is_raise_lost);
+    set_load(&mut worker, 1.1, 5_000);
+    assert_eq!(worker.pace_percent(filler_key(1)), Some(0), "under load");
+    worker.lost_paces = u32::from(is_raise_lost);
+    set_load(&mut worker, 4.0, 10_000);
+    assert_eq!(worker.pace_percent(filler_key(1)), Some(100), "in calm");
+}
+
 /// A task over its target beside fillers that work is logged, at most once for each decision.
 #[test]
 fn late_tasks_are_logged() {
