Undo paces that late calls set after newer ones

Cause: a call without an answer may take effect seconds later, after newer ones. If a raise was lost, the filler was lowered to 0 by an answered call, and the raise then took effect, this process took the filler to be at 0 and never sent another call.

Change: for 3 s after a pace call without an answer, each decision sends the pace again, whether or not it seems to be in force.

Evidence: filler_paces::late_paces_are_undone.

--- a/crates/turmericfold-fleet/src/workers/filler_pace.rs
+++ b/crates/turmericfold-fleet/src/workers/filler_pace.rs
@@ -1,12 +1,17 @@
 //! The pace of a filler, as the owner of its worker knows it.
 
 use turmericfold_platform::PlatformError;
+use turmericfold_types::MonotonicMs;
 
 use crate::CallId;
 
 /// The pace of a run at its start, and the highest, in percent.
 const FULL_PACE_PERCENT: u32 = 100;
 
+/// The time after which a pace call without an answer takes no effect any more, in
+/// milliseconds: workers may handle calls seconds late, and after newer ones.
+const LATE_CALL_MS: u64 = 3_000;
+
 /// What is known of the pace of a run on its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum KnownPace {
@@ -28,6 +33,8 @@
 pub(crate) struct FillerPace {
     known: KnownPace,
     call: Option<PaceCallInProgress>,
+    /// Until when an earlier call without an answer may still take effect.
+    late_call_until: MonotonicMs,
 }
 
 impl FillerPace {
@@ -36,6 +43,7 @@
         Self {
             known: KnownPace::Percent(FULL_PACE_PERCENT),
             call: None,
+            late_call_until: MonotonicMs::default(),
         }
     }
 
@@ -44,6 +52,7 @@
         Self {
             known: KnownPace::Unknown,
             call: None,
+            late_call_until: MonotonicMs::default(),
         }
     }
 
@@ -62,9 +71,10 @@
         self.call.is_some()
     }
 
-    /// Returns whether the run may have another pace than `percent`, so that a call is needed.
-    pub(super) fn may_differ_from(&self, percent: u32) -> bool {
-        self.known != KnownPace::Percent(percent)
+    /// Returns whether the run may have another pace than `percent`, or get one by a late call,
+    /// so that a call is needed.
+    pub(super) fn may_differ_from(&self, percent: u32, now: MonotonicMs) -> bool {
+        self.known != KnownPace::Percent(percent) || now < self.late_call_until
     }
 
     /// Records that a call is sent that sets the pace.
@@ -75,6 +85,7 @@
     /// Records the result of a call; returns false if it is not the one in progress.
     pub(super) fn on_call_result(
         &mut self,
+        now: MonotonicMs,
         call: CallId,
         result: &Result<(), PlatformError>,
     ) -> bool {
@@ -84,7 +95,10 @@
         match result {
             Ok(()) => self.known = KnownPace::Percent(sent.percent),
             Err(error) if error.has_no_effect() => {}
-            Err(_) => self.known = KnownPace::Unknown,
+            Err(_) => {
+                self.known = KnownPace::Unknown;
+                self.late_call_until = now + LATE_CALL_MS;
+            }
         }
         true
     }
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -10,7 +10,7 @@
 use crate::context::Context;
 use crate::policy::interference::{FillerUse, InterferenceModel};
 use crate::policy::pacing::{FillerTask, ServingTask, filler_paces};
-use crate::{CallId, Outbox, WorkerCall};
+use crate::{CallId, Moment, Outbox, WorkerCall};
 
 /// The least time between two changes of pace on one worker, in milliseconds: the
 /// measurements span the last half second.
@@ -54,7 +54,7 @@
         let changes: Vec<(RunKey, u32)> = paced_fillers(worker)
             .zip(wanted)
             .map(|((key, run), percent)| (*key, run, percent as u32))
-            .filter(|(_, run, percent)| run.pace.may_differ_from(*percent))
+            .filter(|(_, run, percent)| run.pace.may_differ_from(*percent, context.moment.now))
             .map(|(key, _, percent)| (key, percent))
             .collect();
         self.order_paces(context, name, &changes, out);
@@ -145,6 +145,7 @@
     /// decision.
     pub(super) fn on_pace_result(
         &mut self,
+        moment: Moment,
         name: &InstanceName,
         call: CallId,
         result: &Result<(), PlatformError>,
@@ -153,8 +154,11 @@
             return;
         };
         let mut runs = worker.runs.iter_mut();
-        let found =
-            runs.find_map(|(key, run)| run.pace.on_call_result(call, result).then_some(key));
+        let found = runs.find_map(|(key, run)| {
+            run.pace
+                .on_call_result(moment.now, call, result)
+                .then_some(key)
+        });
         if let (Some(run), Err(error)) = (found, result) {
             log::info!(run:% = run, worker:% = name, error:% = error; "pace call to a worker failed; setting the pace again at the next decision");
         }
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -72,6 +72,28 @@
     assert_eq!(worker.pace_percent(filler_key(1)), Some(100), "in calm");
 }
 
+/// A pace call without an answer that takes effect after a later call is undone.
+#[test]
+fn late_paces_are_undone() {
+    let mut worker = SharedWorker::new(Conditions {
+        effect: 8.0,
+        ..Conditions::default()
+    });
+    worker.lost_paces_delay_ms = Some(1_800);
+    worker.start_all(1, 1, 1_000);
+    set_load(&mut worker, 1.1, 5_000);
+    assert_eq!(worker.pace_percent(filler_key(1)), Some(0), "under load");
+    worker.lost_paces = 1;
+    set_load(&mut worker, 4.0, 1_200);
+    set_load(&mut worker, 1.1, 10_000);
+    assert_eq!(worker.lost_paces, 0, "no call was lost");
+    assert_eq!(
+        worker.pace_percent(filler_key(1)),
+        Some(0),
+        "under load again"
+    );
+}
+
 /// A task over its target beside fillers that work is logged, at most once for each decision.
 #[test]
 fn late_tasks_are_logged() {
