Never keep a pace that is too high because its reduction is small

Cause: a change of less than 8 points was not sent unless it led to 0 or 100. Each of several fillers could keep up to 7 points more than the tasks had slack for, decision after decision.

Change: only small rises are not sent. A wanted pace below the current one always means that some task lacks slack, since a filler gets as much of its current pace as the slack allows.

Evidence: filler_paces::small_reductions_add_up. It failed on the code before (a filler at 55 kept its pace where 50 was left, so that the task fell below MIN_SLACK), and passes now. filler_paces::calm_fillers_use_the_slack still passes: the fillers use the same slack in calm.

--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -12,8 +12,8 @@
 /// below 1 / slack of the target.
 pub const MIN_SLACK: f64 = 1.15;
 
-/// The least change of a pace for which an order is sent, in percent of full pace.
-const MIN_PACE_CHANGE_PERCENT: f64 = 8.0;
+/// The least rise of a pace for which an order is sent, in percent of full pace.
+const MIN_PACE_RISE_PERCENT: f64 = 8.0;
 
 /// A task with a latency target.
 #[derive(Debug, Clone, PartialEq)]
@@ -58,7 +58,7 @@
             .zip(&effects)
             .map(|(left, effect)| left.max(0.0) / effect.max(f64::MIN_POSITIVE))
             .fold(1.0, f64::min);
-        paces[index] = suppress_small_change(allowed * 100.0, filler.pace_percent);
+        paces[index] = suppress_small_rise(allowed * 100.0, filler.pace_percent);
         for (left, effect) in left.iter_mut().zip(&effects) {
             *left -= paces[index] / 100.0 * effect;
         }
@@ -95,13 +95,14 @@
     order
 }
 
-/// Returns `wanted`, or `current` if the change is too small for an order.
+/// Returns `wanted`, or `current` if the rise is too small for an order.
 ///
-/// A change to 0 or 100 percent is never too small.
-fn suppress_small_change(wanted: f64, current: f64) -> f64 {
+/// A rise to 100 percent is never too small, nor is a reduction: what several fillers keep too
+/// much would add up.
+fn suppress_small_rise(wanted: f64, current: f64) -> f64 {
     let wanted = wanted.floor();
-    let is_extreme = wanted <= 0.0 || wanted >= 100.0;
-    if (wanted - current).abs() < MIN_PACE_CHANGE_PERCENT && !is_extreme {
+    let is_small_rise = wanted > current && wanted - current < MIN_PACE_RISE_PERCENT;
+    if is_small_rise && wanted < 100.0 {
         current
     } else {
         wanted
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -2,7 +2,8 @@
 //! because of fillers, also if the learned effects are wrong or calls are lost.
 
 use rstest::rstest;
-use turmericfold_fleet::policy::pacing::MIN_SLACK;
+use turmericfold_fleet::policy::interference::{FillerUse, InterferenceModel};
+use turmericfold_fleet::policy::pacing::{FillerTask, MIN_SLACK, ServingTask, filler_paces};
 use turmericfold_tests::captured_logs::{self, LogLine};
 use turmericfold_tests::shared_worker::{Conditions, SharedWorker, filler_details, filler_key};
 
@@ -94,6 +95,38 @@
     );
 }
 
+/// Fillers that each keep a little too much do not together push a task below its slack.
+#[test]
+fn small_reductions_add_up() {
+    let mut interference = InterferenceModel::default();
+    for round in 0..200 {
+        let share = if round % 2 == 0 { 0.2 } else { -0.2 };
+        let uses = [FillerUse {
+            image: "scan".into(),
+            share,
+        }];
+        interference.observe(&"desk".into(), 8.0 * share, &uses);
+    }
+    let effect = interference.effect(&"desk".into(), &"scan".into());
+    let share = 0.05;
+    let filler = |pace_percent| FillerTask {
+        image: "scan".into(),
+        pace_percent,
+        is_late: false,
+        progress_percent: 0,
+        full_pace_share: share,
+    };
+    let fillers: Vec<FillerTask> = [55.0, 5.0, 5.0, 5.0, 5.0, 5.0].map(filler).to_vec();
+    let slack = MIN_SLACK + 0.5 * share * effect;
+    let serving = [ServingTask {
+        image: "desk".into(),
+        slack,
+    }];
+    let paces = filler_paces(&interference, &serving, &fillers);
+    let loss: f64 = paces.iter().map(|pace| pace / 100.0 * share * effect).sum();
+    assert!(slack - loss >= MIN_SLACK - 1e-6, "{paces:?}");
+}
+
 /// A task over its target beside fillers that work is logged, at most once for each decision.
 #[test]
 fn late_tasks_are_logged() {
