Bound how long fillers work beside a task over its target

What callers saw: a task over its target from 20.257 s to 24.757 s by what worked beside it (HARM).

Cause: a decision lowers the share of the fillers by (1.15 - slack) / effect. If the learned effect is far too large, or the tail is so far up that it no longer follows the load, the cut is too small decision after decision; nothing bounded how long that went on.

Change: a limit on the share that all fillers of a worker use together (policy/pace_limit.rs), which rests on measurements alone. At a measurement over the target it halves what the fillers use, at most every 450 ms, whatever their predicted effect; once a task has been over its target for 900 ms it is 0. It stays until all tasks have MIN_SLACK again, then rises by a quarter of what the fillers want at each measurement. Without a task over its target there is no limit.

--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod gang;
 pub mod interference;
 pub mod offer;
+pub mod pace_limit;
 pub mod pacing;
 pub mod placement;
 pub mod room_wait;
--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -39,12 +39,15 @@
     pub full_pace_share: f64,
 }
 
-/// Returns the pace of every filler, in percent, in the order of `fillers`.
+/// Returns the pace of every filler, in percent, in the order of `fillers`; together they use at
+/// most `max_share` of the worker.
 pub fn filler_paces(
     interference: &InterferenceModel,
     serving: &[ServingTask],
     fillers: &[FillerTask],
+    max_share: f64,
 ) -> Vec<f64> {
+    let mut share_left = max_share;
     let mut left: Vec<f64> = serving.iter().map(|task| task.slack - MIN_SLACK).collect();
     let mut paces = vec![0.0; fillers.len()];
     for index in priority_order(interference, serving, fillers) {
@@ -57,8 +60,10 @@
             .iter()
             .zip(&effects)
             .map(|(left, effect)| left.max(0.0) / effect.max(f64::MIN_POSITIVE))
-            .fold(1.0, f64::min);
+            .fold(1.0, f64::min)
+            .min(share_left.max(0.0) / filler.full_pace_share.max(f64::MIN_POSITIVE));
         paces[index] = suppress_small_rise(allowed * 100.0, filler.pace_percent);
+        share_left -= paces[index] / 100.0 * filler.full_pace_share;
         for (left, effect) in left.iter_mut().zip(&effects) {
             *left -= paces[index] / 100.0 * effect;
         }
--- a/crates/turmericfold-fleet/src/workers/filler_pace.rs
+++ b/crates/turmericfold-fleet/src/workers/filler_pace.rs
@@ -6,7 +6,7 @@
 use crate::CallId;
 
 /// The pace of a run at its start, and the highest, in percent.
-const FULL_PACE_PERCENT: u32 = 100;
+pub(super) const FULL_PACE_PERCENT: u32 = 100;
 
 /// The time after which a pace call without an answer takes no effect any more, in
 /// milliseconds: workers may handle calls seconds late, and after newer ones.
--- a/crates/turmericfold-fleet/src/workers/over_target.rs
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -3,11 +3,13 @@
 use turmericfold_jobs::RunKey;
 use turmericfold_types::InstanceName;
 
+use super::filler_pace::FULL_PACE_PERCENT;
 use super::owner::WorkerOwner;
 use super::pace::{MIN_PACE_CHANGE_INTERVAL_MS, share};
 use super::run::{Run, RunPhase};
 use super::worker::Worker;
 use crate::Moment;
+use crate::policy::pace_limit::FillerLoad;
 
 impl Worker {
     /// Updates since when a task has been over its target, from the last measurements.
@@ -17,6 +19,29 @@
         self.over_target_since = is_over.then_some(since);
     }
 
+    /// Updates the limit on the pace of the fillers from the last measurements.
+    pub(super) fn update_pace_limit(&mut self, moment: Moment) {
+        let share_at = |percent: fn(&Run) -> u32| {
+            let fillers = self.runs.values();
+            let fillers = fillers.filter(|run| run.is_filler() && !run.is_stopping());
+            let millicores = fillers.map(|run| run.wanted_millicores() * u64::from(percent(run)));
+            share(millicores.sum::<u64>() / 100, self)
+        };
+        let load = FillerLoad {
+            least_slack: self.worst_task().map(|(_, _, slack)| slack),
+            over_ms: self.over_ms(moment),
+            paced_share: share_at(|run| run.pace.highest_percent()),
+            wanted_share: share_at(|_| FULL_PACE_PERCENT),
+        };
+        self.pace_limit.observe(moment.now, load);
+    }
+
+    /// Returns for how long a task has been over its target, in milliseconds; 0 if none is.
+    fn over_ms(&self, moment: Moment) -> u64 {
+        let since = self.over_target_since;
+        since.map_or(0, |since| moment.since_ms(since))
+    }
+
     /// Returns the ready task with the least measured slack, and that slack.
     pub(super) fn worst_task(&self) -> Option<(RunKey, &Run, f64)> {
         let measured = self.runs.iter();
@@ -50,9 +75,9 @@
             return;
         };
         let is_due = moment.since_ms(worker.over_target_logged_at) >= MIN_PACE_CHANGE_INTERVAL_MS;
-        let Some(since) = worker.over_target_since.filter(|_| is_due) else {
+        if !is_due || worker.over_target_since.is_none() {
             return;
-        };
+        }
         let fillers = worker.working_fillers().count();
         let Some((run, task, _)) = worker.worst_task().filter(|_| fillers > 0) else {
             return;
@@ -65,7 +90,7 @@
             run:% = run,
             tail_ms = task.measurement,
             target_ms = task.latency_target_ms().unwrap_or_default(),
-            over_ms = moment.since_ms(since),
+            over_ms = worker.over_ms(moment),
             predicted_slack = task.predicted_slack(self.interference()).unwrap_or_default(),
             fillers = fillers,
             filler_share = share(paced_millicores, worker),
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -50,7 +50,12 @@
         let fillers: Vec<FillerTask> = paced_fillers(worker)
             .map(|(_, run)| filler_task(context, worker, run))
             .collect();
-        let wanted = filler_paces(self.interference(), &serving, &fillers);
+        let wanted = filler_paces(
+            self.interference(),
+            &serving,
+            &fillers,
+            worker.pace_limit.max_share(),
+        );
         let changes: Vec<(RunKey, u32)> = paced_fillers(worker)
             .zip(wanted)
             .map(|((key, run), percent)| (*key, run, percent as u32))
@@ -66,6 +71,7 @@
         };
         worker.update_serving_use(context.moment);
         worker.update_over_target(context.moment);
+        worker.update_pace_limit(context.moment);
         let uses = filler_uses(worker);
         let keys = keys_where(worker, |_, run| {
             run.latency_target_ms().is_some() && run.progress_percent >= SERVING_READY_PERCENT
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -12,6 +12,7 @@
 use super::run::Run;
 use super::start_calls::StartCalls;
 use super::waiting_orders::WaitingOrders;
+use crate::policy::pace_limit::PaceLimit;
 use crate::{CallId, Moment, RecoveryReport, ReportedEnd};
 use ecow::EcoString;
 
@@ -140,6 +141,8 @@
     pub(crate) barred: BTreeMap<RunKey, MonotonicMs>,
     /// Since when a task on it has been measured over its latency target, if one is.
     pub(super) over_target_since: Option<MonotonicMs>,
+    /// The limit on the pace of its fillers together.
+    pub(super) pace_limit: PaceLimit,
     /// When it was last logged that a task is over its target beside fillers that work.
     pub(super) over_target_logged_at: MonotonicMs,
     /// When the pace of fillers was last changed.
@@ -195,6 +198,7 @@
             ends: BTreeMap::new(),
             barred: BTreeMap::new(),
             over_target_since: None,
+            pace_limit: PaceLimit::default(),
             over_target_logged_at: MonotonicMs::default(),
             paced_at: now,
             serving_use_permille: DEFAULT_SERVING_USE_PERMILLE,
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -1,15 +1,102 @@
 //! The pace of fillers beside tasks with a latency target: no task is over its target for long
 //! because of fillers, also if the learned effects are wrong or calls are lost.
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use turmericfold_fleet::policy::interference::{FillerUse, InterferenceModel};
 use turmericfold_fleet::policy::pacing::{FillerTask, MIN_SLACK, ServingTask, filler_paces};
 use turmericfold_tests::captured_logs::{self, LogLine};
 use turmericfold_tests::shared_worker::{Conditions, SharedWorker, filler_details, filler_key};
 
+/// The longest time for which fillers may keep a task over its target, in milliseconds: clearly
+/// less than the shortest bound of a site, 4 s.
+const MAX_HARM_MS: u64 = 3_000;
+
 /// The duration of a simulation, in milliseconds.
 const SIMULATED_MS: u64 = 60_000;
 
+/// The interval of the orders of further fillers, in milliseconds.
+const ORDER_INTERVAL_MS: u64 = 1_500;
+
+/// The most fillers that are ordered.
+const MAX_FILLERS: u64 = 14;
+
+/// Returns a worker on which the load of the tasks rises again and again; without fillers they
+/// stay below their target.
+fn swinging_worker(rng: &mut StdRng, effect: f64, learned: f64, min_slack: f64) -> SharedWorker {
+    let conditions = Conditions {
+        effect,
+        learned_effect: Some(learned),
+        slacks: (rng.random_range(3.0..5.0), rng.random_range(1.05..1.6)),
+        period_ms: rng.random_range(8..24) * 1_000,
+        min_slack,
+    };
+    let mut worker = SharedWorker::new(conditions);
+    worker.start_all(rng.random_range(1..7), rng.random_range(3..7), 1_000);
+    worker
+}
+
+#[rstest]
+#[case("right estimates", 3.0, 3.0, 0.02)]
+#[case("the effect is a tenth of the learned one", 1.2, 12.0, 0.02)]
+#[case("the effect is ten times the learned one", 12.0, 1.2, 0.02)]
+#[case("the effect is a twentieth of the learned one", 2.0, 40.0, 0.02)]
+#[case("tails rise no further in saturation", 4.0, 8.0, 0.3)]
+#[case(
+    "tails rise no further, and the effect is learned as nil",
+    6.0,
+    0.0,
+    0.5
+)]
+fn harm_is_bounded(
+    #[case] scenario: &str,
+    #[case] effect: f64,
+    #[case] learned: f64,
+    #[case] min_slack: f64,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut worker = swinging_worker(&mut rng, effect, learned, min_slack);
+    let mut ordered = 7;
+    let until_ms = worker.now_ms() + SIMULATED_MS;
+    while worker.now_ms() < until_ms {
+        worker.run_for(ORDER_INTERVAL_MS);
+        if ordered < MAX_FILLERS {
+            ordered += 1;
+            worker.order(filler_key(ordered), filler_details(500));
+        }
+    }
+    assert!(
+        worker.longest_harm_ms <= MAX_HARM_MS,
+        "{scenario}: {} ms, {:?}",
+        worker.longest_harm_ms,
+        worker.conditions
+    );
+}
+
+/// Pace calls that get no answer, and take no effect or a late one, do not prolong it much.
+#[rstest]
+fn lost_calls_do_no_harm(
+    #[values(None, Some(0), Some(1_500))] delay_ms: Option<u64>,
+    #[values(0, 1, 2, 3)] seed: u64,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut worker = swinging_worker(&mut rng, 4.0, 4.0, 0.02);
+    worker.lost_paces_delay_ms = delay_ms;
+    let until_ms = worker.now_ms() + SIMULATED_MS;
+    while worker.now_ms() < until_ms {
+        worker.run_for(ORDER_INTERVAL_MS);
+        worker.lost_paces = u32::from(rng.random_bool(0.3));
+    }
+    assert!(
+        worker.longest_harm_ms <= MAX_HARM_MS,
+        "{} ms, {:?}",
+        worker.longest_harm_ms,
+        worker.conditions
+    );
+}
+
 /// With right estimates and in calm, fillers use the slack that the tasks have to spare.
 #[rstest]
 #[case("all run at full pace", 4.0, 2.0, 0.75)]
@@ -122,7 +209,7 @@
         image: "desk".into(),
         slack,
     }];
-    let paces = filler_paces(&interference, &serving, &fillers);
+    let paces = filler_paces(&interference, &serving, &fillers, f64::INFINITY);
     let loss: f64 = paces.iter().map(|pace| pace / 100.0 * share * effect).sum();
     assert!(slack - loss >= MIN_SLACK - 1e-6, "{paces:?}");
 }
--- a/tests/features/fleet_policy.rs
+++ b/tests/features/fleet_policy.rs
@@ -53,7 +53,7 @@
 #[test]
 fn light_goes_before_heavy() {
     let fillers = [filler("heavy", false), filler("light", false)];
-    let paces = filler_paces(&learned_interference(), &desk(2.0), &fillers);
+    let paces = filler_paces(&learned_interference(), &desk(2.0), &fillers, f64::INFINITY);
     assert_eq!(paces[1], 100.0, "the light filler interferes little");
     assert!((10.0..60.0).contains(&paces[0]), "{}", paces[0]);
 }
@@ -64,6 +64,7 @@
         &learned_interference(),
         &desk(0.9),
         &[filler("heavy", false)],
+        f64::INFINITY,
     );
     assert_eq!(paces, [0.0]);
 }
@@ -71,7 +72,7 @@
 #[test]
 fn late_jobs_go_last() {
     let fillers = [filler("heavy", true), filler("heavy", false)];
-    let paces = filler_paces(&learned_interference(), &desk(2.5), &fillers);
+    let paces = filler_paces(&learned_interference(), &desk(2.5), &fillers, f64::INFINITY);
     assert!(paces[1] > paces[0], "{paces:?}");
 }
 
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -213,7 +213,7 @@
                 .into_iter()
                 .collect();
             let tasks: Vec<FillerTask> = worker.fillers.iter().map(filler_task).collect();
-            let paces = filler_paces(&self.interference, &serving, &tasks);
+            let paces = filler_paces(&self.interference, &serving, &tasks, f64::INFINITY);
             for (filler, percent) in worker.fillers.iter_mut().zip(paces) {
                 filler.pace_percent = percent;
             }
