Begin no filler beside a task that has just come over its target

Cause: orders that were placed on a summary of up to half a second ago still started fillers on a worker whose task had come over its target since, each at full pace until its pace call.

Change: the owner of the worker refuses such an order as not worth starting. After 3 s over the target it accepts again, since no filler has worked for some measurements by then: the cause is the task's own load, and the filler gets pace 0 at once. So a fleet whose tasks are all slow by their own load does not refuse fillers for good.

Evidence: filler_paces::none_begins_beside_a_late_task. It failed on the code before (Started), and passes now; it also shows that a task with a latency target may begin there.

--- a/crates/turmericfold-fleet/src/workers/over_target.rs
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -11,6 +11,10 @@
 use crate::Moment;
 use crate::policy::pace_limit::FillerLoad;
 
+/// The time over a target after which fillers are not the cause, in milliseconds: by then they
+/// have not worked for some measurements.
+const MAX_LATE_BY_FILLERS_MS: u64 = 3_000;
+
 impl Worker {
     /// Updates since when a task has been over its target, from the last measurements.
     pub(super) fn update_over_target(&mut self, moment: Moment) {
@@ -36,6 +40,11 @@
         self.pace_limit.observe(moment.now, load);
     }
 
+    /// Returns whether a task is over its target, possibly because of fillers.
+    pub(super) fn may_be_late_by_fillers(&self, moment: Moment) -> bool {
+        self.over_target_since.is_some() && self.over_ms(moment) < MAX_LATE_BY_FILLERS_MS
+    }
+
     /// Returns for how long a task has been over its target, in milliseconds; 0 if none is.
     fn over_ms(&self, moment: Moment) -> u64 {
         let since = self.over_target_since;
--- a/crates/turmericfold-fleet/src/workers/refusal.rs
+++ b/crates/turmericfold-fleet/src/workers/refusal.rs
@@ -64,7 +64,8 @@
 }
 
 /// Returns whether a filler would still be worth starting: fillers that other job owners
-/// have ordered since the last summary leave less of the worker.
+/// have ordered since the last summary leave less of the worker, and as each begins at full
+/// pace, none begins beside a task over its target.
 fn is_worth_starting(
     context: Context<'_>,
     worker: &Worker,
@@ -74,6 +75,9 @@
     let Some(filler) = Filler::of_run(&order.details) else {
         return true;
     };
+    if worker.may_be_late_by_fillers(context.moment) {
+        return false;
+    }
     let summary = worker.summary(context.moment, interference);
     let offer = Offer::new(Arc::new(summary), true);
     filler_value(interference, filler, &offer).is_some()
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -6,8 +6,11 @@
 use rstest::rstest;
 use turmericfold_fleet::policy::interference::{FillerUse, InterferenceModel};
 use turmericfold_fleet::policy::pacing::{FillerTask, MIN_SLACK, ServingTask, filler_paces};
+use turmericfold_fleet::{StartOutcome, StartRefusal};
 use turmericfold_tests::captured_logs::{self, LogLine};
-use turmericfold_tests::shared_worker::{Conditions, SharedWorker, filler_details, filler_key};
+use turmericfold_tests::shared_worker::{
+    Conditions, SharedWorker, filler_details, filler_key, serving_details, serving_key,
+};
 
 /// The longest time for which fillers may keep a task over its target, in milliseconds: clearly
 /// less than the shortest bound of a site, 4 s.
@@ -182,6 +185,28 @@
     );
 }
 
+/// No filler begins on a worker on which a task has just come over its target.
+#[test]
+fn none_begins_beside_a_late_task() {
+    let mut worker = SharedWorker::new(Conditions {
+        slacks: (4.0, 0.9),
+        period_ms: 20_000,
+        ..Conditions::default()
+    });
+    worker.start_all(2, 1, 1_000);
+    let start_ms = worker.now_ms();
+    worker.run_for(12_500 - start_ms % 20_000);
+    worker.order(filler_key(2), filler_details(1_000));
+    worker.run_for(100);
+    let refused = StartOutcome::Refused(StartRefusal::NoRoom);
+    assert_eq!(worker.outcomes.get(&filler_key(2)), Some(&refused));
+    // A run with a latency target may begin.
+    worker.order(serving_key(3), serving_details());
+    worker.run_for(100);
+    let outcome = worker.outcomes.get(&serving_key(3));
+    assert_eq!(outcome, Some(&StartOutcome::Started));
+}
+
 /// Fillers that each keep a little too much do not together push a task below its slack.
 #[test]
 fn small_reductions_add_up() {
