Reckon with fillers whose pace can't be set at a decision

Cause: fillers with a pace call in progress, or with a start call that is not answered, were left out of the decision. A filler that started while calls were in progress got the slack that those calls had just given to others.

Change: they take part with a fixed pace: the one that the call in progress sets, or full pace before the start is confirmed. Only fillers that are being stopped are left out; they end within the stop timeout.

Evidence: filler_paces::slack_is_given_once.

--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -24,13 +24,15 @@
     pub slack: f64,
 }
 
-/// A filler whose pace is set.
+/// A filler beside tasks with a latency target.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FillerTask {
     /// The image that it runs.
     pub image: EcoString,
     /// Its current pace, in percent.
     pub pace_percent: f64,
+    /// Whether its pace can't be set now: it keeps the current one.
+    pub is_pace_fixed: bool,
     /// Whether the objective of its job has passed.
     pub is_late: bool,
     /// The part of its work that is done, in percent.
@@ -56,13 +58,17 @@
             .iter()
             .map(|task| interference.effect(&task.image, &filler.image) * filler.full_pace_share)
             .collect();
+        let part = |left: f64, taken: f64| left.max(0.0) / taken.max(f64::MIN_POSITIVE);
         let allowed = left
             .iter()
             .zip(&effects)
-            .map(|(left, effect)| left.max(0.0) / effect.max(f64::MIN_POSITIVE))
+            .map(|(left, effect)| part(*left, *effect))
             .fold(1.0, f64::min)
-            .min(share_left.max(0.0) / filler.full_pace_share.max(f64::MIN_POSITIVE));
-        paces[index] = suppress_small_rise(allowed * 100.0, filler.pace_percent);
+            .min(part(share_left, filler.full_pace_share));
+        paces[index] = match filler.is_pace_fixed {
+            true => filler.pace_percent,
+            false => suppress_small_rise(allowed * 100.0, filler.pace_percent),
+        };
         share_left -= paces[index] / 100.0 * filler.full_pace_share;
         for (left, effect) in left.iter_mut().zip(&effects) {
             *left -= paces[index] / 100.0 * effect;
@@ -73,7 +79,8 @@
 
 /// Returns the indices of the fillers in the order in which they get slack.
 ///
-/// Fillers whose jobs can still be in time come first, then those that take the least
+/// Those whose pace is fixed come first, as they take it in any case. Then fillers whose jobs can
+/// still be in time come first, then those that take the least
 /// slack. Of the same image, those that are nearest to their end come first.
 fn priority_order(
     interference: &InterferenceModel,
@@ -91,9 +98,11 @@
     let mut order: Vec<usize> = (0..fillers.len()).collect();
     order.sort_by(|one, other| {
         let progress = |index: usize| fillers[index].progress_percent;
+        let is_fixed = |index: usize| fillers[index].is_pace_fixed;
         let is_late = |index: usize| fillers[index].is_late;
-        is_late(*one)
-            .cmp(&is_late(*other))
+        is_fixed(*other)
+            .cmp(&is_fixed(*one))
+            .then(is_late(*one).cmp(&is_late(*other)))
             .then(costs[*one].total_cmp(&costs[*other]))
             .then(progress(*other).cmp(&progress(*one)))
     });
--- a/crates/turmericfold-fleet/src/workers/filler_pace.rs
+++ b/crates/turmericfold-fleet/src/workers/filler_pace.rs
@@ -66,6 +66,16 @@
         known_percent.max(ordered_percent)
     }
 
+    /// Returns the pace that the run has once the call in progress has taken effect, in percent;
+    /// full pace if that is not known.
+    pub(super) fn expected_percent(&self) -> u32 {
+        match (self.call, self.known) {
+            (Some(call), _) => call.percent,
+            (None, KnownPace::Percent(percent)) => percent,
+            (None, KnownPace::Unknown) => FULL_PACE_PERCENT,
+        }
+    }
+
     /// Returns whether a call that sets the pace is in progress.
     pub(super) fn is_being_set(&self) -> bool {
         self.call.is_some()
--- a/crates/turmericfold-fleet/src/workers/over_target.rs
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -5,8 +5,8 @@
 
 use super::filler_pace::FULL_PACE_PERCENT;
 use super::owner::WorkerOwner;
-use super::pace::{MIN_PACE_CHANGE_INTERVAL_MS, share};
-use super::run::{Run, RunPhase};
+use super::pace::{MIN_PACE_CHANGE_INTERVAL_MS, can_be_paced, share};
+use super::run::Run;
 use super::worker::Worker;
 use crate::Moment;
 use crate::policy::pace_limit::FillerLoad;
@@ -68,10 +68,8 @@
     /// work: they have no details yet, their start or pace call is not answered, or they are
     /// being stopped.
     fn unpaced_runs(&self) -> usize {
-        let is_unpaced = |run: &&Run| {
-            let is_running = matches!(run.phase, RunPhase::Running { .. });
-            run.details.is_none() || run.is_filler() && (!is_running || run.pace.is_being_set())
-        };
+        let is_unpaced =
+            |run: &&Run| run.details.is_none() || run.is_filler() && !can_be_paced(run);
         self.runs.values().filter(is_unpaced).count()
     }
 }
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -47,7 +47,7 @@
             return;
         };
         let serving = serving_tasks(self.interference(), worker);
-        let fillers: Vec<FillerTask> = paced_fillers(worker)
+        let fillers: Vec<FillerTask> = active_fillers(worker)
             .map(|(_, run)| filler_task(context, worker, run))
             .collect();
         let wanted = filler_paces(
@@ -56,8 +56,9 @@
             &fillers,
             worker.pace_limit.max_share(),
         );
-        let changes: Vec<(RunKey, u32)> = paced_fillers(worker)
+        let changes: Vec<(RunKey, u32)> = active_fillers(worker)
             .zip(wanted)
+            .filter(|((_, run), _)| can_be_paced(run))
             .map(|((key, run), percent)| (*key, run, percent as u32))
             .filter(|(_, run, percent)| run.pace.may_differ_from(*percent, context.moment.now))
             .map(|(key, _, percent)| (key, percent))
@@ -189,13 +190,16 @@
         .collect()
 }
 
-/// Returns the running fillers without a pace call in progress.
-fn paced_fillers(worker: &Worker) -> impl Iterator<Item = (&RunKey, &Run)> {
-    let running = |run: &Run| matches!(run.phase, RunPhase::Running { .. });
-    worker
-        .runs
-        .iter()
-        .filter(move |(_, run)| run.is_filler() && running(run) && !run.pace.is_being_set())
+/// Returns the fillers that work or may begin to; one that is being stopped ends soon.
+fn active_fillers(worker: &Worker) -> impl Iterator<Item = (&RunKey, &Run)> {
+    let runs = worker.runs.iter();
+    runs.filter(|(_, run)| run.is_filler() && !run.is_stopping())
+}
+
+/// Returns whether the pace of a filler can be set: the worker has confirmed it, and no pace call
+/// is in progress, which a later one could overtake.
+pub(super) fn can_be_paced(run: &Run) -> bool {
+    matches!(run.phase, RunPhase::Running { .. }) && !run.pace.is_being_set()
 }
 
 fn filler_task(context: Context<'_>, worker: &Worker, run: &Run) -> FillerTask {
@@ -205,7 +209,8 @@
         image: details
             .map(|details| details.image.clone())
             .unwrap_or_default(),
-        pace_percent: f64::from(run.pace.highest_percent()),
+        pace_percent: f64::from(run.pace.expected_percent()),
+        is_pace_fixed: !can_be_paced(run),
         is_late: details.is_some_and(|details| context.moment.unix_ms > details.due_ms),
         progress_percent: run.progress_percent,
         full_pace_share: share(wanted, worker),
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -224,6 +224,7 @@
     let filler = |pace_percent| FillerTask {
         image: "scan".into(),
         pace_percent,
+        is_pace_fixed: false,
         is_late: false,
         progress_percent: 0,
         full_pace_share: share,
@@ -266,3 +267,32 @@
     assert!((0.0..0.8).contains(&number("filler_share")), "{fields:?}");
     assert_eq!(number("unpaced"), 0.0);
 }
+
+/// A filler whose pace call is not answered yet keeps the slack that it was given: a filler that
+/// starts meanwhile does not get it too.
+#[test]
+fn slack_is_given_once() {
+    let mut worker = SharedWorker::new(Conditions {
+        effect: 8.0,
+        learned_effect: Some(8.0),
+        slacks: (6.0, 6.0),
+        ..Conditions::default()
+    });
+    worker.start_all(1, 0, 0);
+    worker.run_for(3_000);
+    for number in 1..=8 {
+        worker.add_found(filler_key(number), filler_details(250), 0);
+    }
+    worker.lost_paces = 8;
+    worker.lost_paces_delay_ms = Some(0);
+    worker.conditions.slacks = (3.2, 3.2);
+    while worker.pace_calls.is_empty() {
+        worker.run_for(10);
+    }
+    worker.order(filler_key(9), filler_details(250));
+    worker.run_for(300);
+    let outcome = worker.outcomes.get(&filler_key(9));
+    assert_eq!(outcome, Some(&StartOutcome::Started));
+    let pace_percent = worker.pace_percent(filler_key(9)).unwrap();
+    assert!(pace_percent < 50, "{pace_percent}, {:?}", worker.pace_calls);
+}
--- a/tests/features/fleet_policy.rs
+++ b/tests/features/fleet_policy.rs
@@ -37,6 +37,7 @@
     FillerTask {
         image: image.into(),
         pace_percent: 100.0,
+        is_pace_fixed: false,
         is_late,
         progress_percent: 0,
         full_pace_share: 0.25,
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -320,6 +320,7 @@
     FillerTask {
         image: filler.image.into(),
         pace_percent: filler.pace_percent,
+        is_pace_fixed: false,
         is_late: false,
         progress_percent: (100.0 - filler.remaining_ms * 100.0 / FILLER_RUN_MS as f64) as u32,
         full_pace_share: capacity_share(FILLER_MILLICORES),
