Decide the pace again as soon as a pace call has failed

Cause: a failed pace call was followed by a decision at the next poll only, up to a poll's wait after it was known to have failed.

--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -253,7 +253,7 @@
                 self.on_start_result(context, name, call, result, out);
             }
             WorkerResult::Stop(result) => self.on_stop_result(context, name, call, result),
-            WorkerResult::Pace(result) => self.on_pace_result(context.moment, name, call, &result),
+            WorkerResult::Pace(result) => self.on_pace_result(context, name, call, &result, out),
         }
     }
 
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -10,7 +10,7 @@
 use crate::context::Context;
 use crate::policy::interference::{FillerUse, InterferenceModel};
 use crate::policy::pacing::{FillerTask, ServingTask, filler_paces};
-use crate::{CallId, Moment, Outbox, WorkerCall};
+use crate::{CallId, Outbox, WorkerCall};
 
 /// The least time between two changes of pace on one worker, in milliseconds: the
 /// measurements span the last half second.
@@ -27,12 +27,7 @@
     ) {
         self.learn_interference(context, name);
         self.log_over_target(context.moment, name);
-        let Some(worker) = self.worker(name) else {
-            return;
-        };
-        if context.moment.since_ms(worker.paced_at) >= MIN_PACE_CHANGE_INTERVAL_MS {
-            self.set_paces(context, name, out);
-        }
+        self.set_paces_if_due(context, name, out);
     }
 
     /// Sets the pace of the fillers on a worker by the slack of its tasks with a latency
@@ -148,26 +143,35 @@
         }
     }
 
-    /// Handles the result of a pace call; without an answer the pace is set again at the next
-    /// decision.
+    /// Handles the result of a pace call; after a failure the pace is decided again.
     pub(super) fn on_pace_result(
         &mut self,
-        moment: Moment,
+        context: Context<'_>,
         name: &InstanceName,
         call: CallId,
         result: &Result<(), PlatformError>,
+        out: &mut Outbox,
     ) {
+        let now = context.moment.now;
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
         let mut runs = worker.runs.iter_mut();
-        let found = runs.find_map(|(key, run)| {
-            run.pace
-                .on_call_result(moment.now, call, result)
-                .then_some(key)
-        });
+        let found =
+            runs.find_map(|(key, run)| run.pace.on_call_result(now, call, result).then_some(key));
         if let (Some(run), Err(error)) = (found, result) {
-            log::info!(run:% = run, worker:% = name, error:% = error; "pace call to a worker failed; setting the pace again at the next decision");
+            log::info!(run:% = run, worker:% = name, error:% = error; "pace call to a worker failed; deciding the pace again");
+            self.set_paces_if_due(context, name, out);
+        }
+    }
+
+    /// Sets the pace of the fillers if the last change is long enough ago.
+    fn set_paces_if_due(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        if context.moment.since_ms(worker.paced_at) >= MIN_PACE_CHANGE_INTERVAL_MS {
+            self.set_paces(context, name, out);
         }
     }
 }
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -9,7 +9,8 @@
 use turmericfold_fleet::{StartOutcome, StartRefusal};
 use turmericfold_tests::captured_logs::{self, LogLine};
 use turmericfold_tests::shared_worker::{
-    Conditions, SharedWorker, filler_details, filler_key, serving_details, serving_key,
+    Conditions, LOST_CALL_MS, SharedWorker, filler_details, filler_key, serving_details,
+    serving_key,
 };
 
 /// The longest time for which fillers may keep a task over its target, in milliseconds: clearly
@@ -82,7 +83,7 @@
 #[rstest]
 fn lost_calls_do_no_harm(
     #[values(None, Some(0), Some(1_500))] delay_ms: Option<u64>,
-    #[values(0, 1, 2, 3)] seed: u64,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64,
 ) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut worker = swinging_worker(&mut rng, 4.0, 4.0, 0.02);
@@ -163,6 +164,21 @@
     assert_eq!(worker.pace_percent(filler_key(1)), Some(100), "in calm");
 }
 
+/// A pace call beside a late task that gets no answer is repeated once that is known, not only at
+/// the next poll.
+#[test]
+fn lost_paces_are_set_again_at_once() {
+    let mut worker = SharedWorker::new(Conditions::default());
+    worker.start_all(1, 1, 1_000);
+    worker.run_for(3_000);
+    worker.lost_paces = 1;
+    set_load(&mut worker, 0.9, 3_000);
+    let (first, second) = (&worker.pace_calls[0], &worker.pace_calls[1]);
+    assert_eq!((first.1.percent, second.1.percent), (0, 0));
+    let steps_ms = 20;
+    assert!(second.0 - first.0 <= LOST_CALL_MS + steps_ms);
+}
+
 /// A pace call without an answer that takes effect after a later call is undone.
 #[test]
 fn late_paces_are_undone() {
--- a/tests/src/shared_worker.rs
+++ b/tests/src/shared_worker.rs
@@ -30,7 +30,7 @@
 const CALL_MS: u64 = 20;
 
 /// The time after which a lost call ends without an answer, in milliseconds.
-const LOST_CALL_MS: u64 = 700;
+pub const LOST_CALL_MS: u64 = 700;
 
 /// The time from a pace call until the pace is in force, in milliseconds.
 const PACING_MS: u64 = 100;
