Poll sooner while fillers work beside a task over its target

What callers saw: a task over its target by what works beside it (HARM).

Cause: a poll waits 800 ms for an end, whatever the last one showed, so that each of the decisions that end the harm came that much later. After a takeover a task was over its target for 3,010 ms.

Change: while a task is over its target beside fillers that may work, a poll waits 600 ms: by then a measurement, which spans half a second, shows the effect of a pace call, which takes a tenth. The limit on the fillers changes at most as often, and no filler works after two such intervals.

Evidence: filler_paces::late_tasks_are_polled_more_often (all polls waited 800 ms before) and filler_paces::found_fillers_do_no_harm (3,010 ms before, bound 3,000) failed on the code before and pass now.

--- a/crates/turmericfold-fleet/src/policy/pace_limit.rs
+++ b/crates/turmericfold-fleet/src/policy/pace_limit.rs
@@ -9,15 +9,15 @@
 use crate::policy::pacing::MIN_SLACK;
 
 /// The least time between two changes of the limit, in milliseconds: the measurements span the
-/// last half second.
-const MIN_CHANGE_INTERVAL_MS: u64 = 450;
+/// last half second, and a change takes effect some time after its decision.
+const MIN_CHANGE_INTERVAL_MS: u64 = 600;
 
 /// The part of their share that the fillers keep at a measurement over the target.
 const KEPT_PART: f64 = 0.5;
 
-/// The time over the target after which no filler works, in milliseconds: two intervals of the
-/// measurements, so that the first reduction has been measured.
-const MAX_OVER_MS: u64 = 900;
+/// The time over the target after which no filler works, in milliseconds: two intervals between
+/// changes.
+const MAX_OVER_MS: u64 = 1_200;
 
 /// The part of the share wanted by all fillers by which the limit rises at a measurement with
 /// slack to spare.
--- a/crates/turmericfold-fleet/src/workers/over_target.rs
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -58,6 +58,11 @@
         measured.min_by(|(.., one), (.., other)| one.total_cmp(other))
     }
 
+    /// Returns whether a task is over its target beside fillers that work.
+    pub(super) fn has_late_task_beside_fillers(&self) -> bool {
+        self.over_target_since.is_some() && self.working_fillers().next().is_some()
+    }
+
     /// Returns the fillers that work, as far as is known.
     fn working_fillers(&self) -> impl Iterator<Item = &Run> {
         let fillers = self.runs.values().filter(|run| run.is_filler());
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -18,6 +18,10 @@
 /// that several renewals fit into it.
 const POLL_WAIT_MS: u64 = 800;
 
+/// The same while fillers work beside a task over its target, in milliseconds: by then a
+/// measurement shows the effect of the last change of their pace.
+const OVER_TARGET_POLL_WAIT_MS: u64 = 600;
+
 /// The least time between two polls of a worker, in milliseconds; one poll returns ends
 /// that follow each other closely.
 const MIN_POLL_INTERVAL_MS: u64 = 20;
@@ -304,11 +308,15 @@
         });
     let is_known = worker.is_known();
     let waits = is_known && worker.acknowledgement_due_since.is_none();
+    let longest_wait_ms = match worker.has_late_task_beside_fillers() {
+        true => OVER_TARGET_POLL_WAIT_MS,
+        false => POLL_WAIT_MS,
+    };
     PollCall {
         token: worker.token().value(),
         lease_until_ms,
         acknowledged_up_to: worker.next_acknowledgement(),
-        wait_ms: if waits { POLL_WAIT_MS } else { 0 },
+        wait_ms: if waits { longest_wait_ms } else { 0 },
     }
 }
 
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -223,6 +223,35 @@
     assert_eq!(outcome, Some(&StartOutcome::Started));
 }
 
+/// The time after which a measurement shows the effect of a pace call, in milliseconds: it spans
+/// half a second, and the call takes effect after a tenth.
+const MEASURED_AFTER_MS: u64 = 600;
+
+/// While fillers work beside a task over its target, polls come as often as measurements change.
+#[test]
+fn late_tasks_are_polled_more_often() {
+    let mut worker = SharedWorker::new(Conditions {
+        effect: 1.2,
+        learned_effect: Some(40.0),
+        slacks: (4.0, 1.2),
+        period_ms: 20_000,
+        min_slack: 0.02,
+    });
+    worker.start_all(3, 6, 1_000);
+    worker.run_for(40_000);
+    let waits: Vec<u64> = worker
+        .poll_waits
+        .iter()
+        .map(|(_, wait_ms)| *wait_ms)
+        .collect();
+    let short = waits
+        .iter()
+        .filter(|wait_ms| **wait_ms <= MEASURED_AFTER_MS)
+        .count();
+    assert!(short > 0, "{waits:?}");
+    assert!(short * 4 < waits.len(), "{waits:?}");
+}
+
 /// Fillers that each keep a little too much do not together push a task below its slack.
 #[test]
 fn small_reductions_add_up() {
@@ -312,3 +341,27 @@
     let pace_percent = worker.pace_percent(filler_key(9)).unwrap();
     assert!(pace_percent < 50, "{pace_percent}, {:?}", worker.pace_calls);
 }
+
+/// A new owner paces the fillers that it finds beside late tasks, though it learns what they are
+/// only from the owner of their jobs.
+#[test]
+fn found_fillers_do_no_harm() {
+    let mut worker = SharedWorker::new(Conditions {
+        effect: 1.2,
+        learned_effect: Some(40.0),
+        slacks: (1.2, 1.2),
+        ..Conditions::default()
+    });
+    worker.run_for(3_000);
+    for number in 1..=6 {
+        worker.add_found(filler_key(number), filler_details(1_000), 100);
+        worker.add_found(serving_key(number), serving_details(), 100);
+    }
+    worker.run_for(10_000);
+    assert!(worker.longest_harm_ms > 0, "the fillers harm");
+    assert!(
+        worker.longest_harm_ms <= MAX_HARM_MS,
+        "{} ms",
+        worker.longest_harm_ms
+    );
+}
