--- a/tests/src/shared_worker.rs
+++ b/tests/src/shared_worker/mod.rs
@@ -1,6 +1,9 @@
 //! A worker whose fillers slow down its tasks with a latency target, driven against the node
 //! that owns it, in virtual time.
 
+mod conditions;
+mod runs;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -8,17 +11,17 @@
 use turmericfold_fleet::{
     CallId, Event, PeerMessage, RunDetails, StartOutcome, Summary, WorkerCall, WorkerResult,
 };
-use turmericfold_jobs::{JobId, RunKey};
+use turmericfold_jobs::RunKey;
 use turmericfold_platform::{
     KeyChange, ListedRun, PaceCall, PlatformError, PollReply, StartReply, StoreVersion,
 };
-use turmericfold_types::{InstanceName, Resources};
+use turmericfold_types::InstanceName;
 
-use crate::node_parts::{member, process, run};
+use crate::node_parts::{member, process};
 use crate::worker_owner::{WORKER, WorkerOwnerHarness};
 
-/// The latency target of the tasks, in milliseconds.
-pub const TARGET_MS: u64 = 150;
+pub use conditions::Conditions;
+pub use runs::{TARGET_MS, filler_details, filler_key, serving_details, serving_key};
 
 /// The processor capacity of the worker, in millicores.
 const CAPACITY_MILLICORES: f64 = 8_000.0;
@@ -47,48 +50,6 @@
 /// The weight of the effects that the peer has learned, in squared shares of a worker.
 const LEARNED_WEIGHT: f64 = 2.0;
 
-/// How fillers and their own load slow down the tasks with a latency target.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Conditions {
-    /// The slack that fillers take if they use the whole worker.
-    pub effect: f64,
-    /// The same as a peer has learned it, if it has.
-    pub learned_effect: Option<f64>,
-    /// The slack without fillers while the load of the tasks is low, and while it is high.
-    pub slacks: (f64, f64),
-    /// The period in which their load is low once and high once, in milliseconds.
-    pub period_ms: u64,
-    /// The least slack: tail latencies rise no further in saturation.
-    pub min_slack: f64,
-}
-
-impl Default for Conditions {
-    fn default() -> Self {
-        Self {
-            effect: 2.0,
-            learned_effect: None,
-            slacks: (4.0, 4.0),
-            period_ms: 20_000,
-            min_slack: 0.02,
-        }
-    }
-}
-
-impl Conditions {
-    /// Returns the slack without fillers: low and high load take half of the period each, with
-    /// half a second from one to the other.
-    fn base_slack(&self, now_ms: u64) -> f64 {
-        let (calm, busy) = self.slacks;
-        let half_ms = self.period_ms / 2;
-        let at_ms = now_ms % self.period_ms;
-        let part = ((at_ms % half_ms) as f64 / 500.0).min(1.0);
-        match at_ms < half_ms {
-            true => busy + (calm - busy) * part,
-            false => calm + (busy - calm) * part,
-        }
-    }
-}
-
 /// A run on the worker.
 #[derive(Debug, Clone)]
 struct ModelRun {
@@ -419,39 +380,3 @@
         }
     }
 }
-
-/// Returns a run of a filler by its number.
-pub fn filler_key(number: u64) -> RunKey {
-    run(JobId(5), number)
-}
-
-/// Returns a run of a task with a latency target by its number.
-pub fn serving_key(number: u64) -> RunKey {
-    let mut key = run(JobId(5), number);
-    key.task.step = 1;
-    key
-}
-
-/// Returns the details of a filler.
-pub fn filler_details(wanted_millicores: u64) -> RunDetails {
-    RunDetails {
-        resources: Resources::default(),
-        wanted_millicores,
-        filler: true,
-        latency_target_ms: None,
-        image: "scan".into(),
-        due_ms: u64::MAX,
-    }
-}
-
-/// Returns the details of a task with a latency target.
-pub fn serving_details() -> RunDetails {
-    RunDetails {
-        resources: Resources::default(),
-        wanted_millicores: 300,
-        filler: false,
-        latency_target_ms: Some(TARGET_MS),
-        image: "desk".into(),
-        due_ms: u64::MAX,
-    }
-}
