Test the bound on harm with measurements that are off by up to a fifth

The workers' measurements are rough figures. filler_paces::harm_is_bounded runs each of its 48 histories also with tails that are up to 20% too high or too low: 96 runs, same bound of 3,000 ms.

--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -28,13 +28,19 @@
 
 /// Returns a worker on which the load of the tasks rises again and again; without fillers they
 /// stay below their target.
-fn swinging_worker(rng: &mut StdRng, effect: f64, learned: f64, min_slack: f64) -> SharedWorker {
+fn swinging_worker(
+    rng: &mut StdRng,
+    effect: f64,
+    learned: f64,
+    (min_slack, noise): (f64, f64),
+) -> SharedWorker {
     let conditions = Conditions {
         effect,
         learned_effect: Some(learned),
         slacks: (rng.random_range(3.0..5.0), rng.random_range(1.05..1.6)),
         period_ms: rng.random_range(8..24) * 1_000,
         min_slack,
+        noise,
     };
     let mut worker = SharedWorker::new(conditions);
     worker.start_all(rng.random_range(1..7), rng.random_range(3..7), 1_000);
@@ -58,10 +64,11 @@
     #[case] effect: f64,
     #[case] learned: f64,
     #[case] min_slack: f64,
+    #[values(0.0, 0.2)] noise: f64,
     #[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64,
 ) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut worker = swinging_worker(&mut rng, effect, learned, min_slack);
+    let mut worker = swinging_worker(&mut rng, effect, learned, (min_slack, noise));
     let mut ordered = 7;
     let until_ms = worker.now_ms() + SIMULATED_MS;
     while worker.now_ms() < until_ms {
@@ -86,7 +93,7 @@
     #[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64,
 ) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut worker = swinging_worker(&mut rng, 4.0, 4.0, 0.02);
+    let mut worker = swinging_worker(&mut rng, 4.0, 4.0, (0.02, 0.0));
     worker.lost_paces_delay_ms = delay_ms;
     let until_ms = worker.now_ms() + SIMULATED_MS;
     while worker.now_ms() < until_ms {
@@ -206,7 +213,6 @@
 fn none_begins_beside_a_late_task() {
     let mut worker = SharedWorker::new(Conditions {
         slacks: (4.0, 0.9),
-        period_ms: 20_000,
         ..Conditions::default()
     });
     worker.start_all(2, 1, 1_000);
@@ -234,8 +240,7 @@
         effect: 1.2,
         learned_effect: Some(40.0),
         slacks: (4.0, 1.2),
-        period_ms: 20_000,
-        min_slack: 0.02,
+        ..Conditions::default()
     });
     worker.start_all(3, 6, 1_000);
     worker.run_for(40_000);
--- a/tests/src/shared_worker/conditions.rs
+++ b/tests/src/shared_worker/conditions.rs
@@ -13,6 +13,8 @@
     pub period_ms: u64,
     /// The least slack: tail latencies rise no further in saturation.
     pub min_slack: f64,
+    /// By which part measured tail latencies are too high or too low at most.
+    pub noise: f64,
 }
 
 impl Default for Conditions {
@@ -23,6 +25,7 @@
             slacks: (4.0, 4.0),
             period_ms: 20_000,
             min_slack: 0.02,
+            noise: 0.0,
         }
     }
 }
--- a/tests/src/shared_worker/mod.rs
+++ b/tests/src/shared_worker/mod.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use turmericfold_fleet::policy::interference::EffectEstimate;
 use turmericfold_fleet::{
     CallId, Event, PeerMessage, RunDetails, StartOutcome, Summary, WorkerCall, WorkerResult,
@@ -47,6 +49,9 @@
 /// The time after which the node hears its peer, in milliseconds.
 const PEER_HEARD_MS: u64 = 3_000;
 
+/// The seed of the errors of the measurements.
+const NOISE_SEED: u64 = 1;
+
 /// The weight of the effects that the peer has learned, in squared shares of a worker.
 const LEARNED_WEIGHT: f64 = 2.0;
 
@@ -94,6 +99,7 @@
     calls: Vec<CallInProgress>,
     slacks: VecDeque<f64>,
     next_summary_ms: u64,
+    rng: StdRng,
 }
 
 impl SharedWorker {
@@ -122,6 +128,7 @@
             calls: Vec::new(),
             slacks: VecDeque::new(),
             next_summary_ms: 0,
+            rng: StdRng::seed_from_u64(NOISE_SEED),
         }
     }
 
@@ -357,19 +364,23 @@
         }
     }
 
-    fn listing(&self) -> PollReply {
+    fn listing(&mut self) -> PollReply {
+        let noise = self.conditions.noise;
+        let error = 1.0 + self.rng.random_range(-noise..=noise);
         let started = self.runs.iter().filter(|(_, run)| run.is_started);
         PollReply::Runs {
             clock_ms: self.now_ms(),
             started_ms: 1,
-            running: started.map(|(key, run)| self.listed(*key, run)).collect(),
+            running: started
+                .map(|(key, run)| self.listed(*key, run, error))
+                .collect(),
             finished: Vec::new(),
         }
     }
 
-    fn listed(&self, key: RunKey, run: &ModelRun) -> ListedRun {
+    fn listed(&self, key: RunKey, run: &ModelRun, error: f64) -> ListedRun {
         let tails = self.slacks.iter().map(|slack| TARGET_MS as f64 / slack);
-        let mean_tail = tails.sum::<f64>() / self.slacks.len().max(1) as f64;
+        let mean_tail = tails.sum::<f64>() / self.slacks.len().max(1) as f64 * error;
         let used = run.details.wanted_millicores * u64::from(run.pace_percent) / 100;
         let is_serving = run.details.latency_target_ms.is_some();
         ListedRun {
