Apply a lower limit on the fillers at the measurement that leads to it

What callers saw: fillers that work on beside a task over its target (HARM).

Cause: a poll sets paces only if none was set in the last 450 ms. A start or the repetition of a lost call just before a measurement over the target put the reduction off to the next poll.

Change: a poll that lowers the limit sets the paces in any case. The limit falls at most every 600 ms, so this adds few calls.

Evidence: filler_paces::late_tasks_are_not_kept_waiting failed on the code before (the fillers kept a share of 0.75 for more than 1.1 s), and passes now.

--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -18,16 +18,25 @@
 
 impl WorkerOwner {
     /// Updates the interference model from the measurements of a poll, and sets the pace of
-    /// the fillers if the last change is long enough ago.
+    /// the fillers if the last change is long enough ago or their limit has fallen.
     pub(super) fn pace_fillers(
         &mut self,
         context: Context<'_>,
         name: &InstanceName,
         out: &mut Outbox,
     ) {
+        let max_share = |owner: &Self| {
+            owner
+                .worker(name)
+                .map(|worker| worker.pace_limit.max_share())
+        };
+        let max_share_before = max_share(self);
         self.learn_interference(context, name);
         self.log_over_target(context.moment, name);
-        self.set_paces_if_due(context, name, out);
+        match max_share(self) < max_share_before {
+            true => self.set_paces(context, name, out),
+            false => self.set_paces_if_due(context, name, out),
+        }
     }
 
     /// Sets the pace of the fillers on a worker by the slack of its tasks with a latency
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -370,3 +370,30 @@
         worker.longest_harm_ms
     );
 }
+
+/// Fillers slow down at the first measurement over a target, also if a pace has just been set on
+/// the worker for another reason.
+#[test]
+fn late_tasks_are_not_kept_waiting() {
+    let mut worker = SharedWorker::new(Conditions {
+        effect: 1.2,
+        learned_effect: Some(40.0),
+        ..Conditions::default()
+    });
+    worker.start_all(1, 6, 1_000);
+    worker.run_for(20_000);
+    // The lost call is repeated after 700 ms, just before the next poll is answered.
+    worker.lost_paces = 1;
+    worker.conditions.slacks = (2.0, 2.0);
+    let calls = worker.pace_calls.len();
+    while worker.pace_calls.len() == calls {
+        worker.run_for(10);
+    }
+    let share = worker.paced_share();
+    set_load(&mut worker, 1.25, 1_100);
+    assert!(
+        worker.paced_share() < 0.6 * share,
+        "{share}, {:?}",
+        worker.pace_calls
+    );
+}
