--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod gang;
 pub mod interference;
 pub mod offer;
+pub mod pace_limit;
 pub mod pacing;
 pub mod placement;
 pub mod room_wait;
--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -12,8 +12,8 @@
 /// below 1 / slack of the target.
 pub const MIN_SLACK: f64 = 1.15;
 
-/// The least change of a pace for which an order is sent, in percent of full pace.
-const MIN_PACE_CHANGE_PERCENT: f64 = 8.0;
+/// The least rise of a pace for which an order is sent, in percent of full pace.
+const MIN_PACE_RISE_PERCENT: f64 = 8.0;
 
 /// A task with a latency target.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,13 +24,15 @@
     pub slack: f64,
 }
 
-/// A filler whose pace is set.
+/// A filler beside tasks with a latency target.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FillerTask {
     /// The image that it runs.
     pub image: EcoString,
     /// Its current pace, in percent.
     pub pace_percent: f64,
+    /// Whether its pace can't be set now: it keeps the current one.
+    pub is_pace_fixed: bool,
     /// Whether the objective of its job has passed.
     pub is_late: bool,
     /// The part of its work that is done, in percent.
@@ -39,12 +41,15 @@
     pub full_pace_share: f64,
 }
 
-/// Returns the pace of every filler, in percent, in the order of `fillers`.
+/// Returns the pace of every filler, in percent, in the order of `fillers`; together they use at
+/// most `max_share` of the worker.
 pub fn filler_paces(
     interference: &InterferenceModel,
     serving: &[ServingTask],
     fillers: &[FillerTask],
+    max_share: f64,
 ) -> Vec<f64> {
+    let mut share_left = max_share;
     let mut left: Vec<f64> = serving.iter().map(|task| task.slack - MIN_SLACK).collect();
     let mut paces = vec![0.0; fillers.len()];
     for index in priority_order(interference, serving, fillers) {
@@ -53,12 +58,18 @@
             .iter()
             .map(|task| interference.effect(&task.image, &filler.image) * filler.full_pace_share)
             .collect();
+        let part = |left: f64, taken: f64| left.max(0.0) / taken.max(f64::MIN_POSITIVE);
         let allowed = left
             .iter()
             .zip(&effects)
-            .map(|(left, effect)| left.max(0.0) / effect.max(f64::MIN_POSITIVE))
-            .fold(1.0, f64::min);
-        paces[index] = suppress_small_change(allowed * 100.0, filler.pace_percent);
+            .map(|(left, effect)| part(*left, *effect))
+            .fold(1.0, f64::min)
+            .min(part(share_left, filler.full_pace_share));
+        paces[index] = match filler.is_pace_fixed {
+            true => filler.pace_percent,
+            false => suppress_small_rise(allowed * 100.0, filler.pace_percent),
+        };
+        share_left -= paces[index] / 100.0 * filler.full_pace_share;
         for (left, effect) in left.iter_mut().zip(&effects) {
             *left -= paces[index] / 100.0 * effect;
         }
@@ -68,7 +79,8 @@
 
 /// Returns the indices of the fillers in the order in which they get slack.
 ///
-/// Fillers whose jobs can still be in time come first, then those that take the least
+/// Those whose pace is fixed come first, as they take it in any case. Then fillers whose jobs can
+/// still be in time come first, then those that take the least
 /// slack. Of the same image, those that are nearest to their end come first.
 fn priority_order(
     interference: &InterferenceModel,
@@ -86,22 +98,25 @@
     let mut order: Vec<usize> = (0..fillers.len()).collect();
     order.sort_by(|one, other| {
         let progress = |index: usize| fillers[index].progress_percent;
+        let is_fixed = |index: usize| fillers[index].is_pace_fixed;
         let is_late = |index: usize| fillers[index].is_late;
-        is_late(*one)
-            .cmp(&is_late(*other))
+        is_fixed(*other)
+            .cmp(&is_fixed(*one))
+            .then(is_late(*one).cmp(&is_late(*other)))
             .then(costs[*one].total_cmp(&costs[*other]))
             .then(progress(*other).cmp(&progress(*one)))
     });
     order
 }
 
-/// Returns `wanted`, or `current` if the change is too small for an order.
+/// Returns `wanted`, or `current` if the rise is too small for an order.
 ///
-/// A change to 0 or 100 percent is never too small.
-fn suppress_small_change(wanted: f64, current: f64) -> f64 {
+/// A rise to 100 percent is never too small, nor is a reduction: what several fillers keep too
+/// much would add up.
+fn suppress_small_rise(wanted: f64, current: f64) -> f64 {
     let wanted = wanted.floor();
-    let is_extreme = wanted <= 0.0 || wanted >= 100.0;
-    if (wanted - current).abs() < MIN_PACE_CHANGE_PERCENT && !is_extreme {
+    let is_small_rise = wanted > current && wanted - current < MIN_PACE_RISE_PERCENT;
+    if is_small_rise && wanted < 100.0 {
         current
     } else {
         wanted
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -5,7 +5,7 @@
 use turmericfold_types::InstanceName;
 
 use super::owner::{WorkerOwner, keys_where};
-use super::run::{Run, RunPhase};
+use super::run::{Run, RunPhase, SERVING_READY_PERCENT};
 use super::worker::Worker;
 use crate::context::Context;
 use crate::policy::interference::{FillerUse, InterferenceModel};
@@ -14,26 +14,28 @@
 
 /// The least time between two changes of pace on one worker, in milliseconds: the
 /// measurements span the last half second.
-const MIN_PACE_CHANGE_INTERVAL_MS: u64 = 450;
-
-/// The progress that a long-running task reports once it is ready, in percent.
-const SERVING_READY_PERCENT: u32 = 100;
+pub(super) const MIN_PACE_CHANGE_INTERVAL_MS: u64 = 450;
 
 impl WorkerOwner {
     /// Updates the interference model from the measurements of a poll, and sets the pace of
-    /// the fillers if the last change is long enough ago.
+    /// the fillers if the last change is long enough ago or their limit has fallen.
     pub(super) fn pace_fillers(
         &mut self,
         context: Context<'_>,
         name: &InstanceName,
         out: &mut Outbox,
     ) {
-        self.learn_interference(context, name);
-        let Some(worker) = self.worker(name) else {
-            return;
+        let max_share = |owner: &Self| {
+            owner
+                .worker(name)
+                .map(|worker| worker.pace_limit.max_share())
         };
-        if context.moment.since_ms(worker.paced_at) >= MIN_PACE_CHANGE_INTERVAL_MS {
-            self.set_paces(context, name, out);
+        let max_share_before = max_share(self);
+        self.learn_interference(context, name);
+        self.log_over_target(context.moment, name);
+        match max_share(self) < max_share_before {
+            true => self.set_paces(context, name, out),
+            false => self.set_paces_if_due(context, name, out),
         }
     }
 
@@ -49,17 +51,20 @@
             return;
         };
         let serving = serving_tasks(self.interference(), worker);
-        let keys: Vec<RunKey> = paced_fillers(worker).map(|(key, _)| *key).collect();
-        let fillers: Vec<FillerTask> = paced_fillers(worker)
+        let fillers: Vec<FillerTask> = active_fillers(worker)
             .map(|(_, run)| filler_task(context, worker, run))
             .collect();
-        let wanted = filler_paces(self.interference(), &serving, &fillers);
-        let changes: Vec<(RunKey, u32)> = keys
-            .into_iter()
-            .zip(&fillers)
+        let wanted = filler_paces(
+            self.interference(),
+            &serving,
+            &fillers,
+            worker.pace_limit.max_share(),
+        );
+        let changes: Vec<(RunKey, u32)> = active_fillers(worker)
             .zip(wanted)
-            .map(|((key, filler), percent)| (key, filler.pace_percent as u32, percent as u32))
-            .filter(|(_, before, percent)| before != percent)
+            .filter(|((_, run), _)| can_be_paced(run))
+            .map(|((key, run), percent)| (*key, run, percent as u32))
+            .filter(|(_, run, percent)| run.pace.may_differ_from(*percent, context.moment.now))
             .map(|(key, _, percent)| (key, percent))
             .collect();
         self.order_paces(context, name, &changes, out);
@@ -70,6 +75,8 @@
             return;
         };
         worker.update_serving_use(context.moment);
+        worker.update_over_target(context.moment);
+        worker.update_pace_limit(context.moment);
         let uses = filler_uses(worker);
         let keys = keys_where(worker, |_, run| {
             run.latency_target_ms().is_some() && run.progress_percent >= SERVING_READY_PERCENT
@@ -139,8 +146,8 @@
                 token,
             };
             if let Some(run) = worker.runs.get_mut(key) {
-                run.pace_percent = *percent;
-                run.pace_call = Some(out.call_worker(&entry, WorkerCall::Pace(call)));
+                let id = out.call_worker(&entry, WorkerCall::Pace(call));
+                run.pace.on_call_sent(id, *percent);
             }
         }
     }
@@ -148,22 +155,32 @@
     /// Handles the result of a pace call; after a failure the pace is decided again.
     pub(super) fn on_pace_result(
         &mut self,
+        context: Context<'_>,
         name: &InstanceName,
         call: CallId,
         result: &Result<(), PlatformError>,
+        out: &mut Outbox,
     ) {
-        let run = self.worker_mut(name).and_then(|worker| {
-            let mut runs = worker.runs.values_mut();
-            runs.find(|run| run.pace_call == Some(call))
-        });
-        let Some(run) = run else {
+        let now = context.moment.now;
+        let Some(worker) = self.worker_mut(name) else {
             return;
         };
-        run.pace_call = None;
-        if let Err(error) = result {
-            log::info!(worker:% = name, error:% = error; "pace call to a worker failed; assuming full pace until the next decision");
-            // Full pace is assumed, so that the pace is lowered again where necessary.
-            run.pace_percent = 100;
+        let mut runs = worker.runs.iter_mut();
+        let found =
+            runs.find_map(|(key, run)| run.pace.on_call_result(now, call, result).then_some(key));
+        if let (Some(run), Err(error)) = (found, result) {
+            log::info!(run:% = run, worker:% = name, error:% = error; "pace call to a worker failed; deciding the pace again");
+            self.set_paces_if_due(context, name, out);
+        }
+    }
+
+    /// Sets the pace of the fillers if the last change is long enough ago.
+    fn set_paces_if_due(&mut self, context: Context<'_>, name: &InstanceName, out: &mut Outbox) {
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        if context.moment.since_ms(worker.paced_at) >= MIN_PACE_CHANGE_INTERVAL_MS {
+            self.set_paces(context, name, out);
         }
     }
 }
@@ -173,10 +190,9 @@
     let is_ready = |run: &&Run| run.progress_percent >= SERVING_READY_PERCENT;
     let task = |run: &Run| {
         let (image, _) = run.serving()?;
-        let slack_loss = run.slack_tracker.slack_loss(interference, image);
         Some(ServingTask {
             image: image.clone(),
-            slack: run.slack_tracker.predicted_slack(slack_loss)?,
+            slack: run.predicted_slack(interference)?,
         })
     };
     worker
@@ -187,13 +203,16 @@
         .collect()
 }
 
-/// Returns the running fillers without a pace call in progress.
-fn paced_fillers(worker: &Worker) -> impl Iterator<Item = (&RunKey, &Run)> {
-    let running = |run: &Run| matches!(run.phase, RunPhase::Running { .. });
-    worker
-        .runs
-        .iter()
-        .filter(move |(_, run)| run.is_filler() && running(run) && run.pace_call.is_none())
+/// Returns the fillers that work or may begin to; one that is being stopped ends soon.
+fn active_fillers(worker: &Worker) -> impl Iterator<Item = (&RunKey, &Run)> {
+    let runs = worker.runs.iter();
+    runs.filter(|(_, run)| run.is_filler() && !run.is_stopping())
+}
+
+/// Returns whether the pace of a filler can be set: the worker has confirmed it, and no pace call
+/// is in progress, which a later one could overtake.
+pub(super) fn can_be_paced(run: &Run) -> bool {
+    matches!(run.phase, RunPhase::Running { .. }) && !run.pace.is_being_set()
 }
 
 fn filler_task(context: Context<'_>, worker: &Worker, run: &Run) -> FillerTask {
@@ -203,7 +222,8 @@
         image: details
             .map(|details| details.image.clone())
             .unwrap_or_default(),
-        pace_percent: f64::from(run.pace_percent),
+        pace_percent: f64::from(run.pace.expected_percent()),
+        is_pace_fixed: !can_be_paced(run),
         is_late: run.is_starved
             || details.is_some_and(|details| context.moment.unix_ms > details.due_ms),
         progress_percent: run.progress_percent,
@@ -232,7 +252,7 @@
 }
 
 /// Returns the share of the worker's processor time, from 0 to 1.
-fn share(millicores: u64, worker: &Worker) -> f64 {
+pub(super) fn share(millicores: u64, worker: &Worker) -> f64 {
     millicores as f64 / worker.entry.capacity.cpu_millicores.max(1) as f64
 }
 
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -6,9 +6,14 @@
 use turmericfold_types::MonotonicMs;
 
 use super::fencing_token::FencingToken;
+use super::filler_pace::FillerPace;
 use super::slack::SlackTracker;
+use crate::policy::interference::InterferenceModel;
 use crate::{CallId, RunDetails, StartOrder};
 
+/// The progress that a long-running task reports once it is ready, in percent.
+pub(super) const SERVING_READY_PERCENT: u32 = 100;
+
 /// The phase of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -69,10 +74,8 @@
     /// Its tail latency in milliseconds if it has a latency target, else the millicores
     /// that it uses.
     pub(crate) measurement: u64,
-    /// The pace that was ordered last, in percent.
-    pub(crate) pace_percent: u32,
-    /// The pace call in progress.
-    pub(crate) pace_call: Option<CallId>,
+    /// Its pace, if it is a filler.
+    pub(crate) pace: FillerPace,
     /// The history of its slack, if it has a latency target.
     pub(crate) slack_tracker: SlackTracker,
     /// When the run was last reported to its job's owner as found.
@@ -85,6 +88,7 @@
         Self {
             details: Some(order.details.clone()),
             order: Some(order),
+            pace: FillerPace::of_started(),
             ..Self::found(now)
         }
         .with_phase(RunPhase::Ordered)
@@ -106,8 +110,7 @@
             progress_percent: 0,
             checkpoint: None,
             measurement: 0,
-            pace_percent: 100,
-            pace_call: None,
+            pace: FillerPace::of_found(),
             slack_tracker: SlackTracker::default(),
             reported_at: MonotonicMs::default(),
         }
@@ -148,6 +151,22 @@
         Some((&details.image, details.latency_target_ms?))
     }
 
+    /// Returns the slack that the run is expected to have soon without fillers, if it has a
+    /// target and was measured.
+    pub(crate) fn predicted_slack(&self, interference: &InterferenceModel) -> Option<f64> {
+        let (image, _) = self.serving()?;
+        let slack_loss = self.slack_tracker.slack_loss(interference, image);
+        self.slack_tracker.predicted_slack(slack_loss)
+    }
+
+    /// Returns the latency target divided by the last measured tail latency, if the run has a
+    /// target and is ready; below 1 it is over its target.
+    pub(crate) fn measured_slack(&self) -> Option<f64> {
+        let is_ready = self.progress_percent >= SERVING_READY_PERCENT;
+        let target_ms = self.latency_target_ms().filter(|_| is_ready)?;
+        Some(target_ms as f64 / self.measurement.max(1) as f64)
+    }
+
     /// Returns the latency target in milliseconds, if the run has one.
     pub(crate) fn latency_target_ms(&self) -> Option<u64> {
         self.details.as_ref()?.latency_target_ms
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -213,7 +213,7 @@
                 .into_iter()
                 .collect();
             let tasks: Vec<FillerTask> = worker.fillers.iter().map(filler_task).collect();
-            let paces = filler_paces(&self.interference, &serving, &tasks);
+            let paces = filler_paces(&self.interference, &serving, &tasks, f64::INFINITY);
             for (filler, percent) in worker.fillers.iter_mut().zip(paces) {
                 filler.pace_percent = percent;
             }
@@ -321,6 +321,7 @@
     FillerTask {
         image: filler.image.into(),
         pace_percent: filler.pace_percent,
+        is_pace_fixed: false,
         is_late: false,
         progress_percent: (100.0 - filler.remaining_ms * 100.0 / FILLER_RUN_MS as f64) as u32,
         full_pace_share: capacity_share(FILLER_MILLICORES),
