Search for room at least each 500 ms, also if nothing has happened

What callers saw: a job that is accepted while its only worker is silent, or has just refused a run, never starts, though the worker answers again and is free.

Cause: tasks are ordered only in a pass, and a pass followed only an event: a summary of a peer, a change of workers or configuration, an end, a refusal, an accepted job. The end of a wait by time alone (the 500 ms after a refusal, the pause of a task, the age of a worker's last answer) and an own worker that answers again are no such event. Beside peers that are heard, their summaries hide it; a process alone has none.

Why the fix works: a pass is due 500 ms after the last one even without an event, so each such wait ends half a second later at most. It costs two searches a second, against the 25 that are allowed.

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -28,6 +28,10 @@
 /// reads the whole view of the fleet's resources, so it must not follow every event.
 const MIN_PASS_INTERVAL_MS: u64 = 40;
 
+/// The longest time between two passes over the startable tasks, in milliseconds: a wait may end
+/// by time alone, or as a worker answers, and no event need follow.
+const MAX_PASS_INTERVAL_MS: u64 = 500;
+
 /// The owner of jobs, which schedules their runs and persists their progress.
 #[derive(Debug)]
 pub(crate) struct JobOwner {
@@ -42,6 +46,8 @@
     pub(super) should_start_tasks: bool,
     /// When the next pass over the startable tasks may begin.
     next_pass_at: MonotonicMs,
+    /// When the next pass over the startable tasks begins even without such a change.
+    pass_due_at: MonotonicMs,
     passes: u64,
     pub(super) query_numbers: PeerCallNumbers,
     /// The recovery queries about workers that have a new owner.
@@ -73,6 +79,7 @@
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
             next_pass_at: MonotonicMs::default(),
+            pass_due_at: MonotonicMs::default(),
             passes: 0,
             query_numbers: PeerCallNumbers::new(&settings.member.process),
             worker_queries: BTreeMap::new(),
@@ -215,18 +222,25 @@
             self.log_waiting_steps(context, workers, configuration);
         }
         self.write_due(context.moment, out);
-        if self.should_start_tasks
-            && context.moment.has_reached(self.next_pass_at)
+        if self.is_pass_due(context.moment)
             && workers.may_start(context)
             && let Some(configuration) = configuration
         {
             self.should_start_tasks = false;
             self.next_pass_at = context.moment + MIN_PASS_INTERVAL_MS;
+            self.pass_due_at = context.moment + MAX_PASS_INTERVAL_MS;
             self.passes += 1;
             self.start_tasks(context, workers, configuration, out);
         }
     }
 
+    /// Returns whether a pass over the startable tasks is due: after a change that may allow more
+    /// of them to start, and at intervals without one.
+    fn is_pass_due(&self, moment: Moment) -> bool {
+        let has_cause = self.should_start_tasks || moment.has_reached(self.pass_due_at);
+        has_cause && moment.has_reached(self.next_pass_at)
+    }
+
     fn on_start_answer(
         &mut self,
         context: Context<'_>,
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -58,6 +58,7 @@
 mod peer_ports;
 mod placement_passes;
 mod promises;
+mod quiet_passes;
 mod rebalancing;
 mod recurring_jobs;
 mod replaced_workers;
