Let a paused task hold up no other task of its step

What callers saw: a task of a lasting job that has lost its run isn't ordered for up to 8 s in a fleet without room, as another task of the same step, which workers have refused more often, pauses.

Cause: a pass skips the rest of a step after the first task without an offer, as all tasks of a step have the same requirements. But the pause after refusals is that of one task.

Evidence: sibling_waits::paused_task_holds_no_other failed before the change: no order of the other task within 1 s.

Why the fix works: a paused task lets the pass go on; those of its siblings that pause too are passed over without another search, and the first one that does not pause is looked at as before. So a pass searches once more for a step at most.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -109,9 +109,11 @@
             return;
         }
         let mut skipped_step = None;
+        let mut full_step = None;
         for task in tasks.iter().copied() {
             let step = Some((task.occurrence, task.step));
-            if skipped_step == step {
+            let is_paused = self.is_paused(context.moment, task);
+            if skipped_step == step || (full_step == step && is_paused) {
                 continue;
             }
             let interference = workers.interference();
@@ -123,8 +125,11 @@
             let chosen = self.choose_worker(context.moment, interference, &service, task, offers);
             let Some(chosen) = chosen else {
                 // All tasks of a step have the same requirements, so if there is no offer
-                // for one, there is none for the others.
-                skipped_step = step;
+                // for one, there is none for the others; but each pauses by itself.
+                match is_paused {
+                    true => full_step = step,
+                    false => skipped_step = step,
+                }
                 continue;
             };
             if let Some(run) = self.next_run(task) {
@@ -157,17 +162,24 @@
         if with_room.is_some() || !self.may_wait_for_room(task) {
             return with_room;
         }
+        if self.is_paused(moment, task) {
+            return None;
+        }
         let no_refusals = RoomRefusals::default();
         let entry = self.jobs.get(&task.job)?;
         let refusals = entry.room_refusals.get(&task).unwrap_or(&no_refusals);
-        if refusals.is_paused(moment) {
-            return None;
-        }
         self.choose_by_demand(service, task, |demand| {
             choose_room_wait(demand, refusals.counts(), offers)
         })
     }
 
+    /// Returns whether no order of a task may wait for room now, as workers have refused some.
+    fn is_paused(&self, moment: Moment, task: TaskKey) -> bool {
+        let entry = self.jobs.get(&task.job);
+        let refusals = entry.and_then(|entry| entry.room_refusals.get(&task));
+        refusals.is_some_and(|refusals| refusals.is_paused(moment))
+    }
+
     /// Returns whether the order of a task's next run may wait for room: a lasting task that
     /// has lost its run is restored first. The members of a gang start all at once instead.
     fn may_wait_for_room(&self, task: TaskKey) -> bool {
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -68,6 +68,7 @@
 mod rollout_changes;
 mod room_waits;
 mod scheduling;
+mod sibling_waits;
 mod silent_store;
 mod silent_takeovers;
 mod silent_workers;
