Ask the owner of a worker for a run that only another process has found there

What callers saw: a task is never started again, though nothing of it runs. Nothing reports an end of the run for which it waits.

Cause: a run that is found on a worker was tracked under the worker's present epoch, whoever had found it. Runs are asked for only when the epoch is later than theirs. A report that a former owner sends late, of a run that is gone, so made a run that the present owner doesn't know and is never asked for. The same report raised the epoch of a run that was tracked already, so that the present owner's report that it is missing was passed over.

Evidence: found_elsewhere::former_owners_run_is_asked_for failed before the change: no query in 30 s of reviews. later_owners_run_goes_on guards the other case: the finder is a later owner of which this process has not heard yet.

Why the fix works: a run found by a process that does not own the worker, as far as is known, is confirmed, but its epoch isn't raised. A new one is asked for after 5 s, once the watch of the owners, which reports within 2 s, would have reported a later owner, and only while the registration is valid. Until then its task is held, as before. The report that ends it is one of the present owner that does not list the run: by then the worker has answered the present owner's token, so no earlier order starts it.

--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod evacuate;
 mod expired_runs;
 mod fleet_resources;
+mod found_runs;
 mod gang;
 mod job_entry;
 mod loading;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -285,35 +285,6 @@
         }
     }
 
-    /// Sends the details of runs that were found on a worker, or stops the unwanted
-    /// ones.
-    fn on_runs_found(
-        &mut self,
-        context: Context<'_>,
-        from: &ProcessId,
-        worker: &InstanceName,
-        runs: &[RunKey],
-        out: &mut Outbox,
-    ) {
-        for run in runs {
-            let shard = self.shards.get(&JobShard::of(run.task.job));
-            if !shard.is_some_and(Shard::is_loaded) {
-                continue;
-            }
-            if let Some(details) = self.adopt(context, worker, *run) {
-                let message = PeerMessage::RunDetails {
-                    worker: worker.clone(),
-                    run: *run,
-                    details,
-                };
-                out.send(from, message);
-            } else {
-                log::info!(job:% = run.task.job, run:% = run, worker:% = worker; "run found on a worker is unwanted; stopping it");
-                self.stop_unwanted(context, from, worker, *run, out);
-            }
-        }
-    }
-
     fn open_due_occurrences(&mut self, moment: Moment) {
         for entry in self.jobs.values_mut() {
             if entry.job.open_due_occurrences(moment.unix_ms) {
--- a/crates/turmericfold-fleet/src/jobs/recovery.rs
+++ b/crates/turmericfold-fleet/src/jobs/recovery.rs
@@ -9,7 +9,6 @@
 use super::owner::{JobOwner, WorkerQuery};
 use super::recovery_log::log_missing_reports;
 use super::shard::{HeldTasks, Phase, Recovering, Shard};
-use super::tracked_runs::TrackedRun;
 use crate::context::Context;
 use crate::policy::urgency;
 use crate::{
@@ -78,6 +77,7 @@
     /// Requests recovery reports on those workers of tracked runs that have a new owner.
     pub(super) fn query_reassigned_workers(&mut self, context: Context<'_>, out: &mut Outbox) {
         let authorities = self.authorities();
+        self.doubt_unverified_runs(context);
         let mut stale = BTreeSet::new();
         for (_, tracked) in self.runs.iter() {
             let unit = Unit::Worker(tracked.worker.clone());
@@ -146,7 +146,7 @@
                 .shards
                 .get(&JobShard::of(run.task.job))
                 .is_some_and(Shard::is_loaded);
-            if is_loaded && self.adopt(context, &report.worker, *run).is_none() {
+            if is_loaded && self.adopt(context, from, &report.worker, *run).is_none() {
                 self.stop_unwanted(context, from, &report.worker, *run, out);
                 unsettled.insert(JobShard::of(run.task.job));
             }
@@ -164,105 +164,6 @@
         }
     }
 
-    /// Returns whether a run that was found on a worker is to go on: its job and task are
-    /// known and have not ended, nor has the run, and it is no copy that is not allowed.
-    fn is_wanted(&self, run: RunKey) -> bool {
-        let Some(entry) = self.jobs.get(&run.task.job) else {
-            return false;
-        };
-        let Some(step) = entry.job.step_spec(run.task) else {
-            return false;
-        };
-        let shard = self.shards.get(&JobShard::of(run.task.job));
-        let is_ready = shard.is_some_and(Shard::is_ready);
-        // Until a shard is ready, the copies of its former owner are found in any order.
-        let may_be_earlier_copy = step.copies_allowed && !is_ready;
-        if entry.job.state().is_final() || (entry.job.has_ended(run) && !may_be_earlier_copy) {
-            return false;
-        }
-        entry.job.task(run.task).is_none_or(|task| {
-            let elsewhere = task.active.iter().any(|active| active.number != run.number);
-            !task.done && (!elsewhere || step.copies_allowed)
-        })
-    }
-
-    /// Tracks a run that was found on a worker and returns its details; `None` if the run is
-    /// unwanted.
-    pub(super) fn adopt(
-        &mut self,
-        context: Context<'_>,
-        worker: &InstanceName,
-        run: RunKey,
-    ) -> Option<RunDetails> {
-        if !self.is_wanted(run) {
-            return None;
-        }
-        let entry = self.jobs.get_mut(&run.task.job)?;
-        let details = details_of(&entry.job, entry.job.step_spec(run.task)?);
-        if !entry.job.add_run(run, worker.clone()) {
-            return None;
-        }
-        entry.job.record_start();
-        self.track_found(context, worker, run, &details);
-        Some(details)
-    }
-
-    /// Tracks a run that is on a worker.
-    fn track_found(
-        &mut self,
-        context: Context<'_>,
-        worker: &InstanceName,
-        run: RunKey,
-        details: &RunDetails,
-    ) {
-        let epoch = context
-            .ownership
-            .owner(&Unit::Worker(worker.clone()))
-            .map(|owned| owned.epoch)
-            .unwrap_or_default();
-        if let Some(tracked) = self.runs.get_mut(&run) {
-            tracked.is_confirmed = true;
-            tracked.worker_epoch = epoch;
-            return;
-        }
-        self.runs.insert(
-            run,
-            TrackedRun {
-                worker: worker.clone(),
-                worker_epoch: epoch,
-                resources: details.resources,
-                filler_millicores: details.filler_millicores(),
-                tracked_since: context.moment.now,
-                waits_for_room: false,
-                is_confirmed: true,
-                expiry_logged: false,
-                is_stopping: false,
-                stop_sent_at: context.moment.now,
-                progress_percent: 0,
-            },
-        );
-    }
-
-    /// Keeps the task of an unwanted run from starting until that run has ended.
-    fn track_unwanted(&mut self, context: Context<'_>, worker: &InstanceName, run: RunKey) {
-        let Some(entry) = self.jobs.get_mut(&run.task.job) else {
-            return;
-        };
-        let Some(step) = entry.job.step_spec(run.task) else {
-            return;
-        };
-        if step.copies_allowed || !entry.may_be_running(run) {
-            return;
-        }
-        let details = details_of(&entry.job, step);
-        if entry.job.add_run(run, worker.clone()) {
-            self.track_found(context, worker, run, &details);
-            if let Some(tracked) = self.runs.get_mut(&run) {
-                tracked.is_stopping = true;
-            }
-        }
-    }
-
     /// Ends a run whose worker has departed or does not know the run.
     pub(super) fn end_as_lapsed(
         &mut self,
@@ -309,26 +210,6 @@
             self.end_as_lapsed(context, &report.worker, run, out);
         }
     }
-
-    /// Stops an unwanted run that was found on a worker; its task starts again only after its end.
-    pub(super) fn stop_unwanted(
-        &mut self,
-        context: Context<'_>,
-        from: &ProcessId,
-        worker: &InstanceName,
-        run: RunKey,
-        out: &mut Outbox,
-    ) {
-        self.track_unwanted(context, worker, run);
-        if let Some(shard) = self.shards.get(&JobShard::of(run.task.job)) {
-            let message = PeerMessage::Stop {
-                authority: shard.authority,
-                worker: worker.clone(),
-                run,
-            };
-            out.send(from, message);
-        }
-    }
 }
 
 /// Releases the tasks of a recovering shard that may start by now; returns whether there are
--- a/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
@@ -6,6 +6,8 @@
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, MonotonicMs, Resources};
 
+use crate::Moment;
+
 /// A run that may be in progress, with the state that the owner of its job keeps.
 #[derive(Debug, Clone)]
 pub(crate) struct TrackedRun {
@@ -38,6 +40,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct TrackedRuns {
     by_run: BTreeMap<RunKey, TrackedRun>,
+    /// The runs that only a process that does not own their worker has found, with the time of
+    /// that.
+    unverified: BTreeMap<RunKey, MonotonicMs>,
 }
 
 impl TrackedRuns {
@@ -48,9 +53,31 @@
 
     /// Removes a run.
     pub(crate) fn remove(&mut self, run: &RunKey) -> Option<TrackedRun> {
+        self.unverified.remove(run);
         self.by_run.remove(run)
     }
 
+    /// Records that a process that does not own the worker has found a run at `now`.
+    pub(crate) fn set_unverified(&mut self, run: RunKey, now: MonotonicMs) {
+        self.unverified.insert(run, now);
+    }
+
+    /// Records that the owner of the worker knows a run.
+    pub(crate) fn set_verified(&mut self, run: &RunKey) {
+        self.unverified.remove(run);
+    }
+
+    /// Takes the runs that have not been verified for `min_age_ms`.
+    pub(crate) fn take_unverified(&mut self, moment: Moment, min_age_ms: u64) -> Vec<RunKey> {
+        let is_due = |at: &MonotonicMs| moment.since_ms(*at) >= min_age_ms;
+        let due = self.unverified.iter().filter(|(_, at)| is_due(at));
+        let due: Vec<RunKey> = due.map(|(run, _)| *run).collect();
+        for run in &due {
+            self.unverified.remove(run);
+        }
+        due
+    }
+
     /// Returns a run, if it is tracked.
     pub(crate) fn get(&self, run: &RunKey) -> Option<&TrackedRun> {
         self.by_run.get(run)
@@ -88,6 +115,7 @@
     where
         Keep: Fn(&RunKey) -> bool,
     {
+        self.unverified.retain(|run, _| keep(run));
         self.by_run.retain(|run, _| keep(run));
     }
 }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -30,6 +30,7 @@
 mod floods;
 mod former_calls;
 mod forwarding;
+mod found_elsewhere;
 mod full_fleets;
 mod gangs;
 mod graceful_shutdown;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod driven_node;
 pub mod fleet_world;
 pub mod fuzz;
+pub mod job_owner;
 pub mod node_parts;
 pub mod restart_soak;
 pub mod shard_owner;
