Log why a registered worker takes no runs

A worker that answers its polls may take no runs for several causes: a run on it whose job's owner hasn't sent the details, a token that it hasn't answered yet, a later owner. No line named the cause or how long it lasted, so a room that stays free could not be told from a worker that is not offered. Each such worker is now logged after 2 s and each 2 s, with the cause, the unknown run and the owner of its job. A worker that has never answered its new owner keeps its own line. No change of behaviour: is_usable asks for the cause.

--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -23,6 +23,7 @@
 mod slack;
 mod start_calls;
 mod unheard;
+mod unusable;
 mod waiting_orders;
 mod waiting_starts;
 mod worker;
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -291,6 +291,7 @@
             self.handle_expiry(context, name, out);
             self.give_up_unheard(context, name);
             self.log_unheard(context, name);
+            self.log_unusable(context, name);
             self.poll_if_due(context, name, out);
             self.settle_waiting_orders(context, name, out);
             self.retry_calls(context, name, out);
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -11,14 +11,11 @@
 use super::load::DEFAULT_SERVING_USE_PERMILLE;
 use super::run::Run;
 use super::start_calls::StartCalls;
+use super::unusable::UnusableSpan;
 use super::waiting_orders::WaitingOrders;
-use crate::{CallId, Moment, RecoveryReport, ReportedEnd};
+use crate::{CallId, RecoveryReport, ReportedEnd};
 use ecow::EcoString;
 
-/// The age of the last answer from which a worker gets no new runs, in milliseconds: one
-/// poll with its wait and some delay.
-const MAX_ANSWER_AGE_MS: u64 = 1_600;
-
 /// An end of a run, kept until the owner of its job has recorded it and the worker no
 /// longer lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -124,6 +121,8 @@
     /// When the owners of its runs' jobs were last told that its lease has expired, if it
     /// has not answered since.
     pub(crate) expiry_reported_at: Option<MonotonicMs>,
+    /// Since when it takes no runs though it does not leave, if that is so.
+    pub(super) unusable_span: Option<UnusableSpan>,
     /// Whether it refused this process's token at the last answered poll.
     pub(crate) fenced: bool,
     /// Whether a peer has listed it under a later epoch, so that this process has lost it.
@@ -183,6 +182,7 @@
             late_ms_at_answer: 0,
             has_listed_all: false,
             expiry_reported_at: None,
+            unusable_span: None,
             fenced: false,
             has_later_owner: false,
             runs: BTreeMap::new(),
@@ -263,22 +263,6 @@
         !self.registered && self.replaced_at.is_some_and(is_confirmed)
     }
 
-    /// Returns whether the worker can take new runs.
-    pub(crate) fn is_usable(&self, moment: Moment) -> bool {
-        let answered_recently = self
-            .last_answer_at
-            .is_some_and(|last_answer_at| moment.since_ms(last_answer_at) < MAX_ANSWER_AGE_MS);
-        self.registered
-            && self.authorities_known
-            && !self.fenced
-            && !self.has_later_owner
-            && self.replaced_at.is_none()
-            && self.has_seen_token()
-            && !self.entry.draining
-            && answered_recently
-            && self.runs.values().all(|run| run.details.is_some())
-    }
-
     /// Returns the runs that may be in progress and the ends not recorded yet, once both are
     /// known; both are empty if the worker is replaced or counts as lost without an answer.
     /// The watch of the workers last reported at `reported_at`.
