Refuse orders to a worker while no start may be sent to it

What callers saw: with a worker whose owner has used up the tokens of its epoch (1,023 restarts or acknowledgements without an answer), each further acknowledgement without an answer delays starts for 12 s. Orders on it are taken meanwhile, get no answer, and are stopped after 4 s by the owner of the job, which then orders there again, as the worker shows its room.

Cause: no_starts_until held the start calls, but the worker counted as usable.

Evidence: acknowledgements::held_worker_refuses_orders failed before the change: the order was neither refused nor carried out.

Why the fix works: the worker is not usable in that span, so it is not offered and orders are refused at once. It starts nothing more than before. That the span is 12 s stays.

--- a/crates/turmericfold-fleet/src/workers/unusable.rs
+++ b/crates/turmericfold-fleet/src/workers/unusable.rs
@@ -29,6 +29,8 @@
     NoAnswer,
     /// It has not answered a poll with the present token.
     TokenNotSeen,
+    /// An acknowledgement without an answer may still take effect.
+    StartsHeld,
     /// The owner of the job of a run on it has not sent the details of the run.
     UnknownRun,
 }
@@ -74,6 +76,7 @@
                 UnusableCause::NoAnswer,
             ),
             (!self.has_seen_token(), UnusableCause::TokenNotSeen),
+            (moment.now < self.no_starts_until, UnusableCause::StartsHeld),
             (self.unknown_run().is_some(), UnusableCause::UnknownRun),
         ];
         let cause = causes.into_iter().find(|(applies, _)| *applies);
--- a/tests/features/acknowledgements.rs
+++ b/tests/features/acknowledgements.rs
@@ -1,7 +1,9 @@
 //! How the owner of a worker acknowledges recorded ends.
 
 use rstest::rstest;
-use turmericfold_fleet::{CallId, Event, PeerMessage, WorkerCall, WorkerChange, WorkerResult};
+use turmericfold_fleet::{
+    CallId, Event, PeerMessage, StartOutcome, WorkerCall, WorkerChange, WorkerResult,
+};
 use turmericfold_platform::{PlatformError, PollCall, StartReply, WorkerEntry};
 use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
 use turmericfold_tests::node_parts::{process, run};
@@ -11,36 +13,63 @@
 /// How long the runs work, in milliseconds.
 const WORK_MS: u64 = 30;
 
+/// The number of tokens of one epoch.
+const TOKENS_PER_EPOCH: u64 = 1_024;
+
 /// An owner whose worker has ended a run, and the worker.
 struct EndedRun {
     harness: WorkerOwnerHarness,
     worker: TaskWorkerModel,
+    /// The number of the last run.
+    number: u64,
 }
 
 impl EndedRun {
     /// Creates them; the owner has listed the end, which is not recorded yet.
     fn new() -> Self {
-        let mut harness = WorkerOwnerHarness::new();
-        let mut worker = TaskWorkerModel::new(entry().capacity, MonotonicMs(0));
-        harness.order_start();
-        let (call, start) = harness.take_start_call();
-        let reply = worker.start(MonotonicMs(harness.driven.now_ms), &start, behaviour());
-        harness.answer(call, WorkerResult::Start(Ok(reply)));
-        let mut ended = Self { harness, worker };
-        ended.harness.wait(WORK_MS + 20);
-        ended.harness.poll_and_answer(&mut ended.worker);
-        // A poll of the same life after the start has been answered.
-        ended.harness.wait(150);
-        ended.harness.poll_and_answer(&mut ended.worker);
+        let harness = WorkerOwnerHarness::new();
+        let worker = TaskWorkerModel::new(entry().capacity, MonotonicMs(0));
+        let mut ended = Self {
+            harness,
+            worker,
+            number: 0,
+        };
+        ended.run_next();
         ended
     }
 
+    /// Starts the next run, and lets the owner list its end.
+    fn run_next(&mut self) {
+        self.number += 1;
+        self.harness.order_run(self.number);
+        let (call, start) = self.harness.take_start_call();
+        let now = MonotonicMs(self.harness.driven.now_ms);
+        let reply = self.worker.start(now, &start, behaviour());
+        self.harness.answer(call, WorkerResult::Start(Ok(reply)));
+        self.harness.wait(WORK_MS + 20);
+        self.harness.poll_and_answer(&mut self.worker);
+        // A poll of the same life after the start has been answered.
+        self.harness.wait(150);
+        self.harness.poll_and_answer(&mut self.worker);
+    }
+
+    /// Restarts the worker so often that no higher token is left, and lets its owner poll it.
+    fn exhaust_tokens(&mut self) {
+        for _ in 0..TOKENS_PER_EPOCH {
+            self.worker.restart(MonotonicMs(self.harness.driven.now_ms));
+            for _ in 0..2 {
+                self.harness.wait(150);
+                self.harness.poll_and_answer(&mut self.worker);
+            }
+        }
+    }
+
     fn record_end(&mut self) {
         self.harness.driven.deliver(Event::Peer {
             from: process(1, 1),
             messages: vec![PeerMessage::EndsRecorded {
                 worker: InstanceName::new(WORKER),
-                runs: vec![run(JOB, 1)],
+                runs: vec![run(JOB, self.number)],
             }],
         });
     }
@@ -112,6 +141,29 @@
     assert!(start.token > poll.token, "{} is too low", start.token);
 }
 
+/// Guards against orders that wait for seconds on a worker that may get no starts, as no higher
+/// token is left for them.
+#[test]
+fn held_worker_refuses_orders() {
+    let mut ended = EndedRun::new();
+    ended.record_end();
+    ended.exhaust_tokens();
+    ended.run_next();
+    let (call, poll) = ended.take_acknowledgement();
+    ended.harness.answer(call, poll_without_answer());
+    ended.harness.wait(150);
+    let (next_call, next_poll) = ended.harness.take_poll_call();
+    assert_eq!(next_poll.token, poll.token, "a higher token is left");
+    ended.answer_poll(next_call, &next_poll);
+    ended.harness.outcomes();
+    ended.harness.order_run(ended.number + 1);
+    let outcomes = ended.harness.outcomes();
+    assert!(
+        matches!(outcomes[..], [StartOutcome::Refused(_)]),
+        "{outcomes:?}"
+    );
+}
+
 /// Guards against an acknowledgement after a start that may have reached a later life.
 #[test]
 fn start_delays_it() {
