Check at the end of a soak that no job waits for ever

The soak checked that lasting tasks run again, but not that jobs that can end do: a task that waits without a bound for a run that is nowhere was no broken promise. Long after the last fault and its late calls all accepted jobs must now be completed, but for the lasting and the cancelled ones (Unfinished).

--- a/tests/src/fleet_world/oracle.rs
+++ b/tests/src/fleet_world/oracle.rs
@@ -51,6 +51,8 @@
     Lost(JobId),
     /// A lasting task had no run for too long, with room for it while no fault was active.
     Waiting(TaskKey),
+    /// An accepted job was not completed long after the last fault.
+    Unfinished(JobId),
 }
 
 #[derive(Debug, Default)]
--- a/tests/src/restart_soak.rs
+++ b/tests/src/restart_soak.rs
@@ -2,7 +2,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use turmericfold_jobs::{JobId, JobSpec, StepSpec};
+use turmericfold_jobs::{JobId, JobSpec, JobState, StepSpec};
 use turmericfold_standin::TaskBehaviour;
 use turmericfold_types::Resources;
 
@@ -21,6 +21,14 @@
 /// The time of the world at which the soak ends, in milliseconds.
 const END_MS: u64 = 55_000;
 
+/// The time after that in which all other jobs than the lasting ones are completed, in
+/// milliseconds: the faults and their late calls are over by then, so it covers the longest wait
+/// for a lost worker and the longest run.
+const FINISH_MS: u64 = 30_000;
+
+/// The time in which all states are answered, in milliseconds.
+const ANSWER_MS: u64 = 500;
+
 /// The number of faults of the soak.
 const FAULTS: usize = 22;
 
@@ -40,12 +48,41 @@
         .with_stop_ms(STOP_MS);
     let mut actions = actions(&mut random);
     actions.sort_unstable_by_key(|(at_ms, _)| *at_ms);
+    let cancelled = cancelled_jobs(&actions);
     for (at_ms, action) in actions {
         world.run_for(at_ms.saturating_sub(world.now().0));
         perform(&mut world, &mut random, action);
     }
     world.run_for(END_MS.saturating_sub(world.now().0));
-    world.violations().to_vec()
+    let mut violations = world.violations().to_vec();
+    let unfinished = unfinished_jobs(&mut world, &cancelled);
+    violations.extend(unfinished.into_iter().map(Violation::Unfinished));
+    violations
+}
+
+/// Returns the accepted jobs that are not completed some time later, without the lasting and the
+/// cancelled ones.
+fn unfinished_jobs(world: &mut FleetWorld, cancelled: &[JobId]) -> Vec<JobId> {
+    world.run_for(FINISH_MS);
+    let jobs = world.jobs().iter();
+    let finite = jobs.filter(|(_, known)| known.accepted && !known.spec.is_long_running());
+    let mut open: Vec<JobId> = finite.map(|(job, _)| *job).collect();
+    open.retain(|job| !cancelled.contains(job));
+    for job in &open {
+        world.ask_state(0, *job);
+    }
+    world.run_for(ANSWER_MS);
+    open.retain(|job| world.jobs()[job].state != Some(JobState::Completed));
+    open
+}
+
+/// Returns the jobs that are cancelled.
+fn cancelled_jobs(actions: &[(u64, Action)]) -> Vec<JobId> {
+    let cancelled = |(_, action): &(u64, Action)| match action {
+        Action::Cancel(job) => Some(*job),
+        _ => None,
+    };
+    actions.iter().filter_map(cancelled).collect()
 }
 
 /// An action of the callers or the operator.
