--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -28,6 +28,10 @@
 /// reads the whole view of the fleet's resources, so it must not follow every event.
 const MIN_PASS_INTERVAL_MS: u64 = 40;
 
+/// The longest time between two passes over the startable tasks, in milliseconds: a wait may end
+/// by time alone, or as a worker answers, and no event need follow.
+const MAX_PASS_INTERVAL_MS: u64 = 500;
+
 /// The owner of jobs, which schedules their runs and persists their progress.
 #[derive(Debug)]
 pub(crate) struct JobOwner {
@@ -42,6 +46,8 @@
     pub(super) should_start_tasks: bool,
     /// When the next pass over the startable tasks may begin.
     next_pass_at: MonotonicMs,
+    /// When the next pass over the startable tasks begins even without such a change.
+    pass_due_at: MonotonicMs,
     passes: u64,
     pub(super) query_numbers: PeerCallNumbers,
     /// The recovery queries about workers that have a new owner.
@@ -73,6 +79,7 @@
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
             next_pass_at: MonotonicMs::default(),
+            pass_due_at: MonotonicMs::default(),
             passes: 0,
             query_numbers: PeerCallNumbers::new(&settings.member.process),
             worker_queries: BTreeMap::new(),
@@ -216,18 +223,25 @@
             self.log_waiting_steps(context, workers, configuration);
         }
         self.write_due(context.moment, out);
-        if self.should_start_tasks
-            && context.moment.has_reached(self.next_pass_at)
+        if self.is_pass_due(context.moment)
             && workers.may_start(context)
             && let Some(configuration) = configuration
         {
             self.should_start_tasks = false;
             self.next_pass_at = context.moment + MIN_PASS_INTERVAL_MS;
+            self.pass_due_at = context.moment + MAX_PASS_INTERVAL_MS;
             self.passes += 1;
             self.start_tasks(context, workers, configuration, out);
         }
     }
 
+    /// Returns whether a pass over the startable tasks is due: after a change that may allow more
+    /// of them to start, and at intervals without one.
+    fn is_pass_due(&self, moment: Moment) -> bool {
+        let has_cause = self.should_start_tasks || moment.has_reached(self.pass_due_at);
+        has_cause && moment.has_reached(self.next_pass_at)
+    }
+
     fn on_start_answer(
         &mut self,
         context: Context<'_>,
@@ -272,35 +286,6 @@
         }
     }
 
-    /// Sends the details of runs that were found on a worker, or stops the unwanted
-    /// ones.
-    fn on_runs_found(
-        &mut self,
-        context: Context<'_>,
-        from: &ProcessId,
-        worker: &InstanceName,
-        runs: &[RunKey],
-        out: &mut Outbox,
-    ) {
-        for run in runs {
-            let shard = self.shards.get(&JobShard::of(run.task.job));
-            if !shard.is_some_and(Shard::is_loaded) {
-                continue;
-            }
-            if let Some(details) = self.adopt(context, worker, *run) {
-                let message = PeerMessage::RunDetails {
-                    worker: worker.clone(),
-                    run: *run,
-                    details,
-                };
-                out.send(from, message);
-            } else {
-                log::info!(job:% = run.task.job, run:% = run, worker:% = worker; "run found on a worker is unwanted; stopping it");
-                self.stop_unwanted(context, from, worker, *run, out);
-            }
-        }
-    }
-
     /// Finds the jobs that have been without a run for too long.
     fn find_starved_jobs(&mut self, moment: Moment) {
         let confirmed = self.runs.iter().filter(|(_, run)| run.is_confirmed);
