--- a/tests/src/shared_worker/runs.rs
+++ b/tests/src/shared_worker/runs.rs
@@ -4,6 +4,7 @@
 use turmericfold_jobs::{JobId, RunKey};
 use turmericfold_types::Resources;
 
+use super::{ModelRun, SharedWorker};
 use crate::node_parts::run;
 
 /// The latency target of the tasks, in milliseconds.
@@ -44,3 +45,17 @@
         due_ms: u64::MAX,
     }
 }
+
+impl SharedWorker {
+    /// Orders a run as the owner of its job, which has had none for long.
+    pub fn order_starved(&mut self, key: RunKey, details: RunDetails) {
+        let ordered = ModelRun {
+            details: details.clone(),
+            is_started: false,
+            pace_percent: 0,
+            ordered_paces: Vec::new(),
+        };
+        self.runs.insert(key, ordered);
+        self.harness.order_starved_with(key, details);
+    }
+}
--- a/tests/src/worker_owner.rs
+++ b/tests/src/worker_owner.rs
@@ -215,21 +215,18 @@
 
     /// Orders a run with these details as the owner of the job.
     pub fn order_with(&mut self, run: RunKey, details: RunDetails) {
-        let order = StartOrder {
-            authority: Authority {
-                shard: JobShard::of(JOB),
-                epoch: JOBS_EPOCH,
-            },
-            worker: InstanceName::new(WORKER),
-            worker_epoch: WORKER_EPOCH,
-            run,
-            payload: "visit".into(),
-            checkpoint: None,
-            details,
-        };
+        self.send_order(PeerMessage::Start(order(run, details)));
+    }
+
+    /// Orders a run of a job that has had none for long as the owner of the job.
+    pub fn order_starved_with(&mut self, run: RunKey, details: RunDetails) {
+        self.send_order(PeerMessage::StartStarved(order(run, details)));
+    }
+
+    fn send_order(&mut self, message: PeerMessage) {
         self.driven.deliver(Event::Peer {
             from: process(1, 1),
-            messages: vec![PeerMessage::Start(Box::new(order))],
+            messages: vec![message],
         });
     }
 
@@ -248,6 +245,21 @@
     }
 }
 
+fn order(run: RunKey, details: RunDetails) -> Box<StartOrder> {
+    Box::new(StartOrder {
+        authority: Authority {
+            shard: JobShard::of(JOB),
+            epoch: JOBS_EPOCH,
+        },
+        worker: InstanceName::new(WORKER),
+        worker_epoch: WORKER_EPOCH,
+        run,
+        payload: "visit".into(),
+        checkpoint: None,
+        details,
+    })
+}
+
 /// Returns the registration of the worker.
 pub fn entry() -> WorkerEntry {
     WorkerEntry {
