Set a pace again until no late call can undo it

A pace call that got no answer was reckoned with for 3 s, though calls take effect up to 12 s late, and nothing was sent after that time: the filler could keep the late pace for good beside a task over its target. Evidence: filler_pace_bounds::late_paces_do_no_harm failed for delays of 2.6 s and more (24 to 28 s of harm in 30 s). Now the pace is set at each decision until a call that was sent after the 12 s has been answered, so the last word is ours.

--- a/crates/turmericfold-fleet/src/workers/filler_pace.rs
+++ b/crates/turmericfold-fleet/src/workers/filler_pace.rs
@@ -3,15 +3,12 @@
 use turmericfold_platform::PlatformError;
 use turmericfold_types::MonotonicMs;
 
+use super::leases::MAX_CALL_DELAY_MS;
 use crate::CallId;
 
 /// The pace of a run at its start, and the highest, in percent.
 pub(super) const FULL_PACE_PERCENT: u32 = 100;
 
-/// The time after which a pace call without an answer takes no effect any more, in
-/// milliseconds: workers may handle calls seconds late, and after newer ones.
-const LATE_CALL_MS: u64 = 3_000;
-
 /// What is known of the pace of a run on its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum KnownPace {
@@ -26,6 +23,7 @@
 struct PaceCallInProgress {
     call: CallId,
     percent: u32,
+    sent_at: MonotonicMs,
 }
 
 /// The pace of a filler.
@@ -33,8 +31,9 @@
 pub(crate) struct FillerPace {
     known: KnownPace,
     call: Option<PaceCallInProgress>,
-    /// Until when an earlier call without an answer may still take effect.
-    late_call_until: MonotonicMs,
+    /// Until when an earlier call without an answer may still take effect, unless a call that
+    /// was sent later has set the pace.
+    late_call_until: Option<MonotonicMs>,
 }
 
 impl FillerPace {
@@ -43,7 +42,7 @@
         Self {
             known: KnownPace::Percent(FULL_PACE_PERCENT),
             call: None,
-            late_call_until: MonotonicMs::default(),
+            late_call_until: None,
         }
     }
 
@@ -52,7 +51,7 @@
         Self {
             known: KnownPace::Unknown,
             call: None,
-            late_call_until: MonotonicMs::default(),
+            late_call_until: None,
         }
     }
 
@@ -83,13 +82,17 @@
 
     /// Returns whether the run may have another pace than `percent`, or get one by a late call,
     /// so that a call is needed.
-    pub(super) fn may_differ_from(&self, percent: u32, now: MonotonicMs) -> bool {
-        self.known != KnownPace::Percent(percent) || now < self.late_call_until
+    pub(super) fn may_differ_from(&self, percent: u32) -> bool {
+        self.known != KnownPace::Percent(percent) || self.late_call_until.is_some()
     }
 
     /// Records that a call is sent that sets the pace.
-    pub(super) fn on_call_sent(&mut self, call: CallId, percent: u32) {
-        self.call = Some(PaceCallInProgress { call, percent });
+    pub(super) fn on_call_sent(&mut self, now: MonotonicMs, call: CallId, percent: u32) {
+        self.call = Some(PaceCallInProgress {
+            call,
+            percent,
+            sent_at: now,
+        });
     }
 
     /// Records the result of a call; returns false if it is not the one in progress.
@@ -103,11 +106,15 @@
             return false;
         };
         match result {
-            Ok(()) => self.known = KnownPace::Percent(sent.percent),
+            Ok(()) => {
+                self.known = KnownPace::Percent(sent.percent);
+                let is_undone = |until: &MonotonicMs| sent.sent_at < *until;
+                self.late_call_until = self.late_call_until.filter(is_undone);
+            }
             Err(error) if error.has_no_effect() => {}
             Err(_) => {
                 self.known = KnownPace::Unknown;
-                self.late_call_until = now + LATE_CALL_MS;
+                self.late_call_until = Some(now + MAX_CALL_DELAY_MS);
             }
         }
         true
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -64,7 +64,7 @@
             .zip(wanted)
             .filter(|((_, run), _)| can_be_paced(run))
             .map(|((key, run), percent)| (*key, run, percent as u32))
-            .filter(|(_, run, percent)| run.pace.may_differ_from(*percent, context.moment.now))
+            .filter(|(_, run, percent)| run.pace.may_differ_from(*percent))
             .map(|(key, _, percent)| (key, percent))
             .collect();
         self.order_paces(context, name, &changes, out);
@@ -147,7 +147,7 @@
             };
             if let Some(run) = worker.runs.get_mut(key) {
                 let id = out.call_worker(&entry, WorkerCall::Pace(call));
-                run.pace.on_call_sent(id, *percent);
+                run.pace.on_call_sent(context.moment.now, id, *percent);
             }
         }
     }
