Never suppress the rise of a pace from 0

A filler at pace 0 that might have less than 8% stayed at 0, so its run never ended. Evidence: filler_pace_bounds::little_slack_is_used failed (0 after 30 s with slack to spare). Now each rise from 0 is ordered.

--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -79,9 +79,9 @@
 
 /// Returns the indices of the fillers in the order in which they get slack.
 ///
-/// Those whose pace is fixed come first, as they take it in any case. Then fillers whose jobs can
-/// still be in time come first, then those that take the least
-/// slack. Of the same image, those that are nearest to their end come first.
+/// Those whose pace is fixed come first, as they take it in any case. Fillers whose jobs can still
+/// be in time come next, then those that take the least slack. Of the same image, those that are
+/// nearest to their end come first.
 fn priority_order(
     interference: &InterferenceModel,
     serving: &[ServingTask],
@@ -111,12 +111,12 @@
 
 /// Returns `wanted`, or `current` if the rise is too small for an order.
 ///
-/// A rise to 100 percent is never too small, nor is a reduction: what several fillers keep too
-/// much would add up.
+/// A rise to 100 percent or from 0 is never too small, as a filler at 0 would never end, nor is a
+/// reduction: what several fillers keep too much would add up.
 fn suppress_small_rise(wanted: f64, current: f64) -> f64 {
     let wanted = wanted.floor();
     let is_small_rise = wanted > current && wanted - current < MIN_PACE_RISE_PERCENT;
-    if is_small_rise && wanted < 100.0 {
+    if is_small_rise && current > 0.0 && wanted < 100.0 {
         current
     } else {
         wanted
