Let only starved jobs, and few of them at a time, start fillers anywhere

A job counted as starved for good after any 5 s without a run, also while its shard was not ready; its runs began beside tasks over their target, in any number. Evidence: filler_pace_bounds::starved_starts_do_no_harm failed at ten starts a second on one worker (5,970 ms of harm).

--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -219,7 +219,7 @@
             self.evacuate(context, workers, out);
             self.open_due_occurrences(context.moment);
             self.expire_waiting_callers(context.moment, out);
-            self.find_starved_jobs(context.moment);
+            self.find_starved_jobs(context.moment, workers.may_start(context));
             self.log_waiting_steps(context, workers, configuration);
         }
         self.write_due(context.moment, out);
@@ -286,13 +286,18 @@
         }
     }
 
-    /// Finds the jobs that have been without a run for too long.
-    fn find_starved_jobs(&mut self, moment: Moment) {
+    /// Finds the jobs that have been without a run for too long though this process may start
+    /// their tasks.
+    fn find_starved_jobs(&mut self, moment: Moment, may_start: bool) {
         let confirmed = self.runs.iter().filter(|(_, run)| run.is_confirmed);
         let running: BTreeSet<JobId> = confirmed.map(|(run, _)| run.task.job).collect();
+        let startable = self.jobs.iter().filter(|(_, it)| self.is_startable(it));
+        let idle: BTreeSet<JobId> = startable
+            .map(|(id, _)| *id)
+            .filter(|id| may_start && !running.contains(id))
+            .collect();
         for (id, entry) in &mut self.jobs {
-            let is_idle = entry.job.has_startable() && !running.contains(id);
-            if entry.starvation.update(moment, is_idle) {
+            if entry.starvation.update(moment, idle.contains(id)) {
                 log::info!(job:% = id; "job has had no run for long; keeping one run of it in progress, also where a filler is slow");
                 self.should_start_tasks = true;
             }
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use turmericfold_jobs::{JobId, RunKey, TaskKey};
+use turmericfold_jobs::{JobId, RunKey, StepSpec, TaskKey};
 use turmericfold_types::{InstanceName, ServiceName};
 
 use super::job_entry::JobEntry;
@@ -15,6 +15,8 @@
 use super::room_refusals::RoomRefusals;
 use super::tracked_runs::TrackedRun;
 use crate::context::Context;
+use crate::policy::filler::Filler;
+use crate::policy::filler_value::FillerValue;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 use crate::policy::placement::{Demand, choose_offer};
@@ -258,7 +260,7 @@
             return;
         };
         let is_lasting = step.long_running;
-        let is_starved = entry.needs_any_run(step);
+        let is_starved = entry.needs_any_run(step) && !is_worth_starting(interference, step, offer);
         let details = details_of(&entry.job, step);
         let filler_millicores = details.filler_millicores();
         let checkpoint = entry.job.checkpoint(task);
@@ -276,6 +278,9 @@
             "ordering a run"
         );
         offer.reserve_step(interference, step);
+        if !is_starved {
+            entry.starvation.end();
+        }
         entry.job.add_run(run, worker.clone());
         let tracked = TrackedRun {
             worker: worker.clone(),
@@ -313,6 +318,12 @@
     }
 }
 
+/// Returns whether a run of a step is worth starting on the worker of an offer.
+fn is_worth_starting(interference: &InterferenceModel, step: &StepSpec, offer: &Offer) -> bool {
+    let value = FillerValue::of(interference, Filler::of_step(step), offer);
+    !step.filler || value.is_worth_starting()
+}
+
 /// Counts the active runs of the same step and occurrence, by worker.
 fn count_siblings(entry: &JobEntry, task: TaskKey) -> BTreeMap<InstanceName, u32> {
     let mut counts = BTreeMap::new();
--- a/crates/turmericfold-fleet/src/jobs/starvation.rs
+++ b/crates/turmericfold-fleet/src/jobs/starvation.rs
@@ -19,8 +19,8 @@
 }
 
 impl Starvation {
-    /// Records whether the job has startable tasks and no run; returns whether it has become
-    /// starved.
+    /// Records whether the job has no run though its tasks may start; returns whether it has
+    /// become starved.
     pub(super) fn update(&mut self, moment: Moment, is_idle: bool) -> bool {
         if !is_idle {
             self.idle_since = None;
@@ -32,8 +32,14 @@
         self.is_starved && !was_starved
     }
 
-    /// Returns whether the job has once been without a run for too long. It then always keeps
-    /// one in progress, as it would starve again after each.
+    /// Records that a run of the job is worth starting where it is ordered, so that the job does
+    /// not starve.
+    pub(super) fn end(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns whether the job has been without a run for too long. It then keeps one in
+    /// progress, as it would starve again after each, until one is worth starting.
     pub(super) fn is_starved(self) -> bool {
         self.is_starved
     }
--- a/crates/turmericfold-fleet/src/workers/refusal.rs
+++ b/crates/turmericfold-fleet/src/workers/refusal.rs
@@ -11,7 +11,11 @@
 use crate::policy::filler_value::FillerValue;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
-use crate::{StartOrder, StartRefusal};
+use crate::{Moment, StartOrder, StartRefusal};
+
+/// The least time between two starts of runs of starved jobs on a worker, in milliseconds: several
+/// measurements, so that the pace of each is set by its effect before the next one begins.
+const STARVED_START_INTERVAL_MS: u64 = 2_000;
 
 /// Why the owner of a worker refuses an order to start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,9 +66,22 @@
     if !order.details.resources.fits_in(&worker.free_resources()) {
         return Some(RefusalCause::NoRoom);
     }
-    let is_worth_starting =
-        kind.is_starved || is_worth_starting(context, worker, interference, order);
-    (!is_worth_starting).then_some(RefusalCause::NotWorthStarting)
+    let may_start = match kind.is_starved {
+        true => may_start_starved(context.moment, worker, order),
+        false => is_worth_starting(context, worker, interference, order),
+    };
+    (!may_start).then_some(RefusalCause::NotWorthStarting)
+}
+
+/// Returns whether a run of a starved job may begin: at full pace, as each does, so not beside
+/// a task that has just come over its target, nor soon after one of another starved job.
+fn may_start_starved(moment: Moment, worker: &Worker, order: &StartOrder) -> bool {
+    let job = order.run.task.job;
+    let starved = worker.runs.iter().filter(|(_, run)| run.is_starved);
+    let others = starved.filter(|(key, _)| key.task.job != job);
+    let last_start = others.map(|(_, run)| run.known_since).max();
+    let is_spaced = last_start.is_none_or(|at| moment.since_ms(at) >= STARVED_START_INTERVAL_MS);
+    is_spaced && !worker.may_be_late_by_fillers(moment)
 }
 
 /// Returns whether a filler would still be worth starting: fillers that other job owners
