Doubt no found run until the watch has caught up after an outage

After an outage of the store a renewed registration counts as valid before the watch has reported new owners; a run that another process had found was then asked of a former owner at once. Evidence: found_after_outage::former_owner_is_not_asked_before_the_watch failed (asked 630 ms after a 6 s outage). Now the 5 s count anew from the last moment without a valid registration.

--- a/crates/turmericfold-fleet/src/jobs/found_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/found_runs.rs
@@ -182,8 +182,10 @@
     /// found there long ago. A run that its worker's owner does not know is over, but its owner
     /// never reports an end of it.
     pub(super) fn doubt_unverified_runs(&mut self, context: Context<'_>) {
-        // Without a valid registration, the known owners may not be the present ones.
+        // Without a valid registration, the known owners may not be the present ones, nor soon
+        // after it is valid again, as the watch may lag behind.
         if !context.has_valid_registration {
+            self.runs.restart_verification(context.moment.now);
             return;
         }
         for run in self.runs.take_unverified(context.moment, VERIFY_AFTER_MS) {
--- a/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
@@ -67,6 +67,13 @@
         self.unverified.remove(run);
     }
 
+    /// Counts the age of all unverified runs from `now`.
+    pub(crate) fn restart_verification(&mut self, now: MonotonicMs) {
+        for at in self.unverified.values_mut() {
+            *at = now;
+        }
+    }
+
     /// Takes the runs that have not been verified for `min_age_ms`.
     pub(crate) fn take_unverified(&mut self, moment: Moment, min_age_ms: u64) -> Vec<RunKey> {
         let is_due = |at: &MonotonicMs| moment.since_ms(*at) >= min_age_ms;
