--- a/crates/turmericfold-fleet/src/policy/pace_limit.rs
+++ b/crates/turmericfold-fleet/src/policy/pace_limit.rs
@@ -12,15 +12,7 @@
 /// last half second, and a change takes effect some time after its decision.
 const MIN_CHANGE_INTERVAL_MS: u64 = 600;
 
-/// The least time between a change of the limit and a rise, in milliseconds: two measurements, as
-/// one may read too low.
-const MIN_RISE_INTERVAL_MS: u64 = 1_200;
-
-/// The slack below which a task may be over its target, as measurements are rough: half of the
-/// slack that is left to it is gone.
-const CLOSE_SLACK: f64 = (1.0 + MIN_SLACK) / 2.0;
-
-/// The part of their share that the fillers keep at a measurement close to the target.
+/// The part of their share that the fillers keep at a measurement over the target.
 const KEPT_PART: f64 = 0.5;
 
 /// The time over the target after which no filler works, in milliseconds: two intervals between
@@ -36,8 +28,7 @@
 pub struct FillerLoad {
     /// The least measured slack of the tasks with a latency target; `None` if there are none.
     pub least_slack: Option<f64>,
-    /// For how long a task has been over its target, without a measurement with slack to spare
-    /// since, in milliseconds; 0 if none is.
+    /// For how long a task has been over its target, in milliseconds; 0 if none is.
     pub over_ms: u64,
     /// The share of the worker that the fillers use at most at their present paces.
     pub paced_share: f64,
@@ -65,16 +56,13 @@
             self.max_share = None;
             return;
         };
-        let since_ms = now.since_ms(self.changed_at);
-        let may_rise = since_ms >= MIN_RISE_INTERVAL_MS;
-        let is_due = since_ms >= MIN_CHANGE_INTERVAL_MS;
-        let is_close = slack < CLOSE_SLACK || load.over_ms > 0;
-        if load.over_ms >= MAX_OVER_MS {
+        let is_due = now.since_ms(self.changed_at) >= MIN_CHANGE_INTERVAL_MS;
+        if slack < 1.0 && load.over_ms >= MAX_OVER_MS {
             self.set(now, Some(0.0));
-        } else if is_close && (is_due || self.max_share.is_none()) {
+        } else if slack < 1.0 && (is_due || self.max_share.is_none()) {
             let max_share = self.max_share().min(load.paced_share);
             self.set(now, Some(max_share * KEPT_PART));
-        } else if slack >= MIN_SLACK && may_rise && self.max_share.is_some() {
+        } else if slack >= MIN_SLACK && is_due && self.max_share.is_some() {
             self.rise(now, load.wanted_share);
         }
     }
--- a/crates/turmericfold-fleet/src/workers/over_target.rs
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -10,7 +10,6 @@
 use super::worker::Worker;
 use crate::Moment;
 use crate::policy::pace_limit::FillerLoad;
-use crate::policy::pacing::MIN_SLACK;
 
 /// The time over a target after which fillers are not the cause, in milliseconds: by then they
 /// have not worked for some measurements.
@@ -19,14 +18,7 @@
 impl Worker {
     /// Updates since when a task has been over its target, from the last measurements.
     pub(super) fn update_over_target(&mut self, moment: Moment) {
-        // One measurement that reads too low does not end it.
-        let least_slack = match self.over_target_since {
-            Some(_) => MIN_SLACK,
-            None => 1.0,
-        };
-        let is_over = self
-            .worst_task()
-            .is_some_and(|(_, _, slack)| slack < least_slack);
+        let is_over = self.worst_task().is_some_and(|(_, _, slack)| slack < 1.0);
         let since = self.over_target_since.unwrap_or(moment.now);
         self.over_target_since = is_over.then_some(since);
     }
