--- a/crates/turmericfold-fleet/src/policy/pace_limit.rs
+++ b/crates/turmericfold-fleet/src/policy/pace_limit.rs
@@ -21,7 +21,7 @@
 
 /// The part of the share wanted by all fillers by which the limit rises at a measurement with
 /// slack to spare.
-const RISE_PART: f64 = 0.25;
+const RISE_PART: f64 = 0.5;
 
 /// What a measurement shows of the fillers of a worker and the tasks beside them.
 #[derive(Debug, Clone, Copy, PartialEq)]
