Raise the least value of a filler, as its wait is bounded now

Fillers that are hardly worth starting take slack and processor time from those that could be in time. With the least value at 500 a higher bar would have made more jobs wait for ever; now each keeps one run in progress after 5 s.

--- a/crates/turmericfold-fleet/src/policy/filler_value.rs
+++ b/crates/turmericfold-fleet/src/policy/filler_value.rs
@@ -16,7 +16,7 @@
 
 /// The least value (speed less costs) at which a filler is started, in thousandths of its
 /// full speed.
-const MIN_FILLER_VALUE_PERMILLE: i64 = 500;
+const MIN_FILLER_VALUE_PERMILLE: i64 = 600;
 
 /// The unit in which values are compared, in thousandths; smaller differences do not
 /// count.
