Let refused orders not prolong the wait of a starved job

An order that was worth starting by the view of the job's owner reset the time without a run, also if the worker's owner refused it. Evidence: starved_refusals::refused_orders_end_no_starvation failed before. Now such an order ends the starvation only of a job that has a run.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -279,7 +279,7 @@
         );
         offer.reserve_step(interference, step);
         if !is_starved {
-            entry.starvation.end();
+            entry.starvation.on_worthwhile_order();
         }
         entry.job.add_run(run, worker.clone());
         let tracked = TrackedRun {
--- a/crates/turmericfold-fleet/src/jobs/starvation.rs
+++ b/crates/turmericfold-fleet/src/jobs/starvation.rs
@@ -32,14 +32,16 @@
         self.is_starved && !was_starved
     }
 
-    /// Records that a run of the job is worth starting where it is ordered, so that the job does
-    /// not starve.
-    pub(super) fn end(&mut self) {
-        *self = Self::default();
+    /// Records that a run of the job is worth starting where it is ordered. The job does not starve
+    /// any more if it has a run; otherwise the order may still be refused.
+    pub(super) fn on_worthwhile_order(&mut self) {
+        if self.idle_since.is_none() {
+            self.is_starved = false;
+        }
     }
 
     /// Returns whether the job has been without a run for too long. It then keeps one in
-    /// progress, as it would starve again after each, until one is worth starting.
+    /// progress, as it would starve again after each, until another is worth starting beside it.
     pub(super) fn is_starved(self) -> bool {
         self.is_starved
     }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -84,6 +84,7 @@
 mod stale_owners;
 mod start_doubts;
 mod starved_fillers;
+mod starved_refusals;
 mod successors;
 mod unanswered_watches;
 mod unheard_handovers;
--- a/tests/src/job_owner.rs
+++ b/tests/src/job_owner.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use turmericfold_fleet::{
-    CallId, CallerRequest, Event, JobShard, PeerMessage, ReportedEnd, StoreRequest, Summary,
-    WorkerChange, WorkerSummary,
+    CallId, CallerRequest, Event, JobShard, PeerMessage, ReportedEnd, StartOutcome, StartRefusal,
+    StoreRequest, Summary, WorkerChange, WorkerSummary,
 };
 use turmericfold_jobs::{EndedRun, JobId, JobSpec, QueueName, RunEnd, RunKey, StepSpec};
 use turmericfold_platform::{KeyChange, LeaseId, StoreCall, StoreReply, StoreVersion, WorkerEntry};
@@ -96,12 +96,25 @@
 
     /// Submits the job, of one task.
     pub fn submit(&mut self) {
+        self.submit_step(StepSpec::new(1, resources(), 1_000));
+    }
+
+    /// Submits the job, of one filler.
+    pub fn submit_filler(&mut self) {
+        self.submit_step(StepSpec {
+            filler: true,
+            image: "scan".into(),
+            ..StepSpec::new(1, resources(), 1_000)
+        });
+    }
+
+    fn submit_step(&mut self, step: StepSpec) {
         let request = CallerRequest::Submit {
             queue: QueueName(QUEUE.into()),
             job: JOB,
             spec: JobSpec {
                 payload: "visit".into(),
-                steps: vec![StepSpec::new(1, resources(), 1_000)],
+                steps: vec![step],
                 recurrence: None,
             },
         };
@@ -112,6 +125,16 @@
 
     /// Reports whether the worker, which is idle, can take runs.
     pub fn report_usable(&mut self, usable: bool) {
+        self.report_worker(usable, 0);
+    }
+
+    /// Reports the processor time that the worker, which can take runs, has for one more filler,
+    /// in millicores.
+    pub fn report_spare(&mut self, spare_millicores: u64) {
+        self.report_worker(true, spare_millicores);
+    }
+
+    fn report_worker(&mut self, usable: bool, spare_millicores: u64) {
         let worker = WorkerSummary {
             worker: InstanceName::new(WORKER),
             epoch: self.worker_epoch,
@@ -119,6 +142,7 @@
             domain: FailureDomain::new("west"),
             capacity: resources(),
             free: resources(),
+            spare_millicores,
             usable,
             ..WorkerSummary::default()
         };
@@ -252,6 +276,15 @@
         messages.into_values().flatten().filter_map(run).collect()
     }
 
+    /// Refuses a run for want of room, as the worker's owner.
+    pub fn refuse(&mut self, run: RunKey) {
+        self.receive(PeerMessage::StartAnswer {
+            worker: InstanceName::new(WORKER),
+            run,
+            outcome: StartOutcome::Refused(StartRefusal::NoRoom),
+        });
+    }
+
     /// Returns whether an end was acknowledged since the messages were last taken.
     pub fn has_acknowledged(&mut self) -> bool {
         let messages = std::mem::take(&mut self.driven.out.messages);
