Split the functions that order and refuse runs

The functions that order a run and handle a start order had grown to about 80 lines, and a tracked run was built in full in two places.

--- a/crates/turmericfold-fleet/src/jobs/found_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/found_runs.rs
@@ -113,17 +113,8 @@
         self.runs.insert(
             run,
             TrackedRun {
-                worker: worker.clone(),
-                worker_epoch: epoch,
-                resources: details.resources,
-                filler_millicores: details.filler_millicores(),
-                tracked_since: context.moment.now,
-                waits_for_room: false,
                 is_confirmed: true,
-                expiry_logged: false,
-                is_stopping: false,
-                stop_sent_at: context.moment.now,
-                progress_percent: 0,
+                ..TrackedRun::new(worker.clone(), epoch, details, context.moment.now)
             },
         );
         if !is_from_owner {
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -262,7 +262,6 @@
         let is_lasting = step.long_running;
         let is_starved = entry.needs_any_run(step) && !is_worth_starting(interference, step, offer);
         let details = details_of(&entry.job, step);
-        let filler_millicores = details.filler_millicores();
         let checkpoint = entry.job.checkpoint(task);
         log::info!(
             job:% = task.job,
@@ -283,17 +282,8 @@
         }
         entry.job.add_run(run, worker.clone());
         let tracked = TrackedRun {
-            worker: worker.clone(),
-            worker_epoch: owned.epoch,
-            resources: details.resources,
-            filler_millicores,
-            tracked_since: context.moment.now,
             waits_for_room,
-            is_confirmed: false,
-            expiry_logged: false,
-            is_stopping: false,
-            stop_sent_at: context.moment.now,
-            progress_percent: 0,
+            ..TrackedRun::new(worker.clone(), owned.epoch, &details, context.moment.now)
         };
         let message = StartOrder {
             authority,
--- a/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/tracked_runs.rs
@@ -6,7 +6,7 @@
 use turmericfold_platform::StoreVersion;
 use turmericfold_types::{InstanceName, MonotonicMs, Resources};
 
-use crate::Moment;
+use crate::{Moment, RunDetails};
 
 /// A run that may be in progress, with the state that the owner of its job keeps.
 #[derive(Debug, Clone)]
@@ -36,6 +36,30 @@
     pub(crate) progress_percent: u32,
 }
 
+impl TrackedRun {
+    /// Creates a run that is ordered at `now` and not confirmed yet.
+    pub(crate) fn new(
+        worker: InstanceName,
+        worker_epoch: StoreVersion,
+        details: &RunDetails,
+        now: MonotonicMs,
+    ) -> Self {
+        Self {
+            worker,
+            worker_epoch,
+            resources: details.resources,
+            filler_millicores: details.filler_millicores(),
+            tracked_since: now,
+            waits_for_room: false,
+            is_confirmed: false,
+            expiry_logged: false,
+            is_stopping: false,
+            stop_sent_at: now,
+            progress_percent: 0,
+        }
+    }
+}
+
 /// The runs that this process has ordered or taken over as the owner of their jobs.
 #[derive(Debug, Default)]
 pub(crate) struct TrackedRuns {
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -162,8 +162,7 @@
     /// Sends the numbers of jobs that wait for their first start, for every shard that the
     /// sender owns and has loaded.
     PendingReport(Vec<ShardPending>),
-    /// Orders a run of a job that has had none for long: a filler starts also on a worker where
-    /// it is slow.
+    /// Orders a filler of a job that has had no run for long, also where it is slow.
     StartStarved(Box<StartOrder>),
 }
 
--- a/crates/turmericfold-fleet/src/workers/order.rs
+++ b/crates/turmericfold-fleet/src/workers/order.rs
@@ -83,23 +83,8 @@
             return;
         }
         if let Some(cause) = cause {
-            let refusal = cause.refusal();
-            log::info!(
-                run:% = run,
-                worker:% = name,
-                refusal:? = refusal,
-                cause:? = cause,
-                free_millicores = worker.free_resources().cpu_millicores,
-                registration_valid = context.has_valid_registration;
-                "refused a start order; the run is barred from starting on the worker"
-            );
-            answer(StartOutcome::Refused(refusal), out);
-            self.bar(context, &name, run);
-            if refusal == StartRefusal::NoRoom
-                && let Some(worker) = self.worker_mut(&name)
-            {
-                worker.lacked_room_at = Some(context.moment.now);
-            }
+            answer(StartOutcome::Refused(cause.refusal()), out);
+            self.record_refusal(context, &name, run, cause);
             return;
         }
         let order = Arc::new(order);
@@ -112,6 +97,33 @@
         self.send_start(context, &name, run, out);
     }
 
+    /// Records that a start order is refused, so that its run does not start later.
+    fn record_refusal(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        run: RunKey,
+        cause: RefusalCause,
+    ) {
+        let Some(worker) = self.worker_mut(name) else {
+            return;
+        };
+        let refusal = cause.refusal();
+        log::info!(
+            run:% = run,
+            worker:% = name,
+            refusal:? = refusal,
+            cause:? = cause,
+            free_millicores = worker.free_resources().cpu_millicores,
+            registration_valid = context.has_valid_registration;
+            "refused a start order; the run is barred from starting on the worker"
+        );
+        if refusal == StartRefusal::NoRoom {
+            worker.lacked_room_at = Some(context.moment.now);
+        }
+        self.bar(context, name, run);
+    }
+
     /// Handles an order to stop a run.
     pub(super) fn on_stop(
         &mut self,
