Log on which ground a process without a registration starts runs

The ground (registration, peers, none) is logged when it changes, and each start call that is sent without a valid registration.

--- a/crates/turmericfold-fleet/src/workers/calls.rs
+++ b/crates/turmericfold-fleet/src/workers/calls.rs
@@ -61,6 +61,7 @@
         worker.lease_until_ms = worker.lease_until_ms.max(renewed_until_ms);
         let (entry, token) = (worker.entry.clone(), worker.token());
         let lease_until_ms = worker.lease_until_ms;
+        let silent_ms = worker.last_answer_at.map_or(0, |at| now.since_ms(at));
         let Some(run) = worker.runs.get_mut(&key) else {
             return;
         };
@@ -74,6 +75,17 @@
             token: token.value(),
             checkpoint: order.checkpoint.clone(),
         };
+        if !context.has_valid_registration {
+            log::warn!(
+                run:% = key,
+                worker:% = name,
+                token = token.value(),
+                epoch = order.authority.epoch.0,
+                lease_ms = lease_until_ms.saturating_sub(clock.earliest_ms(now)),
+                silent_ms = silent_ms;
+                "start call is sent without a valid registration, as most members are heard"
+            );
+        }
         let id = out.call_worker(&entry, WorkerCall::Start(call));
         run.call = Some(id);
         run.start_token = Some(token);
--- a/crates/turmericfold-fleet/src/workers/isolation.rs
+++ b/crates/turmericfold-fleet/src/workers/isolation.rs
@@ -34,6 +34,18 @@
 /// The interval between counts of the peers that are heard, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 100;
 
+/// Why a process may act as the owner of its workers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Ground {
+    /// Its registration is valid, or it owns no workers.
+    #[default]
+    Registration,
+    /// It hears most of the members.
+    Peers,
+    /// It may not act.
+    None,
+}
+
 /// The peers that this process hears, without which it renews leases only while its
 /// registration is valid.
 ///
@@ -48,7 +60,7 @@
     active_at: MonotonicMs,
     /// When this process last continued after a suspension.
     resumed_at: MonotonicMs,
-    is_isolated: bool,
+    ground: Ground,
     /// When this process last may have been part of a minority.
     last_in_minority_at: MonotonicMs,
     is_in_minority: bool,
@@ -66,22 +78,53 @@
         }
     }
 
-    /// Updates the state, and logs when this process stops and starts renewing leases.
+    /// Updates the state, and logs when the ground on which this process acts changes.
     pub(super) fn update(&mut self, context: Context<'_>, has_workers: bool) {
         self.detect_suspension(context.moment);
         self.update_minority(context);
-        let is_isolated = has_workers && !self.may_renew(context);
-        if is_isolated && !self.is_isolated {
-            log::warn!(
-                "process is cut off from the store and from most peers; it starts no runs, and the leases of its workers are not renewed"
-            );
+        let ground = match has_workers {
+            true => self.ground(context),
+            false => Ground::Registration,
+        };
+        if ground != self.ground {
+            self.log_ground(context, ground);
+            self.ground = ground;
         }
-        if !is_isolated && self.is_isolated {
-            log::info!(
-                "process is no longer cut off; it starts runs and renews the leases of its workers again"
-            );
+    }
+
+    fn ground(&self, context: Context<'_>) -> Ground {
+        if context.has_valid_registration {
+            Ground::Registration
+        } else if self.hears_majority(context) {
+            Ground::Peers
+        } else {
+            Ground::None
+        }
+    }
+
+    /// Logs on which ground this process acts from now on, and what is known of its peers.
+    fn log_ground(&self, context: Context<'_>, ground: Ground) {
+        let heard: Vec<String> = self
+            .heard_at
+            .iter()
+            .map(|(peer, at)| format!("{peer} {} ms ago", context.moment.since_ms(*at)))
+            .collect();
+        let members = context.membership.members().count();
+        match ground {
+            Ground::Registration => {
+                log::info!("process acts as the owner of its workers on its valid registration")
+            }
+            Ground::Peers => log::warn!(
+                members = members,
+                heard:? = heard;
+                "process has no valid registration; it hears most members, so it still starts runs and renews the leases of its workers"
+            ),
+            Ground::None => log::warn!(
+                members = members,
+                heard:? = heard;
+                "process is cut off from the store and from most peers; it starts no runs, and the leases of its workers are not renewed"
+            ),
         }
-        self.is_isolated = is_isolated;
     }
 
     /// Returns whether this process may renew the leases of its workers.
