Reproduce two runs at once after a cut that holds messages back

The simulated network dropped what was sent during a cut. A real one keeps it in the sender's socket, or in a proxy, and delivers it when the cut ends.

--- a/tests/features/healed_cuts.rs
+++ b/tests/features/healed_cuts.rs
@@ -56,6 +56,7 @@
 
 /// Guards against starts of former owners that a cut's end lets hear what was sent before.
 #[rstest]
+#[ignore = "KNOWN-RED: 21"]
 fn held_summaries_permit_nothing(
     #[values(1, 2, 3, 4)] seed: u64,
     #[values(0, 1, 2, 3, 4)] first: usize,
@@ -69,6 +70,8 @@
         true => (lasting_job(), None),
         false => (finite_job(WORK_MS), Some(WORK_MS)),
     };
-    let world = cut_fleet_of(nodes, seed, plan, &spec, work_ms).with_held_messages();
+    let world = cut_fleet_of(nodes, seed, plan, &spec, work_ms)
+        .with_member_addresses()
+        .with_held_messages();
     assert_no_violations(world, for_ms);
 }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -37,6 +37,7 @@
 mod full_fleets;
 mod gangs;
 mod graceful_shutdown;
+mod healed_cuts;
 mod interrupted_tasks;
 mod job_urgency;
 mod journal_ring;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -38,6 +38,7 @@
 use calm::Calm;
 use configuration_copies::ConfigurationCopies;
 use idle_spans::IdleSpans;
+use network::HeldMessages;
 use schedule::Scheduled;
 
 /// The time of day at the start of the world, in milliseconds since 1970.
@@ -122,6 +123,9 @@
     configuration_copies: ConfigurationCopies,
     /// Whether nodes know the addresses of members only, as in the driver.
     reaches_members_only: bool,
+    /// Whether messages between nodes that a cut holds back arrive when it ends.
+    holds_cut_messages: bool,
+    held: Vec<HeldMessages>,
     nodes: Vec<Option<RunningNode>>,
     boots: u64,
     workers: BTreeMap<InstanceName, TaskWorkerModel>,
@@ -154,6 +158,8 @@
             copy_duration_ms: 0,
             configuration_copies: ConfigurationCopies::default(),
             reaches_members_only: false,
+            holds_cut_messages: false,
+            held: Vec::new(),
             nodes: (0..nodes).map(|_| None).collect(),
             boots: 0,
             workers: BTreeMap::new(),
@@ -196,6 +202,13 @@
         self
     }
 
+    /// Delivers messages between nodes that a cut holds back once it ends, in place of never.
+    #[must_use]
+    pub fn with_held_messages(mut self) -> Self {
+        self.holds_cut_messages = true;
+        self
+    }
+
     /// Returns the submitted jobs by identifier.
     pub fn jobs(&self) -> &BTreeMap<JobId, Submitted> {
         &self.jobs
@@ -293,6 +306,7 @@
         self.now = self.now + STEP_MS;
         self.store.expire_leases(self.now);
         self.apply_plan();
+        self.release_held();
         self.record_disturbances();
         let names: Vec<InstanceName> = self.workers.keys().cloned().collect();
         for name in &names {
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -7,6 +7,17 @@
 
 use super::{Delivery, FleetWorld, TIMEOUT_MS};
 
+/// The times after the end of a cut at which the messages arrive that it held back, in
+/// milliseconds.
+const HELD_DELAYS_MS: std::ops::Range<u64> = 5..60;
+
+/// Messages between nodes that a cut holds back.
+pub(super) struct HeldMessages {
+    from: ProcessId,
+    to: ProcessId,
+    messages: Vec<PeerMessage>,
+}
+
 impl FleetWorld {
     pub(super) fn send_store(
         &mut self,
@@ -134,6 +145,9 @@
         let (copies, messages): (Vec<_>, Vec<_>) =
             messages.into_iter().partition(PeerMessage::is_large);
         let arrives = self.reaches(index, to);
+        if !arrives && self.holds_cut_messages {
+            self.hold(process, to, messages.clone());
+        }
         for copy in copies {
             let delay_ms = delay_ms + self.copy_duration_ms;
             if arrives {
@@ -148,12 +162,41 @@
     }
 
     fn reaches(&self, index: usize, to: &ProcessId) -> bool {
-        let receiver = self.nodes.iter().position(|running| {
+        let receiver = self.index_of(to);
+        receiver.is_some_and(|receiver| !self.faults.is_peer_cut(index, receiver))
+    }
+
+    fn index_of(&self, process: &ProcessId) -> Option<usize> {
+        self.nodes.iter().position(|running| {
             running
                 .as_ref()
-                .is_some_and(|running| running.process == *to)
-        });
-        receiver.is_some_and(|receiver| !self.faults.is_peer_cut(index, receiver))
+                .is_some_and(|running| running.process == *process)
+        })
+    }
+
+    /// Keeps messages that a cut holds back: they are still in the sender's socket, or with a
+    /// proxy, when their delivery times out.
+    fn hold(&mut self, from: &ProcessId, to: &ProcessId, messages: Vec<PeerMessage>) {
+        if !messages.is_empty() {
+            let (from, to) = (from.clone(), to.clone());
+            self.held.push(HeldMessages { from, to, messages });
+        }
+    }
+
+    /// Delivers the held messages whose cut is over, those of several connections in any order.
+    pub(super) fn release_held(&mut self) {
+        for held in std::mem::take(&mut self.held) {
+            let ends = self.index_of(&held.from).zip(self.index_of(&held.to));
+            if ends.is_some_and(|(from, to)| self.faults.is_peer_cut(from, to)) {
+                self.held.push(held);
+                continue;
+            }
+            let delay_ms = self.random.random_range(HELD_DELAYS_MS);
+            let (from, messages) = (held.from, held.messages);
+            let event = Event::Peer { from, messages };
+            let process = held.to;
+            self.schedule(delay_ms, Delivery::Node { process, event });
+        }
     }
 
     fn deliver_peer(
