Date a peer's word by the ping that it acknowledges

Cause: a process without a valid registration starts runs and renews leases while it hears most members. A summary counted from its receipt. Those that a cut had held back arrived together when it ended, seconds after others had taken over, and permitted starts for 0.4 s. The guard for a suspension did not see that, as the process was never suspended.

Change: each summary carries a ping with the sender's time, and a peer's next message acknowledges it. Only the time at which an acknowledged ping was sent counts, on the clock of the process that sent it, so nothing that is late can prove more than it did when it was asked for. A peer acknowledges a process that is not registered only if neither itself nor any process that it has heard is: only a registered process can claim units. Pings may be 0.6 s old (an interval and an exchange); the wait of a new owner for the leases of former ones is 0.2 s longer to match.

--- a/crates/turmericfold-fleet/src/context.rs
+++ b/crates/turmericfold-fleet/src/context.rs
@@ -24,7 +24,23 @@
     pub(crate) registrations: &'node Registrations,
 }
 
-impl Context<'_> {
+impl<'node> Context<'node> {
+    /// Creates the state at `moment`.
+    pub(crate) fn new(
+        moment: Moment,
+        membership: &'node Membership,
+        ownership: &'node Ownership,
+        registrations: &'node Registrations,
+    ) -> Self {
+        Self {
+            moment,
+            membership,
+            ownership,
+            has_valid_registration: membership.has_valid_registration(moment),
+            registrations,
+        }
+    }
+
     /// Returns the process that owns the job of a run, if any.
     pub(crate) fn job_owner(&self, run: &RunKey) -> Option<ProcessId> {
         let unit = Unit::Jobs(JobShard::of(run.task.job));
--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -32,8 +32,9 @@
 pub use event::{CallId, Event, WorkerChange, WorkerResult};
 pub use member::{Member, Owner};
 pub use messages::{
-    Authority, PeerMessage, PendingJobs, RecoveryReport, ReportedEnd, RunDetails, RunProgress,
-    ServingSlack, ShardPending, StartOrder, StartOutcome, StartRefusal, Summary, WorkerSummary,
+    Authority, PeerMessage, PendingJobs, Ping, RecoveryReport, ReportedEnd, RunDetails,
+    RunProgress, ServingSlack, ShardPending, StartOrder, StartOutcome, StartRefusal, Summary,
+    WorkerSummary,
 };
 pub use moment::Moment;
 pub use node::FleetNode;
--- a/crates/turmericfold-fleet/src/membership/mod.rs
+++ b/crates/turmericfold-fleet/src/membership/mod.rs
@@ -86,6 +86,15 @@
         self.registered && moment.now < self.lease_expires_at && self.has_read_registration()
     }
 
+    /// Returns for how long the registration of this process is certainly valid, in milliseconds;
+    /// 0 if it may have ended.
+    pub(crate) fn registered_for_ms(&self, moment: Moment) -> u64 {
+        match self.has_valid_registration(moment) {
+            true => self.lease_expires_at.since_ms(moment.now),
+            false => 0,
+        }
+    }
+
     /// Returns whether the registration is valid and will be for a while, though no renewal of
     /// it arrives any more.
     pub(crate) fn is_safely_registered(&self, moment: Moment) -> bool {
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -9,7 +9,9 @@
 use serde::{Deserialize, Serialize};
 use turmericfold_jobs::{EndedRun, QueueName, RunKey};
 use turmericfold_platform::StoreVersion;
-use turmericfold_types::{FailureDomain, InstanceName, ProcessId, Resources, ServiceName};
+use turmericfold_types::{
+    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
+};
 
 use crate::policy::interference::EffectEstimate;
 use crate::{CallerAnswer, CallerRequest, Configuration, JobShard};
@@ -164,6 +166,14 @@
     PendingReport(Vec<ShardPending>),
     /// Orders a filler of a job that has had no run for long, also where it is slow.
     StartStarved(Box<StartOrder>),
+    /// Asks the receiver to confirm that it can be reached, and that it knows of no process that can
+    /// have replaced the sender.
+    Ping(Ping),
+    /// Acknowledges a ping.
+    PingAck {
+        /// The time at which the ping was sent, as it states.
+        sent_at: MonotonicMs,
+    },
 }
 
 impl PeerMessage {
@@ -193,6 +203,8 @@
             Self::SummaryRequest => "summary request",
             Self::PendingQuery => "pending query",
             Self::PendingReport(_) => "pending report",
+            Self::Ping(_) => "ping",
+            Self::PingAck { .. } => "acknowledged ping",
         }
     }
 
@@ -202,6 +214,16 @@
     }
 }
 
+/// A question of a process whether it can be reached and was not replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ping {
+    /// The time at which it is sent, on the clock of the sender.
+    pub sent_at: MonotonicMs,
+    /// How long the registration of the sender is certainly valid, in milliseconds; 0 if it
+    /// may have ended.
+    pub registered_for_ms: u64,
+}
+
 /// The proof that the sender of a message owns the jobs of a shard.
 ///
 /// Receivers refuse a message whose epoch is older than the latest one they know.
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -165,13 +165,12 @@
                 call,
                 result,
             } => {
-                let context = Context {
+                let context = Context::new(
                     moment,
-                    membership: &self.membership,
-                    ownership: &self.ownership,
-                    has_valid_registration: self.membership.has_valid_registration(moment),
-                    registrations: &self.registrations,
-                };
+                    &self.membership,
+                    &self.ownership,
+                    &self.registrations,
+                );
                 self.workers
                     .on_call_result(context, &worker, call, result, out);
             }
@@ -210,13 +209,12 @@
         }
         self.apply_ownership_changes(moment, out);
         self.handle_own_messages(moment, out);
-        let context = Context {
+        let context = Context::new(
             moment,
-            membership: &self.membership,
-            ownership: &self.ownership,
-            has_valid_registration: self.membership.has_valid_registration(moment),
-            registrations: &self.registrations,
-        };
+            &self.membership,
+            &self.ownership,
+            &self.registrations,
+        );
         self.workers.tick(context, out);
         self.jobs
             .tick(context, &self.workers, self.configuration.as_ref(), out);
@@ -266,13 +264,12 @@
         message: PeerMessage,
         out: &mut Outbox,
     ) {
-        let context = Context {
+        let context = Context::new(
             moment,
-            membership: &self.membership,
-            ownership: &self.ownership,
-            has_valid_registration: self.membership.has_valid_registration(moment),
-            registrations: &self.registrations,
-        };
+            &self.membership,
+            &self.ownership,
+            &self.registrations,
+        );
         let Some(message) = self.workers.on_message(context, from, message, out) else {
             return;
         };
@@ -281,6 +278,10 @@
         };
         match message {
             PeerMessage::Summary(summary) => self.on_summary(moment, from, &summary),
+            PeerMessage::Ping(ping) => self.on_ping(moment, from, ping),
+            PeerMessage::PingAck { sent_at } => {
+                self.workers.on_ping_acknowledged(moment, from, sent_at);
+            }
             PeerMessage::SummaryRequest => self.on_summary_request(moment, from, out),
             PeerMessage::PendingQuery => self.on_pending_query(from, out),
             PeerMessage::PendingReport(reports) => self.on_pending_report(moment, reports),
--- a/crates/turmericfold-fleet/src/node/requests.rs
+++ b/crates/turmericfold-fleet/src/node/requests.rs
@@ -97,13 +97,12 @@
             request,
             since,
         } = waiting;
-        let context = Context {
+        let context = Context::new(
             moment,
-            membership: &self.membership,
-            ownership: &self.ownership,
-            has_valid_registration: self.membership.has_valid_registration(moment),
-            registrations: &self.registrations,
-        };
+            &self.membership,
+            &self.ownership,
+            &self.registrations,
+        );
         match request {
             CallerRequest::Submit { queue, job, spec } => {
                 if let Some(settings) = self.queue_settings(&queue) {
--- a/crates/turmericfold-fleet/src/node/summary.rs
+++ b/crates/turmericfold-fleet/src/node/summary.rs
@@ -1,9 +1,9 @@
 //! Exchanges summaries of free resources with the peers.
 //!
-//! Each round, some peers get a summary. A process that must know whether it hears most of its
-//! peers sends to all of them, and requests an answer.
+//! Each round, some peers get a summary, and with it a ping. A process that must know whether it
+//! reaches most of its peers sends to all of them, and requests an answer.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use turmericfold_types::{MonotonicMs, ProcessId};
@@ -11,7 +11,8 @@
 use super::FleetNode;
 use super::room_shares::{Place, share_of};
 use super::summary_rounds::SummaryRounds;
-use crate::{Moment, Outbox, PeerMessage, Summary};
+use crate::context::Context;
+use crate::{Moment, Outbox, PeerMessage, Ping, Summary};
 
 /// The interval between rounds of summaries, in milliseconds.
 const SUMMARY_INTERVAL_MS: u64 = 300;
@@ -34,6 +35,9 @@
     /// The number of rounds so far.
     round: u64,
     last: Option<(MonotonicMs, Arc<Summary>)>,
+    /// The pings of peers that the next message to them acknowledges, by the time at which they
+    /// were sent.
+    unacknowledged_pings: BTreeMap<ProcessId, MonotonicMs>,
     next_merge_at: MonotonicMs,
 }
 
@@ -45,6 +49,7 @@
             next_round_at: MonotonicMs::default(),
             round: 0,
             last: None,
+            unacknowledged_pings: BTreeMap::new(),
             next_merge_at: MonotonicMs::default(),
         }
     }
@@ -54,7 +59,7 @@
     /// Handles a peer's summary.
     pub(super) fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: &Summary) {
         self.jobs.on_summary(moment, summary);
-        self.workers.on_summary(moment, from, summary);
+        self.workers.on_summary(moment, summary);
         self.workers
             .interference_mut()
             .record_peer(from, &summary.effects);
@@ -64,7 +69,23 @@
             .on_peer_version(moment, from, summary.configuration, own_version);
     }
 
-    /// Answers a peer that must hear this process, unless it was sent a summary just before.
+    /// Handles a peer's ping, which the next message to the peer acknowledges.
+    pub(super) fn on_ping(&mut self, moment: Moment, from: &ProcessId, ping: Ping) {
+        let context = Context::new(
+            moment,
+            &self.membership,
+            &self.ownership,
+            &self.registrations,
+        );
+        let pings = &mut self.summaries.unacknowledged_pings;
+        match self.workers.on_ping(context, from, ping) {
+            true => pings.insert(from.clone(), ping.sent_at),
+            false => pings.remove(from),
+        };
+    }
+
+    /// Answers a peer that must reach this process, without a summary if it was sent one just
+    /// before.
     pub(super) fn on_summary_request(
         &mut self,
         moment: Moment,
@@ -76,6 +97,7 @@
             let summary = self.summary(moment);
             self.send_summary(moment, from, &summary, out);
         }
+        self.acknowledge_ping(from, out);
     }
 
     /// Sends a summary to the peers whose turn it is when a round is due, or to all while this
@@ -86,6 +108,7 @@
         }
         self.summaries.next_round_at = moment + SUMMARY_INTERVAL_MS;
         self.merge_estimates(moment);
+        self.forget_former_pings();
         let members = self.membership.members();
         let mut receivers = self.summaries.rounds.next_receivers(members);
         let must_hear_peers = self.must_hear_peers(moment);
@@ -123,13 +146,13 @@
         }
     }
 
-    /// Returns whether this process must know which peers it hears: its registration may end
-    /// soon, so that only hearing most of them shows that it may renew leases, or a worker does
+    /// Returns whether this process must know which peers it reaches: its registration may end
+    /// soon, so that only reaching most of them shows that it may renew leases, or a worker does
     /// not answer it, so that only they show that nobody else renews its lease.
     fn must_hear_peers(&self, moment: Moment) -> bool {
-        let owns_workers = self.workers.workers().next().is_some();
+        let owns_units = self.ownership.own_count() > 0;
         let may_lose_registration = !self.membership.is_safely_registered(moment);
-        (owns_workers && may_lose_registration) || self.workers.has_unheard(moment)
+        (owns_units && may_lose_registration) || self.workers.has_unheard(moment)
     }
 
     fn send_summary(
@@ -141,6 +164,26 @@
     ) {
         self.summaries.rounds.on_sent(moment, to);
         out.send(to, PeerMessage::Summary(Arc::clone(summary)));
+        let ping = Ping {
+            sent_at: moment.now,
+            registered_for_ms: self.membership.registered_for_ms(moment),
+        };
+        out.send(to, PeerMessage::Ping(ping));
+        self.acknowledge_ping(to, out);
+    }
+
+    /// Acknowledges the last ping of a peer, unless that was done.
+    fn acknowledge_ping(&mut self, to: &ProcessId, out: &mut Outbox) {
+        if let Some(sent_at) = self.summaries.unacknowledged_pings.remove(to) {
+            out.send(to, PeerMessage::PingAck { sent_at });
+        }
+    }
+
+    /// Forgets the pings of processes that are no members any more.
+    fn forget_former_pings(&mut self) {
+        let membership = &self.membership;
+        let pings = &mut self.summaries.unacknowledged_pings;
+        pings.retain(|peer, _| membership.find(peer).is_some());
     }
 
     /// Returns the current summary.
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -1,5 +1,6 @@
 //! The workers that this process owns.
 
+mod acknowledged_pings;
 mod acknowledgement;
 mod authorities;
 mod calls;
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -18,7 +18,7 @@
 use crate::policy::interference::InterferenceModel;
 use crate::registrations::Registrations;
 use crate::{
-    CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, RunDetails, Summary,
+    CallId, FleetSettings, JobShard, Moment, Outbox, PeerMessage, Ping, RunDetails, Summary,
     WorkerResult, WorkerSummary,
 };
 
@@ -172,8 +172,7 @@
     /// A former owner that has not learned of its loss may still renew the lease of a worker.
     /// If the peer lists a worker under a later epoch, this process is that former owner, and
     /// stops renewing the lease; if it claims the worker again, the state begins anew.
-    pub(crate) fn on_summary(&mut self, moment: Moment, from: &ProcessId, summary: &Summary) {
-        self.isolation.on_summary(moment, &from.instance);
+    pub(crate) fn on_summary(&mut self, moment: Moment, summary: &Summary) {
         for reported in &summary.workers {
             let Some(worker) = self.workers.get_mut(&reported.worker) else {
                 continue;
@@ -189,6 +188,23 @@
         }
     }
 
+    /// Handles a peer's ping, and returns whether to acknowledge it.
+    pub(crate) fn on_ping(&mut self, context: Context<'_>, from: &ProcessId, ping: Ping) -> bool {
+        self.isolation.on_ping(context, &from.instance, ping)
+    }
+
+    /// Handles that a peer has acknowledged the ping that this process sent at `sent_at`.
+    pub(crate) fn on_ping_acknowledged(
+        &mut self,
+        moment: Moment,
+        from: &ProcessId,
+        sent_at: MonotonicMs,
+    ) {
+        let instance = &from.instance;
+        self.isolation
+            .on_ping_acknowledged(moment, instance, sent_at);
+    }
+
     /// Handles a message about workers; returns any other message.
     pub(crate) fn on_message(
         &mut self,
--- a/crates/turmericfold-fleet/src/workers/permission.rs
+++ b/crates/turmericfold-fleet/src/workers/permission.rs
@@ -3,14 +3,14 @@
 //! The fencing token does not suffice for that: a worker that has restarted has seen none, and
 //! obeys a former owner until the present one has called it.
 
-use super::isolation::MAX_SUMMARY_AGE_MS;
+use super::isolation::MAX_PING_AGE_MS;
 use super::owner::WorkerOwner;
 use super::worker::Worker;
 use crate::context::Context;
 
-/// The time after a restart of a worker from which the peers' summaries are certainly later than
+/// The time after a restart of a worker from which all acknowledged pings that count were sent after
 /// the restart, in milliseconds.
-const PEERS_CONFIRM_MS: u64 = 2 * MAX_SUMMARY_AGE_MS;
+const PEERS_CONFIRM_MS: u64 = MAX_PING_AGE_MS;
 
 impl WorkerOwner {
     /// Returns whether this process may start runs: it is registered, or no other process can
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -3,7 +3,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs};
 
 use super::expiry::{LEASE_EXPIRY_MARGIN_MS, MAX_OUTCOME_WAIT_MS};
-use super::isolation::UNNOTICED_GAP_MS;
+use super::isolation::{MAX_PING_AGE_MS, UNNOTICED_GAP_MS};
 use super::owner::WorkerOwner;
 use super::worker::Worker;
 use crate::Moment;
@@ -12,7 +12,7 @@
 /// The time beyond the length of a lease after which those that former owners have granted
 /// have certainly expired, in milliseconds: it covers their last renewals after the worker was
 /// claimed (see [`super::isolation`]) and a clock of the worker that is 2% slow.
-const EARLIER_LEASE_MARGIN_MS: u64 = 700;
+const EARLIER_LEASE_MARGIN_MS: u64 = MAX_PING_AGE_MS + 300;
 
 /// The time after which a worker that has not answered its new owner counts as unheard, in
 /// milliseconds; most workers answer the first poll.
--- a/tests/features/healed_cuts.rs
+++ b/tests/features/healed_cuts.rs
@@ -56,7 +56,6 @@
 
 /// Guards against starts of former owners that a cut's end lets hear what was sent before.
 #[rstest]
-#[ignore = "KNOWN-RED: 21"]
 fn held_summaries_permit_nothing(
     #[values(1, 2, 3, 4)] seed: u64,
     #[values(0, 1, 2, 3, 4)] first: usize,
--- a/tests/features/successors.rs
+++ b/tests/features/successors.rs
@@ -13,7 +13,9 @@
 use turmericfold_tests::driven_node::DrivenNode;
 use turmericfold_tests::fleet_world::{QUEUE, SERVICE, configuration};
 use turmericfold_tests::node_parts::{member, process};
-use turmericfold_types::{FailureDomain, InstanceName, ProcessId, Resources, ServiceName};
+use turmericfold_types::{
+    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
+};
 
 const JOB: JobId = JobId(5);
 const WORKER: &str = "worker-00";
@@ -64,6 +66,8 @@
             ends: Vec::new(),
         }));
         self.driven.now_ms += 300;
+        let sent_at = MonotonicMs(self.driven.now_ms);
+        self.receive(PeerMessage::PingAck { sent_at });
         self.receive(PeerMessage::Summary(Arc::new(Summary {
             process: process(1, 1),
             configuration: 1,
--- a/tests/src/shared_worker/mod.rs
+++ b/tests/src/shared_worker/mod.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use turmericfold_fleet::policy::interference::EffectEstimate;
 use turmericfold_fleet::{
-    CallId, Event, PeerMessage, RunDetails, StartOutcome, Summary, WorkerCall, WorkerResult,
+    CallId, Event, PeerMessage, Ping, RunDetails, StartOutcome, Summary, WorkerCall, WorkerResult,
 };
 use turmericfold_jobs::RunKey;
 use turmericfold_platform::{
@@ -274,11 +274,20 @@
                     self.outcomes.insert(run, outcome);
                 }
                 PeerMessage::RunsFound { runs, .. } => self.send_details(&runs),
+                PeerMessage::Ping(ping) => self.acknowledge(ping),
                 _ => {}
             }
         }
     }
 
+    fn acknowledge(&mut self, ping: Ping) {
+        let sent_at = ping.sent_at;
+        self.harness.driven.deliver(Event::Peer {
+            from: process(1, 1),
+            messages: vec![PeerMessage::PingAck { sent_at }],
+        });
+    }
+
     fn send_details(&mut self, runs: &[RunKey]) {
         let known = runs.iter().filter_map(|key| {
             let details = self.runs.get(key)?.details.clone();
