Count former members among the processes that may be cut off

Cause: whether a process without a registration reaches most processes was counted over the members that its watch had last reported. If one of four leaves, and two of the other three are then cut off from the store and the rest, these two are most of a list that can't change any more: they go on renewing. The one that has left comes back, is most of another list with the fourth, and takes over.

Change: members count for 30 s after they left, for the right to act and for the new owner's certainty alike, so that both sides count over the same processes for longer than a takeover takes.

--- a/crates/turmericfold-fleet/src/workers/acknowledged_pings.rs
+++ b/crates/turmericfold-fleet/src/workers/acknowledged_pings.rs
@@ -42,14 +42,12 @@
         sent_at.is_some_and(|at| moment.since_ms(*at) < max_age_ms)
     }
 
-    /// Forgets the pings that were sent at least `age_ms` ago.
-    pub(super) fn forget_older(&mut self, moment: Moment, age_ms: u64) {
-        self.sent_at.retain(|_, at| moment.since_ms(*at) < age_ms);
-    }
-
-    /// Returns the peers that have acknowledged a ping.
-    pub(super) fn peers(&self) -> impl Iterator<Item = &InstanceName> {
-        self.sent_at.keys()
+    /// Forgets the peers for which `keep` returns false.
+    pub(super) fn retain<Keep>(&mut self, keep: Keep)
+    where
+        Keep: Fn(&InstanceName) -> bool,
+    {
+        self.sent_at.retain(|peer, _| keep(peer));
     }
 
     /// Returns the ages of the last acknowledged pings, in milliseconds.
--- a/crates/turmericfold-fleet/src/workers/isolation.rs
+++ b/crates/turmericfold-fleet/src/workers/isolation.rs
@@ -1,7 +1,7 @@
 //! Decides whether this process may still renew the leases of its workers, and whether it knows
 //! that no former owner does so.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use turmericfold_types::{InstanceName, MonotonicMs};
 
@@ -26,10 +26,10 @@
 /// does so whose pings are not acknowledged, in milliseconds.
 pub(super) const UNNOTICED_GAP_MS: u64 = MAX_GAP_MS - MAX_PING_AGE_MS;
 
-/// The time for which a peer that is not reached any more counts as a process that may be cut off
+/// The time for which a process that is no member any more counts as one that may be cut off
 /// together with others, in milliseconds: longer than a worker's new owner takes to claim a
 /// worker and to give it up.
-const PEER_RETENTION_MS: u64 = 30_000;
+const FORMER_MEMBER_RETENTION_MS: u64 = 30_000;
 
 /// The interval between counts of the peers, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 100;
@@ -52,9 +52,15 @@
 /// Peers that are cut off together with this process are no evidence that no other process
 /// claims its workers, unless they are most of the processes. In an outage of the store all
 /// members acknowledge each other's pings and renew the leases.
+///
+/// The processes are counted over the members and those that were members lately. Two groups that
+/// are cut off from each other, one after the other, would otherwise each count as most of a list
+/// of members that only one of them has.
 #[derive(Debug, Default)]
 pub(super) struct Isolation {
     pings: AcknowledgedPings,
+    /// When each process last was a member.
+    member_at: BTreeMap<InstanceName, MonotonicMs>,
     /// Until when the registrations of the peers are valid, as far as their pings tell.
     registered_until: BTreeMap<InstanceName, MonotonicMs>,
     ground: Ground,
@@ -110,53 +116,65 @@
 
     /// Returns whether this process may renew the leases of its workers.
     pub(super) fn may_renew(&self, context: Context<'_>) -> bool {
-        context.has_valid_registration || self.reaches_most_members(context)
+        context.has_valid_registration || self.reaches_most(context, MAX_PING_AGE_MS)
     }
 
     /// Returns when this process last may have been part of a minority: it had not reached most
-    /// of the processes that are members or were reached lately, itself included. Those may have
-    /// been cut off together from the store and from this process, and have renewed the leases of
-    /// their former workers until [`MAX_GAP_MS`] after the returned time.
+    /// of the processes, itself included. Those may have been cut off together from the store and
+    /// from this process, and have renewed the leases of their former workers until
+    /// [`MAX_GAP_MS`] after the returned time.
     pub(super) fn last_in_minority_at(&self) -> MonotonicMs {
         self.last_in_minority_at
     }
 
-    /// Returns whether this process and the peers that have acknowledged a ping lately are most of
-    /// the members.
-    fn reaches_most_members(&self, context: Context<'_>) -> bool {
-        let peers = context.membership.members();
-        let peers = peers.map(|member| &member.process.instance);
-        self.reaches_most(context, peers.collect(), MAX_PING_AGE_MS)
-    }
-
-    fn reaches_most(
-        &self,
-        context: Context<'_>,
-        mut peers: BTreeSet<&InstanceName>,
-        max_age_ms: u64,
-    ) -> bool {
-        peers.remove(context.ownership.instance());
-        let is_reached =
-            |peer: &&&InstanceName| self.pings.is_acknowledged(context.moment, peer, max_age_ms);
-        (1 + peers.iter().filter(is_reached).count()) * 2 > 1 + peers.len()
+    /// Returns whether this process and the peers that have acknowledged a ping within
+    /// `max_age_ms` are most of the members and of those that were members lately.
+    fn reaches_most(&self, context: Context<'_>, max_age_ms: u64) -> bool {
+        let own = context.ownership.instance();
+        let members = context.membership.members();
+        let members = members.map(|member| &member.process.instance);
+        let new = members.filter(|instance| !self.member_at.contains_key(*instance));
+        let peers = self.member_at.keys().chain(new);
+        let (mut known, mut reached) = (1, 1);
+        for peer in peers.filter(|instance| *instance != own) {
+            known += 1;
+            let is_reached = self.pings.is_acknowledged(context.moment, peer, max_age_ms);
+            reached += usize::from(is_reached);
+        }
+        reached * 2 > known
     }
 
     fn count_processes(&mut self, context: Context<'_>) {
         let moment = context.moment;
         if moment.has_reached(self.next_count_at) {
             self.next_count_at = moment + COUNT_INTERVAL_MS;
-            self.pings.forget_older(moment, PEER_RETENTION_MS);
-            self.registered_until.retain(|_, until| *until > moment.now);
-            let members = context.membership.members();
-            let members = members.map(|member| &member.process.instance);
-            let peers = members.chain(self.pings.peers()).collect();
-            self.is_in_minority = !self.reaches_most(context, peers, MAX_GAP_MS);
+            self.update_members(context);
+            self.is_in_minority = !self.reaches_most(context, MAX_GAP_MS);
         }
         if self.is_in_minority {
             self.last_in_minority_at = moment.now;
         }
     }
 
+    /// Records the members, and forgets those that left long ago.
+    fn update_members(&mut self, context: Context<'_>) {
+        let moment = context.moment;
+        for member in context.membership.members() {
+            let instance = &member.process.instance;
+            match self.member_at.get_mut(instance) {
+                Some(at) => *at = moment.now,
+                None => {
+                    self.member_at.insert(instance.clone(), moment.now);
+                }
+            }
+        }
+        self.member_at
+            .retain(|_, at| moment.since_ms(*at) < FORMER_MEMBER_RETENTION_MS);
+        let known = &self.member_at;
+        self.pings.retain(|peer| known.contains_key(peer));
+        self.registered_until.retain(|_, until| *until > moment.now);
+    }
+
     /// Returns whether a peer other than the process on the instance `asking` is registered.
     fn knows_registered_peer(&self, moment: Moment, asking: &InstanceName) -> bool {
         let mut peers = self.registered_until.iter();
@@ -166,7 +184,7 @@
     fn ground(&self, context: Context<'_>) -> Ground {
         if context.has_valid_registration {
             Ground::Registration
-        } else if self.reaches_most_members(context) {
+        } else if self.reaches_most(context, MAX_PING_AGE_MS) {
             Ground::Peers
         } else {
             Ground::None
@@ -175,19 +193,19 @@
 
     /// Logs on which ground this process acts from now on, and what it knows of the others.
     fn log_ground(&self, context: Context<'_>, ground: Ground) {
-        let members = context.membership.members().count();
+        let known = self.member_at.len();
         let pings = self.pings.ages_ms(context.moment);
         match ground {
             Ground::Registration => {
                 log::info!("process acts as the owner of its workers on its valid registration");
             }
             Ground::Peers => log::warn!(
-                members = members,
+                known = known,
                 ping_ages_ms:? = pings;
                 "process has no valid registration; most processes acknowledge its pings, so it still starts runs and renews the leases of its workers"
             ),
             Ground::None => log::warn!(
-                members = members,
+                known = known,
                 ping_ages_ms:? = pings;
                 "process is cut off from the store and from most peers; it starts no runs, and the leases of its workers are not renewed"
             ),
--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -118,6 +118,35 @@
     assert_no_violations(world, for_ms + 2_000);
 }
 
+/// Guards against a group that renews leases as most of a list of members that has shrunk.
+#[rstest]
+fn shrunken_list_renews_nothing(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2, 3)] first: usize,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
+) {
+    let nodes = 4;
+    let [killed, peer, second] = [1, 2, 3].map(|offset| (first + offset) % nodes);
+    let (killed_ms, for_ms) = (3_000, 14_000);
+    let kill = FaultKind::KillNode {
+        node: killed,
+        down_ms: killed_ms + 2_500,
+    };
+    let mut plan = FaultPlan::new().with_fault(CUT_AT_MS, kill);
+    let cut_at_ms = CUT_AT_MS + killed_ms;
+    for one in [first, second] {
+        plan = plan.with_fault(cut_at_ms, cut_store(one, for_ms));
+        for other in [killed, peer] {
+            plan = plan.with_fault(cut_at_ms, cut_peers(one, other, for_ms));
+        }
+    }
+    for node in [killed, peer] {
+        plan = with_cut_workers(plan, node, 1, killed_ms + for_ms);
+    }
+    let world = cut_world(nodes, seed, plan, false, work);
+    assert_no_violations(world, killed_ms + for_ms + 2_000);
+}
+
 /// Guards against a second run beside one of an owner that loses the store before its peers.
 #[rstest]
 fn late_cut_stops_renewing(
