Give a worker up only while most processes are reached

Cause: most of the processes, cut off from the store together with a worker, go on renewing its lease. The few that the store serves claim the worker and can't reach it. Its lasting tasks waited until these had reached most processes for a lease; but they gave the worker up, with the ends of its runs, once it was unregistered for 2.5 s and a lease was over, or after a lease and 10 s.

Change: one function tells when former owners may last have renewed a lease, for all three ways of giving a worker up: not before this process reached most of the processes that are, or within 30 s were, members. So if most of a fleet is lost at once and for good, the tasks of those workers that can't be reached either wait up to 30 s longer.

--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -34,16 +34,23 @@
         moment.since_ms(renewed_at) > earlier_lease_ms + EARLIER_LEASE_MARGIN_MS
     }
 
+    /// Returns when former owners of a worker may last have renewed its lease.
+    ///
+    /// Most processes, if this one does not reach them, may have been cut off from the store and
+    /// go on renewing the leases of their former workers.
+    pub(super) fn earlier_renewal_at(&self, worker: &Worker) -> MonotonicMs {
+        let in_minority_at = self.isolation.last_in_minority_at();
+        worker.earlier_renewal_at.max(in_minority_at) + UNNOTICED_GAP_MS
+    }
+
     /// Returns whether no run is in progress on a worker that has never answered this process,
     /// as all leases of former owners have expired and this process has granted none.
-    ///
-    /// A majority of processes that is cut off from the store renews its leases, so this process
-    /// must have heard most of the others for the whole length of a lease.
     pub(super) fn is_idle_unheard(&self, context: Context<'_>, worker: &Worker) -> bool {
         let is_certain_owner =
             context.has_valid_registration && !worker.fenced && !worker.has_later_owner;
-        let in_minority_at = self.isolation.last_in_minority_at();
-        let renewed_at = worker.earlier_renewal_at.max(in_minority_at) + UNNOTICED_GAP_MS;
+        let renewed_at = self
+            .earlier_renewal_at(worker)
+            .max(worker.earlier_renewal_at + UNNOTICED_GAP_MS);
         is_certain_owner
             && worker.authorities_known
             && worker.last_answer_at.is_none()
@@ -70,13 +77,14 @@
         };
         let late_ms = self.late_ms(moment, worker);
         let earlier_lease_ms = self.leases.earlier_ms(moment, worker);
+        let renewed_at = self.earlier_renewal_at(worker);
         let max_silence_ms =
             earlier_lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS + late_ms;
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
         let is_unknown = worker.last_answer_at.is_none() && !worker.fenced && !worker.presumed_lost;
-        let waited_ms = context.moment.since_ms(worker.earlier_renewal_at);
+        let waited_ms = context.moment.since_ms(renewed_at);
         if !is_unknown || !context.has_valid_registration || waited_ms < max_silence_ms {
             return;
         }
--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -147,6 +147,41 @@
     assert_no_violations(world, killed_ms + for_ms + 2_000);
 }
 
+/// Guards against a minority that ends the runs of an unregistered worker that others still renew.
+#[rstest]
+fn majority_keeps_unregistered_runs(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2, 3, 4)] first: usize,
+    #[values(8_000, 20_000)] for_ms: u64,
+    #[values(false, true)] unregistered: bool,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
+) {
+    let group = [0, 1, 2].map(|offset| (first + offset) % GROUP_NODES);
+    let plan = cut_group(GROUP_NODES, &group, 0, for_ms);
+    let world = cut_world(GROUP_NODES, seed, plan, unregistered, work);
+    assert_no_violations(world, for_ms + 2_000);
+}
+
+/// Guards against processes that the store turns away and that hear one that it serves.
+#[rstest]
+fn served_peer_ends_renewals(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2, 3, 4)] first: usize,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
+) {
+    let for_ms = 20_000;
+    let group = [0, 1, 2].map(|offset| (first + offset) % GROUP_NODES);
+    let mut plan = FaultPlan::new();
+    for node in 0..GROUP_NODES {
+        plan = match group.contains(&node) {
+            true => plan.with_fault(CUT_AT_MS, cut_store(node, for_ms)),
+            false => with_cut_workers(plan, node, 1, for_ms),
+        };
+    }
+    let world = cut_world(GROUP_NODES, seed, plan, true, work);
+    assert_no_violations(world, for_ms + 2_000);
+}
+
 /// Guards against a second run beside one of an owner that loses the store before its peers.
 #[rstest]
 fn late_cut_stops_renewing(
