Date reports on the workers by the call, not by their receipt

What callers saw: in a trial in virtual time, tasks that a run had done started again. Their worker was silent for 7 s, lost its registration for 100 ms and had it back; the next answer to the watch of the workers, made before that, was on its way for 3.7 s.

Cause: a worker counts as lost once it has had no registration for 2.5 s, up to the last report of the watch. A report counted as one of the time at which it was handled. An answer may be on its way for up to 13 s, as a slow link gets that long for the body, or wait in a process that is paused.

Change: the events of the watch of the workers carry `as_of`, a time before which the store certainly did not make the answer: that of the call, and for an answer without a change that of the end of its wait, if the answer was not there before. The driver's watches take their clock as a parameter.

--- a/crates/turmericfold-fleet/src/event.rs
+++ b/crates/turmericfold-fleet/src/event.rs
@@ -38,10 +38,20 @@
     /// Keys of the fleet have changed.
     KeysChanged(Vec<KeyChange>),
     /// All registered workers have been read again.
-    WorkersReloaded(Vec<WorkerEntry>),
+    WorkersReloaded {
+        /// The registered workers.
+        entries: Vec<WorkerEntry>,
+        /// A time before which the store certainly did not make the answer.
+        as_of: MonotonicMs,
+    },
     /// Registrations of workers have been added, changed or removed; none if a watch has
     /// ended without a change.
-    WorkersChanged(Vec<WorkerChange>),
+    WorkersChanged {
+        /// The changes.
+        changes: Vec<WorkerChange>,
+        /// A time before which the store certainly did not make the answer.
+        as_of: MonotonicMs,
+    },
     /// A configuration has been read.
     Configuration(Arc<Configuration>),
     /// The store has answered that no configuration is newer than the last one that was read.
--- a/crates/turmericfold-fleet/src/node/changes.rs
+++ b/crates/turmericfold-fleet/src/node/changes.rs
@@ -4,14 +4,19 @@
 use std::sync::Arc;
 
 use turmericfold_platform::{KeyChange, WorkerEntry};
-use turmericfold_types::{InstanceName, ProcessId};
+use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::FleetNode;
 use crate::ownership::OwnershipChange;
 use crate::{Configuration, Moment, Outbox, PeerMessage, Unit, WorkerChange};
 
 impl FleetNode {
-    pub(super) fn on_workers_reloaded(&mut self, moment: Moment, entries: Vec<WorkerEntry>) {
+    pub(super) fn on_workers_reloaded(
+        &mut self,
+        moment: Moment,
+        entries: Vec<WorkerEntry>,
+        as_of: MonotonicMs,
+    ) {
         let read_names: BTreeSet<InstanceName> =
             entries.iter().map(|entry| entry.id.clone()).collect();
         let known_names = self.registrations.names();
@@ -22,12 +27,17 @@
             .into_iter()
             .map(WorkerChange::Unregistered)
             .chain(registered);
-        self.on_workers_changed(moment, changes.collect());
+        self.on_workers_changed(moment, changes.collect(), as_of);
         self.workers_loaded = true;
     }
 
-    pub(super) fn on_workers_changed(&mut self, moment: Moment, changes: Vec<WorkerChange>) {
-        self.workers.on_registrations_reported(moment);
+    pub(super) fn on_workers_changed(
+        &mut self,
+        moment: Moment,
+        changes: Vec<WorkerChange>,
+        as_of: MonotonicMs,
+    ) {
+        self.workers.on_registrations_reported(as_of);
         if changes.is_empty() {
             return;
         }
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -156,8 +156,12 @@
                 self.ownership.on_reload(&keys, version);
             }
             Event::KeysChanged(changes) => self.on_changes(moment, &changes),
-            Event::WorkersReloaded(entries) => self.on_workers_reloaded(moment, entries),
-            Event::WorkersChanged(changes) => self.on_workers_changed(moment, changes),
+            Event::WorkersReloaded { entries, as_of } => {
+                self.on_workers_reloaded(moment, entries, as_of);
+            }
+            Event::WorkersChanged { changes, as_of } => {
+                self.on_workers_changed(moment, changes, as_of);
+            }
             Event::Configuration(configuration) => self.on_configuration(configuration, None),
             Event::ConfigurationConfirmed { at } => self.confirmation.on_confirmed(at),
             Event::Worker {
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -42,8 +42,8 @@
     pub(super) authorities_call: Option<AuthoritiesCall>,
     pub(super) isolation: Isolation,
     pub(super) lateness: Lateness,
-    /// When the watch of the workers, or a read of all, last reported: a worker that is
-    /// unregistered here had not registered again by then.
+    /// The time as of which the watch of the workers, or a read of all, last reported: a worker
+    /// that is unregistered here had not registered again by then.
     pub(super) registrations_reported_at: MonotonicMs,
     next_progress_at: MonotonicMs,
     next_review_at: MonotonicMs,
@@ -161,10 +161,10 @@
         }
     }
 
-    /// Handles that the watch of the workers, or a read of all, has reported, possibly without
-    /// a change.
-    pub(crate) fn on_registrations_reported(&mut self, moment: Moment) {
-        self.registrations_reported_at = moment.now;
+    /// Handles that the watch of the workers, or a read of all, has reported what the store knew
+    /// at `as_of` or later, possibly without a change.
+    pub(crate) fn on_registrations_reported(&mut self, as_of: MonotonicMs) {
+        self.registrations_reported_at = self.registrations_reported_at.max(as_of);
     }
 
     /// Handles a peer's summary.
--- a/crates/turmericfold/src/fleet/load_report.rs
+++ b/crates/turmericfold/src/fleet/load_report.rs
@@ -112,7 +112,7 @@
         Event::Tick => "tick",
         Event::Store { .. } => "store result",
         Event::KeysReloaded { .. } | Event::KeysChanged(_) => "keys changed",
-        Event::WorkersReloaded(_) | Event::WorkersChanged(_) => "workers changed",
+        Event::WorkersReloaded { .. } | Event::WorkersChanged { .. } => "workers changed",
         Event::Configuration(_) => "configuration",
         Event::ConfigurationConfirmed { .. } => "configuration confirmed",
         Event::Worker { result, .. } => match result {
--- a/crates/turmericfold/src/fleet/watch.rs
+++ b/crates/turmericfold/src/fleet/watch.rs
@@ -5,8 +5,9 @@
 use ecow::EcoString;
 use tokio::time::Instant;
 use turmericfold_platform::{
-    KeyChange, PlatformError, Store, StoreCall, StoreReply, StoreVersion, StoredKey,
+    Clock, KeyChange, PlatformError, Store, StoreCall, StoreReply, StoreVersion, StoredKey,
 };
+use turmericfold_types::MonotonicMs;
 
 /// How long one watch call waits for a change, in milliseconds. A call whose answer is lost
 /// hides all changes until its timeout, so the wait is part of the longest such delay.
@@ -25,8 +26,17 @@
 /// Number of consecutive failures after which all keys are read again.
 const MAX_WATCH_FAILURES: u32 = 3;
 
-/// The result of a watch.
-pub(super) enum WatchUpdate {
+/// What a watch reports, and when the store knew it.
+pub(super) struct WatchUpdate {
+    /// What the watch reports.
+    pub(super) content: WatchContent,
+    /// A time before which the store certainly did not make the answer. The answer itself may
+    /// have been on its way for long, or have waited while this process was paused.
+    pub(super) as_of: MonotonicMs,
+}
+
+/// What a watch reports.
+pub(super) enum WatchContent {
     /// All keys under the prefix, read at `version`.
     All {
         keys: Vec<StoredKey>,
@@ -38,8 +48,9 @@
 
 /// A watch of one prefix. Reads all keys at first, and again after repeated failures,
 /// an unexpected reply or a compaction of the store's history.
-pub(super) struct Watch<StoreClient> {
+pub(super) struct Watch<StoreClient, CallClock> {
     store: StoreClient,
+    clock: CallClock,
     prefix: EcoString,
     batch_delay_ms: u64,
     version: Option<StoreVersion>,
@@ -48,13 +59,20 @@
     answered_at: Instant,
 }
 
-impl<StoreClient> Watch<StoreClient>
+impl<StoreClient, CallClock> Watch<StoreClient, CallClock>
 where
     StoreClient: Store,
+    CallClock: Clock,
 {
-    pub(super) fn new(store: StoreClient, prefix: EcoString, batch_delay_ms: u64) -> Self {
+    pub(super) fn new(
+        store: StoreClient,
+        clock: CallClock,
+        prefix: EcoString,
+        batch_delay_ms: u64,
+    ) -> Self {
         Self {
             store,
+            clock,
             prefix,
             batch_delay_ms,
             version: None,
@@ -67,17 +85,21 @@
     pub(super) async fn next(&mut self) -> WatchUpdate {
         loop {
             match self.version {
-                None => match self.read_all().await {
-                    Ok((keys, version)) => {
-                        self.version = Some(version);
-                        self.on_success();
-                        return WatchUpdate::All { keys, version };
+                None => {
+                    let as_of = self.clock.now();
+                    match self.read_all().await {
+                        Ok((keys, version)) => {
+                            self.version = Some(version);
+                            self.on_success();
+                            let content = WatchContent::All { keys, version };
+                            return WatchUpdate { content, as_of };
+                        }
+                        Err(error) => self.on_failure(&error).await,
                     }
-                    Err(error) => self.on_failure(&error).await,
-                },
+                }
                 Some(version) => {
-                    if let Some(changes) = self.wait(version).await {
-                        return WatchUpdate::Changes(changes);
+                    if let Some(update) = self.wait(version).await {
+                        return update;
                     }
                 }
             }
@@ -85,21 +107,29 @@
     }
 
     /// Waits for changes after `version`; returns `None` if the call fails.
-    async fn wait(&mut self, version: StoreVersion) -> Option<Vec<KeyChange>> {
+    async fn wait(&mut self, version: StoreVersion) -> Option<WatchUpdate> {
         // What has changed while the store did not answer is overdue.
         if self.failures == 0 {
             tokio::time::sleep(Duration::from_millis(self.batch_delay_ms)).await;
         }
+        let wait_ms = self.wait_ms();
         let call = StoreCall::Watch {
             prefix: self.prefix.clone(),
             after: version,
-            wait_ms: self.wait_ms(),
+            wait_ms,
         };
+        let asked_at = self.clock.now();
         match self.store.call(call).await {
             Ok(StoreReply::Changes { changes, version }) => {
                 self.version = Some(version);
                 self.on_success();
-                Some(changes)
+                // The store makes an answer without a change when the wait is over.
+                let as_of = match changes.is_empty() {
+                    true => self.clock.now().min(asked_at + wait_ms),
+                    false => asked_at,
+                };
+                let content = WatchContent::Changes(changes);
+                Some(WatchUpdate { content, as_of })
             }
             Ok(StoreReply::Compacted) => {
                 log::info!(prefix = self.prefix.as_str(); "history of the store is compacted; reading all keys again");
--- a/crates/turmericfold/src/fleet/watches.rs
+++ b/crates/turmericfold/src/fleet/watches.rs
@@ -8,7 +8,7 @@
 use turmericfold_platform::{BootClock, Clock, KeyChange, Store, StoredKey, WorkerEntry};
 use turmericfold_types::InstanceName;
 
-use super::watch::{Watch, WatchUpdate};
+use super::watch::{Watch, WatchContent, WatchUpdate};
 
 /// Delay in which changes of workers are collected into one batch, in milliseconds;
 /// each worker keeps rewriting its registration.
@@ -49,19 +49,35 @@
     where
         StoreClient: Store,
         Decoder: PlatformDecoder,
+    {
+        Self::with_clock(store, decoder, BootClock, events)
+    }
+
+    /// Starts the same with another clock, which dates the events.
+    pub fn with_clock<StoreClient, Decoder, CallClock>(
+        store: StoreClient,
+        decoder: Decoder,
+        clock: CallClock,
+        events: mpsc::Sender<Event>,
+    ) -> Self
+    where
+        StoreClient: Store,
+        Decoder: PlatformDecoder,
+        CallClock: Clock,
     {
         let mut tasks = JoinSet::new();
-        let fleet = Watch::new(store.clone(), keys::FLEET_PREFIX.into(), 0);
+        let fleet = Watch::new(store.clone(), clock.clone(), keys::FLEET_PREFIX.into(), 0);
         tasks.spawn(watch_fleet(fleet, events.clone()));
         let key = decoder.configuration_key();
-        let configuration = Watch::new(store.clone(), key.into(), 0);
+        let configuration = Watch::new(store.clone(), clock.clone(), key.into(), 0);
         let configuration_decoder = decoder.clone();
         tasks.spawn(watch_configuration(
             configuration,
             configuration_decoder,
             events.clone(),
         ));
-        let workers = Watch::new(store, decoder.worker_prefix().into(), WORKER_BATCH_DELAY_MS);
+        let worker_prefix = decoder.worker_prefix().into();
+        let workers = Watch::new(store, clock, worker_prefix, WORKER_BATCH_DELAY_MS);
         tasks.spawn(watch_workers(workers, decoder, events));
         Self { tasks }
     }
@@ -72,15 +88,18 @@
     }
 }
 
-async fn watch_fleet<StoreClient>(mut watch: Watch<StoreClient>, events: mpsc::Sender<Event>)
-where
+async fn watch_fleet<StoreClient, CallClock>(
+    mut watch: Watch<StoreClient, CallClock>,
+    events: mpsc::Sender<Event>,
+) where
     StoreClient: Store,
+    CallClock: Clock,
 {
     loop {
-        let event = match watch.next().await {
-            WatchUpdate::All { keys, version } => Event::KeysReloaded { keys, version },
-            WatchUpdate::Changes(changes) if changes.is_empty() => continue,
-            WatchUpdate::Changes(changes) => Event::KeysChanged(changes),
+        let event = match watch.next().await.content {
+            WatchContent::All { keys, version } => Event::KeysReloaded { keys, version },
+            WatchContent::Changes(changes) if changes.is_empty() => continue,
+            WatchContent::Changes(changes) => Event::KeysChanged(changes),
         };
         if events.send(event).await.is_err() {
             return;
@@ -92,13 +111,14 @@
 ///
 /// A watch returns every version in full. While several versions follow each other, the
 /// newest one is read instead, so that this process does not fall behind.
-async fn watch_configuration<StoreClient, Decoder>(
-    mut watch: Watch<StoreClient>,
+async fn watch_configuration<StoreClient, Decoder, CallClock>(
+    mut watch: Watch<StoreClient, CallClock>,
     decoder: Decoder,
     events: mpsc::Sender<Event>,
 ) where
     StoreClient: Store,
     Decoder: PlatformDecoder,
+    CallClock: Clock,
 {
     let key = decoder.configuration_key();
     let mut newest = None;
@@ -106,9 +126,9 @@
     // A configuration that can't be decoded may be newer than the one in force.
     let mut is_decoded = false;
     loop {
-        let update = watch.next().await;
+        let WatchUpdate { content, .. } = watch.next().await;
         let answered_at = BootClock.now();
-        if let Some(values) = stored_values(update, key) {
+        if let Some(values) = stored_values(content, key) {
             let is_new = values.last() != newest.as_ref();
             is_in_series = values.len() > 1 || (is_in_series && is_new);
             newest = values.into_iter().next_back();
@@ -137,37 +157,41 @@
 
 /// Returns the values of a key in an update, in their order, or `None` if the watch has ended
 /// without a change.
-fn stored_values(update: WatchUpdate, key: &str) -> Option<Vec<String>> {
-    match update {
-        WatchUpdate::All { keys, .. } => {
+fn stored_values(content: WatchContent, key: &str) -> Option<Vec<String>> {
+    match content {
+        WatchContent::All { keys, .. } => {
             let stored = keys.into_iter().filter(|stored| stored.key == key);
             Some(stored.map(|stored| stored.stored.value).collect())
         }
-        WatchUpdate::Changes(changes) if changes.is_empty() => None,
-        WatchUpdate::Changes(changes) => {
+        WatchContent::Changes(changes) if changes.is_empty() => None,
+        WatchContent::Changes(changes) => {
             let changed = changes.into_iter().filter(|change| change.key == key);
             Some(changed.filter_map(|change| change.value).collect())
         }
     }
 }
 
-async fn watch_workers<StoreClient, Decoder>(
-    mut watch: Watch<StoreClient>,
+async fn watch_workers<StoreClient, Decoder, CallClock>(
+    mut watch: Watch<StoreClient, CallClock>,
     decoder: Decoder,
     events: mpsc::Sender<Event>,
 ) where
     StoreClient: Store,
     Decoder: PlatformDecoder,
+    CallClock: Clock,
 {
     loop {
-        let event = match watch.next().await {
-            WatchUpdate::All { keys, .. } => {
+        let WatchUpdate { content, as_of } = watch.next().await;
+        let event = match content {
+            WatchContent::All { keys, .. } => {
                 let decode = |key: &StoredKey| decoder.worker(&key.key, &key.stored.value);
-                Event::WorkersReloaded(keys.iter().filter_map(decode).collect())
+                let entries = keys.iter().filter_map(decode).collect();
+                Event::WorkersReloaded { entries, as_of }
             }
-            WatchUpdate::Changes(changes) => {
+            WatchContent::Changes(changes) => {
                 let decode = |change: &KeyChange| worker_change(&decoder, change);
-                Event::WorkersChanged(changes.iter().filter_map(decode).collect())
+                let changes = changes.iter().filter_map(decode).collect();
+                Event::WorkersChanged { changes, as_of }
             }
         };
         if events.send(event).await.is_err() {
--- a/tests/features/acknowledgements.rs
+++ b/tests/features/acknowledgements.rs
@@ -193,10 +193,8 @@
         address: "10.1.0.2:8000".into(),
         ..entry()
     };
-    ended
-        .harness
-        .driven
-        .deliver(Event::WorkersChanged(vec![WorkerChange::Registered(moved)]));
+    let changes = vec![WorkerChange::Registered(moved)];
+    ended.harness.driven.change_workers(changes);
     ended.harness.wait(150);
     let (_, next_poll) = ended.harness.take_poll_call();
     assert_eq!(next_poll.acknowledged_up_to, 0);
--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -112,9 +112,7 @@
     harness.register();
     let workers = (0..WORKERS).map(|number| worker_of(service, number));
     let changes = workers.map(WorkerChange::Registered);
-    harness
-        .driven
-        .deliver(Event::WorkersChanged(changes.collect()));
+    harness.driven.change_workers(changes.collect());
     let claimed = harness.take_claimed_keys();
     assert!(claimed.contains(&ShardOwner::key()), "{claimed:?}");
     let claims_workers = claimed.iter().any(|key| key.contains("/workers/"));
--- a/tests/features/lost_registrations.rs
+++ b/tests/features/lost_registrations.rs
@@ -93,9 +93,9 @@
     let (event_sender, mut events) = mpsc::channel(16);
     let watches = Watches::start(QuietStore, NoDecoder, event_sender);
     let read = events.recv().await;
-    assert!(matches!(read, Some(Event::WorkersReloaded(_))));
+    assert!(matches!(read, Some(Event::WorkersReloaded { .. })));
     let report = tokio::time::timeout(Duration::from_secs(2), events.recv()).await;
-    assert!(matches!(report, Ok(Some(Event::WorkersChanged(_)))));
+    assert!(matches!(report, Ok(Some(Event::WorkersChanged { .. }))));
     watches.stop().await;
 }
 
--- a/tests/features/odd_lists.rs
+++ b/tests/features/odd_lists.rs
@@ -120,10 +120,10 @@
 
 fn names(event: Option<Event>) -> Vec<String> {
     match event {
-        Some(Event::WorkersReloaded(entries)) => {
+        Some(Event::WorkersReloaded { entries, .. }) => {
             entries.iter().map(|entry| entry.id.to_string()).collect()
         }
-        Some(Event::WorkersChanged(changes)) => changes.iter().map(describe).collect(),
+        Some(Event::WorkersChanged { changes, .. }) => changes.iter().map(describe).collect(),
         other => panic!("unexpected event: {other:?}"),
     }
 }
--- a/tests/features/replaced_workers.rs
+++ b/tests/features/replaced_workers.rs
@@ -28,9 +28,7 @@
             driven: DrivenNode::new(process(0, 1)),
         };
         let registered = WorkerChange::Registered(entry("10.1.0.1:8000"));
-        owner
-            .driven
-            .deliver(Event::WorkersChanged(vec![registered]));
+        owner.driven.change_workers(vec![registered]);
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let acquired = owner_change(&worker_key, process(0, 1), WORKER_EPOCH);
         owner.driven.deliver(Event::KeysChanged(vec![acquired]));
@@ -53,7 +51,7 @@
     /// Reports that the registration of the worker is gone.
     fn unregister(&mut self) {
         let gone = WorkerChange::Unregistered(InstanceName::new(WORKER));
-        self.driven.deliver(Event::WorkersChanged(vec![gone]));
+        self.driven.change_workers(vec![gone]);
     }
 
     /// Returns the report on the worker that a peer receives, if any.
@@ -137,7 +135,7 @@
     owner.unregister();
     owner.answer_as_other();
     assert_eq!(owner.report(), None, "it may have a new address");
-    owner.driven.deliver(Event::WorkersChanged(Vec::new()));
+    owner.driven.change_workers(Vec::new());
     assert!(owner.report().is_some(), "the worker is gone");
 }
 
@@ -147,7 +145,7 @@
     let mut owner = NewOwner::new();
     let moved = WorkerChange::Registered(entry("10.1.0.2:8000"));
     let former_polls = std::mem::take(&mut owner.driven.out.workers);
-    owner.driven.deliver(Event::WorkersChanged(vec![moved]));
+    owner.driven.change_workers(vec![moved]);
     owner.driven.out.workers = former_polls;
     owner.answer_as_other();
     assert_eq!(owner.report(), None, "nothing is known of the worker");
--- a/tests/features/room_waits.rs
+++ b/tests/features/room_waits.rs
@@ -55,7 +55,7 @@
             messages: Vec::new(),
         };
         harness.deliver(Event::Configuration(configuration().into()));
-        harness.deliver(Event::WorkersReloaded(vec![entry(false)]));
+        harness.deliver(reloaded(entry(false)));
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         harness.deliver(Event::KeysChanged(vec![
             owner_change(&worker_key, process(0, 1), WORKER_EPOCH),
@@ -260,7 +260,7 @@
                     shards: vec![authority(LASTING_JOB, LATER_JOBS_EPOCH)],
                 },
             ),
-            Self::WorkerDrains => return Event::WorkersReloaded(vec![entry(true)]),
+            Self::WorkerDrains => return reloaded(entry(true)),
             Self::ShardChangesOwner => {
                 let key = jobs_key(LASTING_JOB);
                 let change = owner_change(&key, later_owner(), LATER_JOBS_EPOCH);
@@ -272,6 +272,14 @@
     }
 }
 
+/// Returns the report that the worker is the only one that is registered.
+fn reloaded(entry: WorkerEntry) -> Event {
+    Event::WorkersReloaded {
+        entries: vec![entry],
+        as_of: MonotonicMs(0),
+    }
+}
+
 /// Guards against batch orders that take the room for which an interrupted task waits.
 #[test]
 fn room_is_kept() {
--- a/tests/features/silent_store.rs
+++ b/tests/features/silent_store.rs
@@ -61,8 +61,8 @@
             (Self::Members, Event::KeysChanged(changes)) => {
                 changes.iter().any(|change| change.key == member_key())
             }
-            (Self::Workers, Event::WorkersReloaded(entries)) => !entries.is_empty(),
-            (Self::Workers, Event::WorkersChanged(changes)) => changes
+            (Self::Workers, Event::WorkersReloaded { entries, .. }) => !entries.is_empty(),
+            (Self::Workers, Event::WorkersChanged { changes, .. }) => changes
                 .iter()
                 .any(|change| matches!(change, WorkerChange::Registered(_))),
             _ => false,
--- a/tests/src/driven_node.rs
+++ b/tests/src/driven_node.rs
@@ -1,7 +1,7 @@
 //! A single node of a fleet that a test hands events to.
 
-use turmericfold_fleet::{Event, FleetNode, FleetSettings, Moment, Outbox};
-use turmericfold_platform::{StoreCall, StoreReply, StoreVersion, StoredKey};
+use turmericfold_fleet::{Event, FleetNode, FleetSettings, Moment, Outbox, WorkerChange};
+use turmericfold_platform::{StoreCall, StoreReply, StoreVersion, StoredKey, WorkerEntry};
 use turmericfold_types::{MonotonicMs, ProcessId};
 
 use crate::fleet_world::configuration;
@@ -53,6 +53,18 @@
         self.node.handle(moment, event, &mut self.out);
     }
 
+    /// Reports all registered workers as of now.
+    pub fn reload_workers(&mut self, entries: Vec<WorkerEntry>) {
+        let as_of = MonotonicMs(self.now_ms);
+        self.deliver(Event::WorkersReloaded { entries, as_of });
+    }
+
+    /// Reports changes of the registered workers as of now.
+    pub fn change_workers(&mut self, changes: Vec<WorkerChange>) {
+        let as_of = MonotonicMs(self.now_ms);
+        self.deliver(Event::WorkersChanged { changes, as_of });
+    }
+
     /// Answers all reads with the same keys, and drops all other calls to the store.
     pub fn answer_reads(&mut self, keys: &[StoredKey]) {
         for request in std::mem::take(&mut self.out.store) {
--- a/tests/src/fleet_world/watches.rs
+++ b/tests/src/fleet_world/watches.rs
@@ -8,7 +8,7 @@
 };
 use turmericfold_types::InstanceName;
 
-use super::FleetWorld;
+use super::{Delivery, FleetWorld};
 
 /// The longest duration of a watch of the workers, in milliseconds.
 const WATCH_MS: u64 = 1_500;
@@ -45,26 +45,50 @@
     /// Reports the registered workers to a node: all of them first, then their changes, or
     /// that there are none when a watch ends without any.
     fn report_workers(&mut self, index: usize) {
-        let now = self.now;
+        let as_of = self.now;
         let Some(running) = self.nodes[index].as_mut() else {
             return;
         };
+        if as_of < running.workers_reported_at {
+            return;
+        }
         let entries = self.entries.clone();
         let event = match &running.reported_entries {
-            None => Event::WorkersReloaded(entries.values().cloned().collect()),
+            None => Event::WorkersReloaded {
+                entries: entries.values().cloned().collect(),
+                as_of,
+            },
             Some(reported) => {
-                let is_watch_over = now.since_ms(running.workers_reported_at) >= WATCH_MS;
+                let is_watch_over = as_of.since_ms(running.workers_reported_at) >= WATCH_MS;
                 if *reported == entries && !is_watch_over {
                     return;
                 }
-                Event::WorkersChanged(worker_changes(reported, &entries))
+                let changes = worker_changes(reported, &entries);
+                Event::WorkersChanged { changes, as_of }
             }
         };
         running.reported_entries = Some(entries);
-        running.workers_reported_at = now;
+        running.workers_reported_at = as_of;
         self.handle_event(index, event);
     }
 
+    /// Lets the present reports on the workers, which hold no change, reach the nodes after
+    /// `delay_ms`; no later report overtakes them.
+    pub fn delay_worker_reports(&mut self, delay_ms: u64) {
+        self.disturb();
+        let as_of = self.now;
+        let mut processes = Vec::new();
+        for running in self.nodes.iter_mut().flatten() {
+            running.workers_reported_at = as_of + delay_ms;
+            processes.push(running.process.clone());
+        }
+        for process in processes {
+            let changes = Vec::new();
+            let event = Event::WorkersChanged { changes, as_of };
+            self.schedule(delay_ms, Delivery::Node { process, event });
+        }
+    }
+
     pub(super) fn changes_after(
         &mut self,
         after: StoreVersion,
--- a/tests/src/job_owner.rs
+++ b/tests/src/job_owner.rs
@@ -192,7 +192,7 @@
             started_ms: 0,
         };
         let change = WorkerChange::Registered(entry);
-        self.driven.deliver(Event::WorkersChanged(vec![change]));
+        self.driven.change_workers(vec![change]);
     }
 
     /// Gives the worker to its owner anew and returns the number of the query about its runs.
--- a/tests/src/shard_owner.rs
+++ b/tests/src/shard_owner.rs
@@ -87,7 +87,7 @@
 
     /// Registers this process beside a peer that owns all shards but the job's.
     pub fn register(&mut self) {
-        self.driven.deliver(Event::WorkersReloaded(Vec::new()));
+        self.driven.reload_workers(Vec::new());
         let grant = self.take_call(|call| matches!(call, StoreCall::GrantLease { .. }));
         self.answer(grant.unwrap(), StoreReply::Lease { lease: LeaseId(1) });
         let register = self.take_call(|call| matches!(call, StoreCall::Transact(_)));
--- a/tests/src/worker_owner.rs
+++ b/tests/src/worker_owner.rs
@@ -50,9 +50,7 @@
         let mut harness = Self {
             driven: DrivenNode::new(process(0, 1)),
         };
-        harness
-            .driven
-            .deliver(Event::WorkersReloaded(vec![entry()]));
+        harness.driven.reload_workers(vec![entry()]);
         let worker_key = format!("turmericfold/fleet/owners/workers/{WORKER}");
         let jobs_key = format!("turmericfold/fleet/owners/jobs/{}", JobShard::of(JOB));
         harness.driven.deliver(Event::KeysChanged(vec![
