Date the confirmation of the configuration by the call

What callers would see: 404 for a route that exists, from a process that was paused or whose link was slow, for 1.4 s after it had read an old answer.

Cause: the store's answer that no configuration is newer counted from the time at which it was read. An answer that has waited in a paused process is read before its timeout is noticed.

Change: the event carries the time as of which the answer holds, as those of the workers do. A request for a queue that is not known is refused with 404 only if the answer holds as of a time after the request.

Evidence: watch_ages::held_answers_keep_their_age failed for the configuration (2 of 2 cases) and passes now, as do stale_configurations, unknown_queues, configuration_pull, configuration_series and silent_store. By reading, not measured: after a change a process may lack a confirmation for some 0.2 s, as the answer with the change holds as of its call; unknown routes get 503 in it.

--- a/crates/turmericfold-fleet/src/event.rs
+++ b/crates/turmericfold-fleet/src/event.rs
@@ -56,8 +56,8 @@
     Configuration(Arc<Configuration>),
     /// The store has answered that no configuration is newer than the last one that was read.
     ConfigurationConfirmed {
-        /// The time of the answer.
-        at: MonotonicMs,
+        /// A time before which the store certainly did not make the answer.
+        as_of: MonotonicMs,
     },
     /// A call to a worker has ended.
     Worker {
--- a/crates/turmericfold-fleet/src/node/confirmation.rs
+++ b/crates/turmericfold-fleet/src/node/confirmation.rs
@@ -10,16 +10,16 @@
 /// What the store and the other processes have said about newer configurations.
 #[derive(Debug, Default)]
 pub(super) struct Confirmation {
-    /// The time at which the store last answered that no configuration is newer.
+    /// The time as of which the store last answered that no configuration is newer.
     confirmed_at: Option<MonotonicMs>,
     /// The newest version that any process has announced.
     announced_version: u64,
 }
 
 impl Confirmation {
-    /// Records that the store had no newer configuration at a time.
-    pub(super) fn on_confirmed(&mut self, at: MonotonicMs) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+    /// Records that the store had no newer configuration at `as_of`.
+    pub(super) fn on_confirmed(&mut self, as_of: MonotonicMs) {
+        self.confirmed_at = self.confirmed_at.max(Some(as_of));
     }
 
     /// Records a version that a process has announced, member or not.
@@ -27,7 +27,7 @@
         self.announced_version = self.announced_version.max(version);
     }
 
-    /// Returns the time of the store's last answer that no configuration is newer than
+    /// Returns the time as of which the store last answered that no configuration is newer than
     /// `own_version`; `None` if a process has announced a newer one.
     pub(super) fn confirmed_at(&self, own_version: u64) -> Option<MonotonicMs> {
         self.confirmed_at
--- a/crates/turmericfold-fleet/src/node/mod.rs
+++ b/crates/turmericfold-fleet/src/node/mod.rs
@@ -163,7 +163,7 @@
                 self.on_workers_changed(moment, changes, as_of);
             }
             Event::Configuration(configuration) => self.on_configuration(configuration, None),
-            Event::ConfigurationConfirmed { at } => self.confirmation.on_confirmed(at),
+            Event::ConfigurationConfirmed { as_of } => self.confirmation.on_confirmed(as_of),
             Event::Worker {
                 worker,
                 call,
--- a/crates/turmericfold/src/fleet/watches.rs
+++ b/crates/turmericfold/src/fleet/watches.rs
@@ -126,8 +126,7 @@
     // A configuration that can't be decoded may be newer than the one in force.
     let mut is_decoded = false;
     loop {
-        let WatchUpdate { content, .. } = watch.next().await;
-        let answered_at = BootClock.now();
+        let WatchUpdate { content, as_of } = watch.next().await;
         if let Some(values) = stored_values(content, key) {
             let is_new = values.last() != newest.as_ref();
             is_in_series = values.len() > 1 || (is_in_series && is_new);
@@ -145,7 +144,7 @@
                 }
             }
         }
-        let confirmed = Event::ConfigurationConfirmed { at: answered_at };
+        let confirmed = Event::ConfigurationConfirmed { as_of };
         if is_decoded && events.send(confirmed).await.is_err() {
             return;
         }
--- a/tests/features/stale_configurations.rs
+++ b/tests/features/stale_configurations.rs
@@ -44,8 +44,8 @@
 }
 
 fn confirmed(at_ms: u64) -> Event {
-    let at = MonotonicMs(at_ms);
-    Event::ConfigurationConfirmed { at }
+    let as_of = MonotonicMs(at_ms);
+    Event::ConfigurationConfirmed { as_of }
 }
 
 fn version(version: u64) -> Event {
--- a/tests/features/watch_ages.rs
+++ b/tests/features/watch_ages.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use turmericfold::fleet::Watches;
-use turmericfold_adapter::WORKER_PREFIX;
+use turmericfold_adapter::{CONFIGURATION_KEY, WORKER_PREFIX};
 use turmericfold_fleet::Event;
 use turmericfold_platform::{
     Clock, KeyChange, PlatformError, Store, StoreCall, StoreReply, StoreVersion, StoredKey,
@@ -102,6 +102,7 @@
 fn as_of(event: &Event) -> Option<MonotonicMs> {
     match event {
         Event::WorkersReloaded { as_of, .. } | Event::WorkersChanged { as_of, .. } => Some(*as_of),
+        Event::ConfigurationConfirmed { as_of } => Some(*as_of),
         _ => None,
     }
 }
@@ -110,7 +111,7 @@
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn held_answers_keep_their_age(
-    #[values(WORKER_PREFIX)] watched: &'static str,
+    #[values(WORKER_PREFIX, CONFIGURATION_KEY)] watched: &'static str,
     #[values(false, true)] has_changes: bool,
 ) {
     let clock = TestClock(Instant::now());
--- a/tests/src/shard_owner.rs
+++ b/tests/src/shard_owner.rs
@@ -45,7 +45,8 @@
     /// Reports that the store has no newer configuration now.
     pub fn confirm_configuration(&mut self) {
         let at = MonotonicMs(self.driven.now_ms + STEP_MS);
-        self.driven.deliver(Event::ConfigurationConfirmed { at });
+        self.driven
+            .deliver(Event::ConfigurationConfirmed { as_of: at });
     }
 
     /// Returns the key of the owner of the job's shard.
