Reproduce a start by an order that a cut has held

What callers would see: a task of a cancelled job starts when a cut between two processes ends.

Cause: an order to start a run bears the epochs of the job's shard and of the worker, which refuse former owners, but nothing that tells its age. The job's owner gives it up after 4 s; its stops are lost while no connection can be opened, and the order is still in the first connection.

In the simulated fleet a cut can hold what was sent before the first delivery timed out, and lose the rest.

A fix needs a time of the receiver in its summary that the order repeats, so a change of the messages.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -38,6 +38,7 @@
 mod gangs;
 mod graceful_shutdown;
 mod healed_cuts;
+mod held_orders;
 mod interrupted_tasks;
 mod job_urgency;
 mod journal_ring;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -209,6 +209,12 @@
         self
     }
 
+    /// Loses messages that a cut holds back from now on: a sender closes its connection when a
+    /// delivery times out, and can't open another one until the cut ends.
+    pub fn lose_cut_messages(&mut self) {
+        self.holds_cut_messages = false;
+    }
+
     /// Returns the submitted jobs by identifier.
     pub fn jobs(&self) -> &BTreeMap<JobId, Submitted> {
         &self.jobs
