Read the owners to the end after a claim

What callers would see: in a fleet of more workers than the store lists on one page (some 500 keys, 64 of them shards), a task of a shard that has changed its owner may run twice while the watch is late. Found by reading; no play has shown it.

Cause: after a claim, the process reads the owners of all units, and acquires the shard with the first page. It waits only for reports on workers whose owners it knows; the others come with the watch, some of them later than the shard.

Change: it reads all pages, and applies them together.

Evidence: fleet_ownership::shard_waits_for_all_pages fails before and passes after; fleet_ownership, ownership_fuzz, fleet_takeover, rebalancing and large_fleets pass.

--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use turmericfold_platform::{PlatformError, StoreCall, StoreReply, StoreVersion, Transaction};
+use turmericfold_platform::{
+    PlatformError, StoreCall, StoreReply, StoreVersion, StoredKey, Transaction,
+};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::fleet_state::FleetState;
@@ -30,6 +32,8 @@
     pub(super) owned_units: BTreeMap<Unit, StoreVersion>,
     pub(super) changes: Vec<OwnershipChange>,
     pub(super) claim_call: Option<CallId>,
+    /// The pages of owners that were read after the last claim, until all are.
+    pages: Vec<StoredKey>,
     /// The epochs of the owners that the last claim expected.
     pub(super) expected_epochs: BTreeMap<Unit, StoreVersion>,
     next_claim_at: MonotonicMs,
@@ -52,6 +56,7 @@
             owned_units: BTreeMap::new(),
             changes: Vec::new(),
             claim_call: None,
+            pages: Vec::new(),
             expected_epochs: BTreeMap::new(),
             next_claim_at: MonotonicMs::default(),
             next_balance_at: MonotonicMs::default(),
@@ -130,9 +135,15 @@
                 membership.apply_current_members(current);
                 self.read_owners(out);
             }
-            Ok(StoreReply::Page { keys, .. }) => {
-                self.next_claim_at = moment.now;
-                self.on_page(keys);
+            Ok(StoreReply::Page { keys, more, .. }) => {
+                self.pages.extend_from_slice(keys);
+                if *more && !keys.is_empty() {
+                    self.read_page(out);
+                } else {
+                    self.next_claim_at = moment.now;
+                    let keys = std::mem::take(&mut self.pages);
+                    self.on_page(&keys);
+                }
             }
             Ok(reply) => log::warn!(reply:? = reply; "unexpected reply to a claim; retrying later"),
             Err(error) => log::debug!(error:% = error; "claim failed; retrying after a delay"),
@@ -206,10 +217,17 @@
         self.claim_call = Some(out.call_store(StoreCall::Transact(transaction)));
     }
 
+    /// Reads all owners. They apply together, so that this process knows the owners of all workers
+    /// by the time at which it acquires a shard of jobs, and waits for their reports.
     fn read_owners(&mut self, out: &mut Outbox) {
+        self.pages.clear();
+        self.read_page(out);
+    }
+
+    fn read_page(&mut self, out: &mut Outbox) {
         self.claim_call = Some(out.call_store(StoreCall::Range {
             prefix: keys::OWNERS_PREFIX.into(),
-            after: None,
+            after: self.pages.last().map(|key| key.key.clone()),
             limit: u32::MAX,
         }));
     }
--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -2,7 +2,9 @@
 
 use rstest::rstest;
 use turmericfold_fleet::{Event, WorkerChange};
-use turmericfold_platform::{ExpectedKey, StoreReply, StoreVersion, StoredValue, WorkerEntry};
+use turmericfold_platform::{
+    ExpectedKey, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue, WorkerEntry,
+};
 use turmericfold_tests::fleet_world::SERVICE;
 use turmericfold_tests::shard_owner::{JOB, ShardOwner, stored};
 use turmericfold_types::{FailureDomain, InstanceName, Resources, ServiceName};
@@ -89,6 +91,40 @@
     assert_eq!(load, None, "a deleted owner is back");
 }
 
+/// Guards against a shard that is acquired before the owners of all workers are known, so that
+/// their reports on its runs are not waited for.
+#[test]
+fn shard_waits_for_all_pages() {
+    let mut harness = ShardOwner::new();
+    harness.register();
+    let claim = harness.take_claim();
+    let version = StoreVersion(5);
+    harness.answer(claim, StoreReply::Committed { version });
+    let first = harness.take_range("/owners/");
+    let owner = stored(ShardOwner::key(), &harness.owner(), version);
+    let page = |keys: Vec<StoredKey>, more: bool| StoreReply::Page {
+        keys,
+        more,
+        version,
+    };
+    harness.answer(first.unwrap(), page(vec![owner.clone()], true));
+    let mut orders = std::mem::take(&mut harness.driven.out.store).into_iter();
+    let next = orders.find_map(|order| match order.store_call {
+        StoreCall::Range {
+            after: Some(after), ..
+        } => Some((order.call, after)),
+        _ => None,
+    });
+    let (second, after) = next.expect("the next page is not read");
+    assert_eq!(after, owner.key);
+    assert_eq!(harness.take_range("/jobs/"), None, "a page is missing");
+    harness.answer(second, page(Vec::new(), false));
+    assert!(
+        harness.take_range("/jobs/").is_some(),
+        "the shard was not acquired"
+    );
+}
+
 fn worker_of(service: &str, number: u32) -> WorkerEntry {
     WorkerEntry {
         id: InstanceName::new(format!("{service}-{number}")),
