Reproduce a count from reports that a cut has held

Cause: a report on waiting jobs is used for 1.7 s from its receipt. One that a cut has held replaces a newer one of the same owner, as it says neither when it was made nor which query it answers.

A fix needs a number of the query that the report repeats, so a change of the messages.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -47,6 +47,7 @@
 mod lasting_waits;
 mod late_answers;
 mod late_completions;
+mod late_counts;
 mod late_owners;
 mod late_reports;
 mod late_watches;
