Keep a late refusal from restoring a deleted owner

What callers would see: the tasks of a shard, or all tasks of recovering shards, wait for a unit whose owner is a member that does not own it.

Cause: a refused claim tells the present owners of its units. If the refusal is read after all keys were read again, for instance after a pause, and the owner's key was deleted in between, the process has no record of that deletion, takes the refusal for news, and nothing corrects it.

Change: a unit that the last read of all keys did not show counts as without an owner up to the version of that read.

Evidence: fleet_ownership::late_refusal_restores_nothing fails before and passes after; fleet_ownership, ownership_fuzz and fleet_takeover pass.

--- a/crates/turmericfold-fleet/src/ownership/reads.rs
+++ b/crates/turmericfold-fleet/src/ownership/reads.rs
@@ -25,7 +25,10 @@
         for unit in removed {
             self.remove(unit, version);
         }
+        // The pages are no snapshot, so an earlier read says nothing about their keys.
+        self.reloaded_version = None;
         self.on_page(keys);
+        self.reloaded_version = Some(version);
         self.loaded = true;
     }
 
@@ -85,7 +88,8 @@
     /// Returns the version up to which the key of a unit is known, also if it was deleted.
     fn known_version(&self, unit: &Unit) -> Option<StoreVersion> {
         let epoch = self.owners.get(unit).map(|owned| owned.epoch);
-        epoch.or_else(|| self.deletions.get(unit).copied())
+        let deletion = || self.deletions.get(unit).copied();
+        epoch.or_else(|| deletion().max(self.reloaded_version))
     }
 
     fn insert(&mut self, unit: Unit, owner: Owner, epoch: StoreVersion) {
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -28,6 +28,8 @@
     pub(super) owners: BTreeMap<Unit, Owned>,
     /// The versions up to which the keys of units without an owner are known as deleted.
     pub(super) deletions: BTreeMap<Unit, StoreVersion>,
+    /// The version of the last read of all keys, by which the units that are not known had no owner.
+    pub(super) reloaded_version: Option<StoreVersion>,
     pub(super) loaded: bool,
     pub(super) owned_units: BTreeMap<Unit, StoreVersion>,
     pub(super) changes: Vec<OwnershipChange>,
@@ -52,6 +54,7 @@
             me,
             owners: BTreeMap::new(),
             deletions: BTreeMap::new(),
+            reloaded_version: None,
             loaded: false,
             owned_units: BTreeMap::new(),
             changes: Vec::new(),
--- a/tests/features/fleet_ownership.rs
+++ b/tests/features/fleet_ownership.rs
@@ -1,11 +1,12 @@
 //! How a process handles acquiring, losing and reacquiring a shard of jobs.
 
 use rstest::rstest;
-use turmericfold_fleet::{Event, WorkerChange};
+use turmericfold_fleet::{Event, Owner, WorkerChange};
 use turmericfold_platform::{
     ExpectedKey, StoreCall, StoreReply, StoreVersion, StoredKey, StoredValue, WorkerEntry,
 };
 use turmericfold_tests::fleet_world::SERVICE;
+use turmericfold_tests::node_parts::{member, process};
 use turmericfold_tests::shard_owner::{JOB, ShardOwner, stored};
 use turmericfold_types::{FailureDomain, InstanceName, Resources, ServiceName};
 
@@ -61,6 +62,37 @@
     assert!(harness.driven.node.owns_job(JOB), "the shard was released");
 }
 
+/// Guards against an owner that a late refusal names, though its key was deleted before the last
+/// read of all keys.
+#[test]
+fn late_refusal_restores_nothing() {
+    let mut harness = ShardOwner::new();
+    harness.register();
+    let claim = harness.take_claim();
+    let former_owner = process(1, 1);
+    let version = StoreVersion(7);
+    let value = serde_json::to_string(&Owner::new(former_owner.clone(), 1)).unwrap();
+    let members = [process(0, 1), former_owner].map(|process| {
+        let key = format!("turmericfold/fleet/members/{}", process.instance);
+        stored(key, &member(process), StoreVersion(2))
+    });
+    harness.driven.deliver(Event::KeysReloaded {
+        keys: members.into(),
+        version: StoreVersion(20),
+    });
+    let refused = StoreReply::Refused {
+        current: vec![ExpectedKey {
+            key: ShardOwner::key().into(),
+            stored: Some(StoredValue { version, value }),
+        }],
+    };
+    harness.answer(claim, refused);
+    harness.driven.answer_reads(&[]);
+    harness.driven.now_ms += 200;
+    let claimed = harness.take_claimed_keys();
+    assert!(claimed.contains(&ShardOwner::key()), "{claimed:?}");
+}
+
 /// Guards against an owner that a late page restores after the deletion of its key.
 #[test]
 fn late_page_restores_nothing() {
