Date the reading of a worker's clock by its poll

What callers would see: ends of runs that are never reported, so that their tasks start again, after a process was paused while a worker restarted.

Cause: the clock in the answer to a start tells which life of the worker the start has reached. A life that began after the last reading was excluded by the age of that reading, taken as at most 1.5 s, the timeout of a poll. A paused process reads answers that are older, so the start may have reached the next life, whose ends the next poll then acknowledged unseen.

Change: the reading's age counts from the time at which its poll was sent.

Evidence: acknowledgements::paused_owner_acknowledges_nothing fails before and passes after; acknowledgements, restarted_workers, long_leases, former_calls and start_doubts pass.

--- a/crates/turmericfold-fleet/src/workers/clock.rs
+++ b/crates/turmericfold-fleet/src/workers/clock.rs
@@ -5,9 +5,9 @@
 /// The lowest rate of a worker's clock that is allowed for, in thousandths of true time.
 const MIN_CLOCK_RATE_PERMILLE: u64 = 980;
 
-/// The time by which a reading may precede its arrival, at most, in milliseconds: the timeout of
-/// a poll.
-const MAX_READING_AGE_MS: u64 = 1_500;
+/// The time by which the reading in the answer to a start may precede the last one of a poll, in
+/// milliseconds: the timeout of a poll.
+const MAX_EARLIER_MS: u64 = 1_500;
 
 /// The time by which an estimate of a worker's clock may be too low, in milliseconds.
 const ESTIMATE_MARGIN_MS: u64 = 100;
@@ -16,13 +16,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct WorkerClock {
     read_ms: u64,
+    asked_at: MonotonicMs,
     read_at: MonotonicMs,
 }
 
 impl WorkerClock {
-    /// Creates the reading `read_ms` that arrived at `read_at`.
-    pub(crate) fn new(read_ms: u64, read_at: MonotonicMs) -> Self {
-        Self { read_ms, read_at }
+    /// Creates the reading `read_ms` that a poll sent at `asked_at` got, and that arrived at
+    /// `read_at`.
+    pub(crate) fn new(read_ms: u64, asked_at: MonotonicMs, read_at: MonotonicMs) -> Self {
+        Self {
+            read_ms,
+            asked_at,
+            read_at,
+        }
     }
 
     /// Returns the earliest time that the worker's clock can show now, in
@@ -37,8 +43,8 @@
     pub(crate) fn is_of_same_life(&self, clock_ms: u64, now: MonotonicMs) -> bool {
         let elapsed_ms = now.since_ms(self.read_at);
         let latest_ms = self.read_ms + elapsed_ms + ESTIMATE_MARGIN_MS;
-        let earliest_ms = self.read_ms.saturating_sub(MAX_READING_AGE_MS);
-        let next_life_ms = elapsed_ms + MAX_READING_AGE_MS;
+        let earliest_ms = self.read_ms.saturating_sub(MAX_EARLIER_MS);
+        let next_life_ms = now.since_ms(self.asked_at);
         earliest_ms > next_life_ms && (earliest_ms..=latest_ms).contains(&clock_ms)
     }
 
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -169,7 +169,8 @@
         if !has_restarted {
             worker.forgotten_up_to = worker.forgotten_up_to.max(poll.acknowledged_up_to);
         }
-        worker.clock = Some(WorkerClock::new(listing.clock_ms, context.moment.now));
+        let clock = WorkerClock::new(listing.clock_ms, poll.sent_at, context.moment.now);
+        worker.clock = Some(clock);
         let is_running = !listing.running.is_empty();
         worker.update_lease_bound(context.moment, poll, listing.clock_ms, is_running, leases);
         worker.on_answered_poll(poll, context.moment.now);
--- a/tests/features/acknowledgements.rs
+++ b/tests/features/acknowledgements.rs
@@ -184,6 +184,31 @@
     assert_eq!(poll.acknowledged_up_to, 1, "the start is settled");
 }
 
+/// Guards against taking the clock of the next life for that of the former one, when the answers
+/// of both have waited in a paused process.
+#[test]
+fn paused_owner_acknowledges_nothing() {
+    let mut ended = EndedRun::new();
+    let harness = &mut ended.harness;
+    harness.wait(8_000);
+    harness.poll_and_answer(&mut ended.worker);
+    harness.wait(150);
+    let (poll_call, listing) = harness.poll(&mut ended.worker);
+    harness.order_run(2);
+    let (start_call, start) = harness.take_start_call();
+    let paused_at_ms = harness.driven.now_ms;
+    ended.worker.restart(MonotonicMs(paused_at_ms + 1_000));
+    let started_at = MonotonicMs(paused_at_ms + 10_500);
+    let reply = ended.worker.start(started_at, &start, behaviour());
+    assert!(matches!(reply, StartReply::Started { .. }), "{reply:?}");
+    harness.driven.now_ms += 12_000;
+    harness.answer(poll_call, listing);
+    harness.answer(start_call, WorkerResult::Start(Ok(reply)));
+    ended.record_end();
+    let (_, poll) = ended.harness.take_poll_call();
+    assert_eq!(poll.acknowledged_up_to, 0, "the next life loses ends");
+}
+
 /// Guards against an acknowledgement and a deadline of the former life at a new address.
 #[test]
 fn moved_worker_gets_none() {
