Release a departed worker before its owner is deleted

What callers would see: two runs of a task at once, after the store lost an answer.

Cause: the owner of a worker that has departed deletes its own key. A call without an answer may take effect seconds later. Meanwhile the worker may be back, and the owner, whose epoch is still the same, starts runs on it. Then the key goes, and the owners of jobs count all runs on the worker as over.

Change: the worker is released before the call is sent, as it is before a handover. If the call has no answer, the process claims the worker under a new epoch, after which the late call has no effect. With an answer, the key counts as deleted at once.

Evidence: late_deletions::released_worker_starts_nothing fails before (the order is taken) and passes after; fleet_ownership, ownership_fuzz, replaced_workers and silent_workers pass.

--- a/crates/turmericfold-fleet/src/ownership/reads.rs
+++ b/crates/turmericfold-fleet/src/ownership/reads.rs
@@ -106,7 +106,7 @@
 
     /// Removes the owner of a unit whose key was deleted by `version`; pages that were read
     /// before do not restore it.
-    fn remove(&mut self, unit: Unit, version: StoreVersion) {
+    pub(super) fn remove(&mut self, unit: Unit, version: StoreVersion) {
         self.search_pacing.mark_changed();
         self.owners.remove(&unit);
         self.mark_lost(&unit);
--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -34,6 +34,8 @@
     pub(super) owned_units: BTreeMap<Unit, StoreVersion>,
     pub(super) changes: Vec<OwnershipChange>,
     pub(super) claim_call: Option<CallId>,
+    /// The unit whose owner the last claim deletes, if it does.
+    deleted_unit: Option<Unit>,
     /// The pages of owners that were read after the last claim, until all are.
     pages: Vec<StoredKey>,
     /// The epochs of the owners that the last claim expected.
@@ -59,6 +61,7 @@
             owned_units: BTreeMap::new(),
             changes: Vec::new(),
             claim_call: None,
+            deleted_unit: None,
             pages: Vec::new(),
             expected_epochs: BTreeMap::new(),
             next_claim_at: MonotonicMs::default(),
@@ -128,11 +131,17 @@
             return false;
         }
         self.claim_call = None;
+        let deleted_unit = self.deleted_unit.take();
         self.search_pacing.mark_changed();
         self.next_claim_at = moment + CLAIM_RETRY_MS;
         match result {
             // The watch will report the new owners; reading them now avoids its delay.
-            Ok(StoreReply::Committed { .. }) => self.read_owners(out),
+            Ok(StoreReply::Committed { version }) => {
+                if let Some(unit) = deleted_unit {
+                    self.remove(unit, *version);
+                }
+                self.read_owners(out);
+            }
             Ok(StoreReply::Refused { current }) => {
                 self.apply_current(current);
                 membership.apply_current_members(current);
@@ -204,6 +213,9 @@
 
     /// Deletes the stored owner of a worker that has departed for good, if this process
     /// owns the worker.
+    ///
+    /// The worker is released before the call is sent, as a call without an answer may take effect
+    /// later. If it has none, this process claims the worker under a new epoch.
     pub(crate) fn delete_worker_owner(&mut self, worker: &InstanceName, out: &mut Outbox) {
         let unit = Unit::Worker(worker.clone());
         let Some(epoch) = self.owned_units.get(&unit).copied() else {
@@ -214,6 +226,8 @@
         }
         let mut transaction = Transaction::default();
         let key = keys::owner(&unit);
+        self.mark_lost(&unit);
+        self.deleted_unit = Some(unit.clone());
         self.expected_epochs = BTreeMap::from([(unit, epoch)]);
         transaction.expect_version(key.clone(), Some(epoch));
         transaction.remove.push(key);
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -48,6 +48,7 @@
 mod late_answers;
 mod late_completions;
 mod late_counts;
+mod late_deletions;
 mod late_owners;
 mod late_reports;
 mod late_watches;
