--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use turmericfold_platform::{PlatformError, StoreCall, StoreReply, StoreVersion, Transaction};
+use turmericfold_platform::{
+    PlatformError, StoreCall, StoreReply, StoreVersion, StoredKey, Transaction,
+};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::fleet_state::FleetState;
@@ -26,10 +28,16 @@
     pub(super) owners: BTreeMap<Unit, Owned>,
     /// The versions up to which the keys of units without an owner are known as deleted.
     pub(super) deletions: BTreeMap<Unit, StoreVersion>,
+    /// The version of the last read of all keys, by which the units that are not known had no owner.
+    pub(super) reloaded_version: Option<StoreVersion>,
     pub(super) loaded: bool,
     pub(super) owned_units: BTreeMap<Unit, StoreVersion>,
     pub(super) changes: Vec<OwnershipChange>,
     pub(super) claim_call: Option<CallId>,
+    /// The unit whose owner the last claim deletes, if it does.
+    deleted_unit: Option<Unit>,
+    /// The pages of owners that were read after the last claim, until all are.
+    pages: Vec<StoredKey>,
     /// The epochs of the owners that the last claim expected.
     pub(super) expected_epochs: BTreeMap<Unit, StoreVersion>,
     next_claim_at: MonotonicMs,
@@ -48,10 +56,13 @@
             me,
             owners: BTreeMap::new(),
             deletions: BTreeMap::new(),
+            reloaded_version: None,
             loaded: false,
             owned_units: BTreeMap::new(),
             changes: Vec::new(),
             claim_call: None,
+            deleted_unit: None,
+            pages: Vec::new(),
             expected_epochs: BTreeMap::new(),
             next_claim_at: MonotonicMs::default(),
             next_balance_at: MonotonicMs::default(),
@@ -120,19 +131,31 @@
             return false;
         }
         self.claim_call = None;
+        let deleted_unit = self.deleted_unit.take();
         self.search_pacing.mark_changed();
         self.next_claim_at = moment + CLAIM_RETRY_MS;
         match result {
             // The watch will report the new owners; reading them now avoids its delay.
-            Ok(StoreReply::Committed { .. }) => self.read_owners(out),
+            Ok(StoreReply::Committed { version }) => {
+                if let Some(unit) = deleted_unit {
+                    self.remove(unit, *version);
+                }
+                self.read_owners(out);
+            }
             Ok(StoreReply::Refused { current }) => {
                 self.apply_current(current);
                 membership.apply_current_members(current);
                 self.read_owners(out);
             }
-            Ok(StoreReply::Page { keys, .. }) => {
-                self.next_claim_at = moment.now;
-                self.on_page(keys);
+            Ok(StoreReply::Page { keys, more, .. }) => {
+                self.pages.extend_from_slice(keys);
+                if *more && !keys.is_empty() {
+                    self.read_page(out);
+                } else {
+                    self.next_claim_at = moment.now;
+                    let keys = std::mem::take(&mut self.pages);
+                    self.on_page(&keys);
+                }
             }
             Ok(reply) => log::warn!(reply:? = reply; "unexpected reply to a claim; retrying later"),
             Err(error) => log::debug!(error:% = error; "claim failed; retrying after a delay"),
@@ -190,6 +213,9 @@
 
     /// Deletes the stored owner of a worker that has departed for good, if this process
     /// owns the worker.
+    ///
+    /// The worker is released before the call is sent, as a call without an answer may take effect
+    /// later. If it has none, this process claims the worker under a new epoch.
     pub(crate) fn delete_worker_owner(&mut self, worker: &InstanceName, out: &mut Outbox) {
         let unit = Unit::Worker(worker.clone());
         let Some(epoch) = self.owned_units.get(&unit).copied() else {
@@ -200,16 +226,25 @@
         }
         let mut transaction = Transaction::default();
         let key = keys::owner(&unit);
+        self.mark_lost(&unit);
+        self.deleted_unit = Some(unit.clone());
         self.expected_epochs = BTreeMap::from([(unit, epoch)]);
         transaction.expect_version(key.clone(), Some(epoch));
         transaction.remove.push(key);
         self.claim_call = Some(out.call_store(StoreCall::Transact(transaction)));
     }
 
+    /// Reads all owners. They apply together, so that this process knows the owners of all workers
+    /// by the time at which it acquires a shard of jobs, and waits for their reports.
     fn read_owners(&mut self, out: &mut Outbox) {
+        self.pages.clear();
+        self.read_page(out);
+    }
+
+    fn read_page(&mut self, out: &mut Outbox) {
         self.claim_call = Some(out.call_store(StoreCall::Range {
             prefix: keys::OWNERS_PREFIX.into(),
-            after: None,
+            after: self.pages.last().map(|key| key.key.clone()),
             limit: u32::MAX,
         }));
     }
