Draw a soak of partitions, and reduce the faults of a seed

The soak of restarts draws no cut between nodes, no outage, slowness or lost answers of the store, no silent watch and no failure domain that is cut off. Its world, callers and checks move to `soak`, which the soak of partitions shares; that one has 4 or 5 nodes, holds messages back during cuts, and draws these faults beside the others.

--- a/tests/src/bin/turmericfold-soak.rs
+++ b/tests/src/bin/turmericfold-soak.rs
@@ -1,4 +1,4 @@
-//! The `turmericfold-soak` command: runs the soak of restarting workers for a range of seeds and
+//! The `turmericfold-soak` command: runs a soak of a simulated fleet for a range of seeds and
 //! prints the promises that were broken.
 
 use std::process::ExitCode;
@@ -6,13 +6,16 @@
 use std::thread;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use turmericfold_tests::restart_soak::soak;
+use turmericfold_tests::soak::{Reduction, Soak, reduce};
+use turmericfold_tests::{partition_soak, restart_soak};
 
 #[derive(Debug, Clone)]
 struct Options {
     from: u64,
     until: u64,
     jobs: usize,
+    partitions: bool,
+    reduce: bool,
 }
 
 fn options() -> OptionParser<Options> {
@@ -25,9 +28,54 @@
         .help("Number of soaks at a time")
         .argument("COUNT")
         .fallback(4);
-    construct!(Options { from, until, jobs })
-        .to_options()
-        .descr("Soaks a simulated fleet with restarts of workers beside other faults.")
+    let partitions = long("partitions")
+        .help("Cut nodes, store and workers off from each other as well")
+        .switch();
+    let reduce = long("reduce")
+        .help("Print the fewest faults that break a promise of the same kind")
+        .switch();
+    construct!(Options {
+        from,
+        until,
+        jobs,
+        partitions,
+        reduce
+    })
+    .to_options()
+    .descr("Soaks a simulated fleet with restarts of workers beside other faults.")
+}
+
+impl Options {
+    fn draw(&self, seed: u64) -> Soak {
+        match self.partitions {
+            true => partition_soak::draw_soak(seed),
+            false => restart_soak::draw_soak(seed),
+        }
+    }
+
+    /// Runs the soak of a seed and returns whether a promise was broken.
+    fn is_faulty(&self, seed: u64) -> bool {
+        let violations = self.draw(seed).run();
+        if violations.is_empty() {
+            return false;
+        }
+        println!("seed {seed}: {violations:?}");
+        if self.reduce
+            && let Some(reduction) = reduce(|| self.draw(seed))
+        {
+            print_reduction(&self.draw(seed), &reduction);
+        }
+        true
+    }
+}
+
+fn print_reduction(soak: &Soak, reduction: &Reduction) {
+    let labels = reduction
+        .numbers
+        .iter()
+        .map(|number| format!("\n  fault {number}, {}", soak.groups()[*number].label));
+    let labels: String = labels.collect();
+    println!("reduced: {:?}{labels}", reduction.violations);
 }
 
 fn main() -> ExitCode {
@@ -42,10 +90,8 @@
                     if seed >= options.until {
                         return;
                     }
-                    let violations = soak(seed);
-                    if !violations.is_empty() {
+                    if options.is_faulty(seed) {
                         faulty.fetch_add(1, Ordering::Relaxed);
-                        println!("seed {seed}: {violations:?}");
                     }
                 }
             });
--- a/tests/src/fleet_world/schedule.rs
+++ b/tests/src/fleet_world/schedule.rs
@@ -142,6 +142,13 @@
         /// The worker.
         worker: usize,
     },
+    /// A worker loses its registration and registers again later; it runs all the while.
+    UnregisterWorker {
+        /// The worker.
+        worker: usize,
+        /// The time until it registers again, in milliseconds.
+        for_ms: u64,
+    },
 }
 
 /// Faults with the times at which they begin.
@@ -160,6 +167,7 @@
 enum PlannedKind {
     Fault(FaultKind),
     StartNode(usize),
+    RegisterWorker(usize),
 }
 
 impl FaultPlan {
@@ -192,6 +200,7 @@
         for planned in due {
             match planned.kind {
                 PlannedKind::StartNode(node) => self.start_node(node),
+                PlannedKind::RegisterWorker(worker) => self.register_worker(worker),
                 PlannedKind::Fault(kind) => self.apply_fault(kind),
             }
         }
@@ -211,6 +220,11 @@
                 }
             }
             FaultKind::RestartWorker { worker } => self.restart_worker(worker),
+            FaultKind::UnregisterWorker { worker, for_ms } => {
+                self.unregister_worker(worker);
+                let registers = PlannedKind::RegisterWorker(worker);
+                self.plan.add(now + for_ms, registers);
+            }
             FaultKind::RemoveRegistration { node } => self.remove_registration(node),
             kind => self.faults.add(now, kind),
         }
