Count a start after a done end as the rule does

Cause: the oracle counted each such start unless a restart had lost the end before. The rule counts it only if the end is taken note of, and that is no longer so once the runner's lease has lapsed between the end and its acknowledgement; this stands for good.

Change: the model of a worker reports ends that its lease outlives without an acknowledgement; the oracle forgets them, and the starts that rest on them alone. A lease counts as lapsed when its deadline passes, whether or not something runs. `done_ends` shows that ends count which are acknowledged, or listed under a lease that lasts or is renewed.

--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -59,6 +59,11 @@
         /// The run.
         run: RunKey,
     },
+    /// The lease of the worker expired before the end of a run was acknowledged.
+    EndLapsed {
+        /// The run.
+        run: RunKey,
+    },
 }
 
 /// A worker that runs tasks of jobs under one lease.
@@ -70,6 +75,8 @@
     started_ms: u64,
     token: u64,
     lease_until_ms: u64,
+    /// Whether the lease has expired since it was last extended.
+    has_lapsed: bool,
     /// How long a run takes to stop, in milliseconds.
     stop_ms: u64,
     running: BTreeMap<RunKey, ModelRun>,
@@ -89,6 +96,7 @@
             started_ms: now.0 + 1,
             token: 0,
             lease_until_ms: 0,
+            has_lapsed: true,
             stop_ms: 0,
             running: BTreeMap::new(),
             finished: Vec::new(),
@@ -192,6 +200,19 @@
                 self.end(key, RunEnd::Lapsed);
             }
         }
+        self.report_lapse(now);
+    }
+
+    /// Reports the ends that were not acknowledged before the lease expired, once.
+    fn report_lapse(&mut self, now: MonotonicMs) {
+        let is_expired = self.clock_ms(now) > self.lease_until_ms;
+        if self.has_lapsed || !is_expired {
+            return;
+        }
+        self.has_lapsed = true;
+        let ends = self.finished.iter();
+        let lapsed = ends.map(|ended| WorkerEvent::EndLapsed { run: ended.run });
+        self.events.extend(lapsed);
     }
 
     /// Handles a call that starts a run.
@@ -312,6 +333,7 @@
     fn extend_lease(&mut self, now: MonotonicMs, until_ms: u64) {
         let longest_until_ms = self.clock_ms(now) + LEASE_MAX_MS;
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest_until_ms));
+        self.has_lapsed = self.clock_ms(now) > self.lease_until_ms;
     }
 
     fn end(&mut self, run: RunKey, end: RunEnd) {
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -19,6 +19,7 @@
 mod crowded_workers;
 mod cut_domains;
 mod documents;
+mod done_ends;
 mod endpoint_faults;
 mod endpoint_health;
 mod faulty_files;
