Register again after a removal that was reported during a renewal

Cause: a process checks for its own registration only when the watch reports a change of a member. If a renewal is in progress at that moment the check was dropped, not repeated; the lease itself goes on, so each later renewal succeeds.

Change: the check is repeated with the result of each registration call.

--- a/crates/turmericfold-fleet/src/membership/registration.rs
+++ b/crates/turmericfold-fleet/src/membership/registration.rs
@@ -136,10 +136,12 @@
                 log::debug!(step:? = step, error:% = error; "registration call failed; retrying after a delay");
             }
         }
+        self.check_own_registration(self.reported_version);
         true
     }
 
-    /// Registers again if the store has removed the key of this process unexpectedly.
+    /// Registers again if the store has removed the key of this process unexpectedly. While a call
+    /// is in progress this waits for its result.
     pub(super) fn check_own_registration(&mut self, read_at: StoreVersion) {
         if read_at < self.registered_version {
             return;
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -67,6 +67,7 @@
 mod quiet_passes;
 mod rebalancing;
 mod recurring_jobs;
+mod removed_registrations;
 mod replaced_workers;
 mod restart_soaks;
 mod restarted_workers;
