--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -60,6 +60,7 @@
 mod odd_lists;
 mod ownership_fuzz;
 mod ownership_searches;
+mod partition_soaks;
 mod paused_calls;
 mod peer_ports;
 mod placement_passes;
