Run fleets of separate processes with faults between them

Callers saw tasks run twice on real processes; the soaks run simulated ones, whose network drops what is sent during a cut. The new command turmericfold-process-soak starts entry processes on loopback, with a proxy between each pair of them, and to the store and the workers, that holds back what is sent in a cut and delivers it afterwards, and checks that no task runs twice.

--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -116,6 +116,11 @@
         used.fold(Resources::default(), |sum, used| sum.plus(&used))
     }
 
+    /// Returns whether its lease is in force at `now`.
+    pub fn has_lease(&self, now: MonotonicMs) -> bool {
+        self.clock_ms(now) <= self.lease_until_ms
+    }
+
     /// Returns the number of runs in progress.
     pub fn run_count(&self) -> usize {
         self.running.len()
--- /dev/null
+++ b/tests/src/bin/turmericfold-process-soak.rs
@@ -0,0 +1,148 @@
+//! The `turmericfold-process-soak` command: runs fleets of separate processes with faults and
+//! prints the tasks that ran twice.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use turmericfold_tests::process_fleet::{
+    DomainSize, FaultPlan, FleetLayout, Scenario, ScenarioOutcome, scratch_folder,
+};
+
+/// When the first fault begins, in milliseconds after the first jobs were accepted.
+const FIRST_FAULT_MS: u64 = 3_000;
+
+/// The name of the program that the processes run, in the folder of this one.
+const ENTRY_PROGRAM: &str = "turmericfold-entry";
+
+#[derive(Debug, Clone)]
+struct Options {
+    from: u64,
+    until: u64,
+    domains: String,
+    cut_domain: bool,
+    faults_ms: u64,
+    logs: Option<PathBuf>,
+}
+
+fn options() -> OptionParser<Options> {
+    let from = long("from").help("First seed").argument("SEED").fallback(0);
+    let until = long("until")
+        .help("Seed before which to end")
+        .argument("SEED")
+        .fallback(5);
+    let domains = long("domains")
+        .help("Processes and workers of each failure domain")
+        .argument("P:W,..")
+        .fallback("3:8,2:7,2:7".into());
+    let cut_domain = long("cut-domain")
+        .help("Cut off one whole failure domain, in place of drawn faults")
+        .switch();
+    let faults_ms = long("faults-ms")
+        .help("How long drawn faults begin, in milliseconds")
+        .argument("MS")
+        .fallback(30_000);
+    let logs = long("logs")
+        .help("Folder for the settings and logs of all processes")
+        .argument("DIR")
+        .optional();
+    construct!(Options {
+        from,
+        until,
+        domains,
+        cut_domain,
+        faults_ms,
+        logs
+    })
+    .to_options()
+    .descr("Runs fleets of separate processes with faults, and prints the tasks that ran twice.")
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let options = options().run();
+    let Some(layout) = parse_layout(&options.domains) else {
+        eprintln!("--domains: expected P:W,.. such as 3:8,2:7,2:7");
+        return ExitCode::FAILURE;
+    };
+    let program = match std::env::current_exe() {
+        Ok(own) => own.with_file_name(ENTRY_PROGRAM),
+        Err(error) => {
+            eprintln!("can't find {ENTRY_PROGRAM}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let logs = options
+        .logs
+        .clone()
+        .unwrap_or_else(|| scratch_folder("soak"));
+    println!("logs are in {}", logs.display());
+    let mut faulty = 0;
+    for seed in options.from..options.until {
+        let scenario = scenario(&options, &layout, seed);
+        let outcome = scenario
+            .run(&program, &logs.join(format!("seed-{seed}")))
+            .await;
+        faulty += u64::from(!outcome.cases.is_empty());
+        print_outcome(seed, &outcome);
+    }
+    let seeds = options.until.saturating_sub(options.from);
+    println!("{seeds} seeds, {faulty} faulty");
+    match faulty {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn scenario(options: &Options, layout: &FleetLayout, seed: u64) -> Scenario {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let plan = match options.cut_domain {
+        true => {
+            let mut plan = FaultPlan::default();
+            let cut_ms = rng.random_range(8_000..11_000);
+            plan.cut_domain(layout, 0, FIRST_FAULT_MS, cut_ms);
+            plan
+        }
+        false => {
+            let span_ms = FIRST_FAULT_MS..options.faults_ms;
+            FaultPlan::draw(&mut rng, layout, span_ms, 500..6_000)
+        }
+    };
+    Scenario {
+        layout: layout.clone(),
+        plan,
+        seed,
+    }
+}
+
+fn parse_layout(text: &str) -> Option<FleetLayout> {
+    let domains = text.split(',').map(|domain| {
+        let (processes, workers) = domain.split_once(':')?;
+        Some(DomainSize {
+            processes: processes.parse().ok()?,
+            workers: workers.parse().ok()?,
+        })
+    });
+    let domains: Option<Vec<DomainSize>> = domains.collect();
+    domains.map(FleetLayout::new)
+}
+
+fn print_outcome(seed: u64, outcome: &ScenarioOutcome) {
+    println!(
+        "seed {seed}: {} jobs accepted, {} runs, {} cases",
+        outcome.accepted_jobs,
+        outcome.record.run_count(),
+        outcome.cases.len()
+    );
+    for (at, fault) in &outcome.faults {
+        println!("  {} {fault}", at.0);
+    }
+    for case in &outcome.cases {
+        println!("  {:?} {}", case.kind, case.first.run.task);
+        for run in outcome.record.runs_of(&case.first.run.task) {
+            println!("    {run}");
+        }
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fuzz;
 pub mod job_owner;
 pub mod node_parts;
+pub mod process_fleet;
 pub mod restart_soak;
 pub mod shard_owner;
 pub mod shared_worker;
--- /dev/null
+++ b/tests/src/process_fleet/faults.rs
@@ -0,0 +1,241 @@
+//! Faults that are injected into a fleet of processes, and when.
+
+use std::ops::Range;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::ProcessFleet;
+use super::layout::FleetLayout;
+use super::network::{Direction, Place, between};
+
+/// How much later a slow store answers, in milliseconds.
+const SLOW_STORE_MS: u64 = 400;
+
+/// How long after SIGTERM a process starts again, in milliseconds.
+const RESTART_MS: u64 = 5_000;
+
+/// A fault.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing passes in these directions; it is delivered afterwards.
+    Hold(Vec<Direction>),
+    /// Nothing passes in these directions; afterwards the connections are reset.
+    HoldAndReset(Vec<Direction>),
+    /// What is sent in these directions is late, by a time in milliseconds.
+    Delay(Vec<Direction>, u64),
+    /// A process is suspended.
+    Suspend(usize),
+    /// A process is killed and started again.
+    Kill(usize),
+    /// A process is told to stop and started again.
+    Terminate(usize),
+    /// A worker crashes and starts again under the name that it had.
+    CrashWorker(usize),
+}
+
+/// A fault, and when it begins and ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedFault {
+    /// What it is, for people.
+    pub name: String,
+    /// The fault.
+    pub fault: Fault,
+    /// When it begins, in milliseconds since the start of the plan.
+    pub from_ms: u64,
+    /// When it ends, in milliseconds since the start of the plan.
+    pub until_ms: u64,
+}
+
+/// Faults in the order in which they begin; they may overlap.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FaultPlan {
+    /// The faults.
+    pub faults: Vec<PlannedFault>,
+}
+
+impl FaultPlan {
+    /// Adds a cut of a whole domain, whose places go on reaching each other.
+    pub fn cut_domain(&mut self, layout: &FleetLayout, domain: usize, from_ms: u64, cut_ms: u64) {
+        let (inside, outside) = layout.split(domain);
+        self.faults.push(PlannedFault {
+            name: format!("cut of domain {domain}"),
+            fault: Fault::Hold(between(&inside, &outside)),
+            from_ms,
+            until_ms: from_ms + cut_ms,
+        });
+    }
+
+    /// Draws faults that begin within `span`, one after another with pauses in `pauses_ms`.
+    pub fn draw(
+        rng: &mut StdRng,
+        layout: &FleetLayout,
+        span_ms: Range<u64>,
+        pauses_ms: Range<u64>,
+    ) -> Self {
+        let mut plan = Self::default();
+        let mut from_ms = span_ms.start;
+        while from_ms < span_ms.end {
+            plan.faults.push(draw_fault(rng, layout, from_ms));
+            from_ms += rng.random_range(pauses_ms.clone());
+        }
+        plan
+    }
+
+    /// Returns when the last fault ends, in milliseconds since the start of the plan.
+    pub fn end_ms(&self) -> u64 {
+        let ends = self.faults.iter().map(|fault| fault.until_ms);
+        ends.max().unwrap_or_default()
+    }
+
+    /// Returns the begins (true) and ends of the faults with their times, in order.
+    pub(super) fn changes(&self) -> Vec<(u64, bool, &PlannedFault)> {
+        let begins = self.faults.iter().map(|fault| (fault.from_ms, true, fault));
+        let ends = self
+            .faults
+            .iter()
+            .map(|fault| (fault.until_ms, false, fault));
+        let mut changes: Vec<_> = begins.chain(ends).collect();
+        changes.sort_by_key(|(at_ms, _, _)| *at_ms);
+        changes
+    }
+}
+
+impl Fault {
+    /// Begins the fault.
+    pub(super) fn begin(&self, fleet: &mut ProcessFleet) {
+        match self {
+            Self::Hold(directions) | Self::HoldAndReset(directions) => {
+                fleet.network().hold(directions);
+            }
+            Self::Delay(directions, delay_ms) => fleet.network().delay(directions, *delay_ms),
+            Self::Suspend(process) => fleet.suspend(*process),
+            Self::Kill(process) => fleet.kill(*process),
+            Self::Terminate(process) => fleet.terminate(*process),
+            Self::CrashWorker(worker) => fleet.crash_worker(*worker),
+        }
+    }
+
+    /// Ends the fault.
+    pub(super) fn end(&self, fleet: &mut ProcessFleet) {
+        match self {
+            Self::Hold(directions) => fleet.network().release(directions),
+            Self::HoldAndReset(directions) => {
+                fleet.network().reset(directions);
+                fleet.network().release(directions);
+            }
+            Self::Delay(directions, _) => fleet.network().delay(directions, 0),
+            Self::Suspend(process) => fleet.resume(*process),
+            Self::Kill(process) => fleet.start_again(*process),
+            Self::Terminate(process) => {
+                fleet.kill(*process);
+                fleet.start_again(*process);
+            }
+            Self::CrashWorker(worker) => fleet.restart_worker(*worker),
+        }
+    }
+}
+
+fn draw_fault(rng: &mut StdRng, layout: &FleetLayout, from_ms: u64) -> PlannedFault {
+    let process = rng.random_range(0..layout.process_count());
+    let worker = rng.random_range(0..layout.worker_count());
+    let (name, fault, lasts_ms) = match rng.random_range(0..20) {
+        0..=4 => draw_domain_cut(rng, layout),
+        5..=6 => {
+            let cut = between(&[Place::Process(process)], &[Place::Store]);
+            let name = format!("process {process} cut from the store");
+            (name, Fault::Hold(cut), rng.random_range(1_000..13_000))
+        }
+        7..=8 => {
+            let cut = between(&[Place::Process(process)], &all_but(layout, process));
+            let name = format!("process {process} cut from all");
+            (name, Fault::Hold(cut), rng.random_range(1_000..13_000))
+        }
+        9..=10 => draw_one_way_cut(rng, layout, process),
+        11 => {
+            let cut = between(&processes(layout), &[Place::Store]);
+            let name = "store silent".into();
+            (name, Fault::Hold(cut), rng.random_range(1_000..10_000))
+        }
+        12 => {
+            let all = between(&processes(layout), &[Place::Store]);
+            let fault = Fault::Delay(all, SLOW_STORE_MS);
+            ("store slow".into(), fault, rng.random_range(2_000..10_000))
+        }
+        13..=14 => {
+            let name = format!("process {process} suspended");
+            (name, Fault::Suspend(process), rng.random_range(500..9_000))
+        }
+        15 => {
+            let name = format!("process {process} killed");
+            (name, Fault::Kill(process), rng.random_range(300..3_000))
+        }
+        16 => {
+            let name = format!("process {process} told to stop");
+            (name, Fault::Terminate(process), RESTART_MS)
+        }
+        17..=18 => {
+            let name = format!("worker {worker} crashed");
+            (
+                name,
+                Fault::CrashWorker(worker),
+                rng.random_range(200..3_000),
+            )
+        }
+        _ => {
+            let mut others = processes(layout);
+            others.push(Place::Store);
+            let cut = between(&[Place::Worker(worker)], &others);
+            let name = format!("worker {worker} cut from all");
+            (name, Fault::Hold(cut), rng.random_range(1_000..13_000))
+        }
+    };
+    PlannedFault {
+        name,
+        fault,
+        from_ms,
+        until_ms: from_ms + lasts_ms,
+    }
+}
+
+fn draw_domain_cut(rng: &mut StdRng, layout: &FleetLayout) -> (String, Fault, u64) {
+    let domain = rng.random_range(0..layout.domain_count());
+    let (inside, outside) = layout.split(domain);
+    let cut = between(&inside, &outside);
+    let lasts_ms = rng.random_range(3_000..13_000);
+    match rng.random_bool(0.8) {
+        true => (format!("domain {domain} cut"), Fault::Hold(cut), lasts_ms),
+        false => {
+            let name = format!("domain {domain} cut, then connections reset");
+            (name, Fault::HoldAndReset(cut), lasts_ms)
+        }
+    }
+}
+
+fn draw_one_way_cut(
+    rng: &mut StdRng,
+    layout: &FleetLayout,
+    process: usize,
+) -> (String, Fault, u64) {
+    let cut = between(&[Place::Process(process)], &all_but(layout, process));
+    let is_outward = rng.random_bool(0.5);
+    let is_cut = |(from, _): &Direction| (*from == Place::Process(process)) == is_outward;
+    let cut = cut.into_iter().filter(is_cut).collect();
+    let way = if is_outward { "outward" } else { "inward" };
+    let name = format!("process {process} cut one way, {way}");
+    (name, Fault::Hold(cut), rng.random_range(1_000..13_000))
+}
+
+fn processes(layout: &FleetLayout) -> Vec<Place> {
+    (0..layout.process_count()).map(Place::Process).collect()
+}
+
+/// Returns all places but one process.
+fn all_but(layout: &FleetLayout, process: usize) -> Vec<Place> {
+    let workers = (0..layout.worker_count()).map(Place::Worker);
+    let places = processes(layout).into_iter().chain(workers);
+    places
+        .chain([Place::Store])
+        .filter(|place| *place != Place::Process(process))
+        .collect()
+}
--- a/tests/src/site_store.rs
+++ b/tests/src/site_store.rs
@@ -213,7 +213,12 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn decode(method: &Method, path: &str, query: &[(String, String)], body: &Value) -> StoreCall {
+pub(crate) fn decode(
+    method: &Method,
+    path: &str,
+    query: &[(String, String)],
+    body: &Value,
+) -> StoreCall {
     let parameter = |name: &str| {
         let found = query.iter().find(|(key, _)| key == name);
         found.map(|(_, value)| value.clone())
@@ -269,7 +274,7 @@
     transaction
 }
 
-fn encode(reply: StoreReply) -> Response<Full<Bytes>> {
+pub(crate) fn encode(reply: StoreReply) -> Response<Full<Bytes>> {
     match reply {
         StoreReply::Value(Some(stored)) => response(StatusCode::OK, &item("asked", &stored)),
         StoreReply::Value(None) | StoreReply::NoLease => {
