--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -73,6 +73,7 @@
 mod rollout_changes;
 mod room_waits;
 mod scheduling;
+mod separate_processes;
 mod sibling_waits;
 mod silent_store;
 mod silent_takeovers;
--- a/tests/src/bin/turmericfold-process-soak.rs
+++ b/tests/src/bin/turmericfold-process-soak.rs
@@ -1,19 +1,15 @@
 //! The `turmericfold-process-soak` command: runs fleets of separate processes with faults and
 //! prints the tasks that ran twice.
 
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 use turmericfold_tests::process_fleet::{
-    DomainSize, FaultPlan, FleetLayout, Scenario, ScenarioOutcome, scratch_folder,
+    DomainSize, FleetLayout, Scenario, ScenarioOutcome, Script, scratch_folder,
 };
 
-/// When the first fault begins, in milliseconds after the first jobs were accepted.
-const FIRST_FAULT_MS: u64 = 3_000;
-
 /// The name of the program that the processes run, in the folder of this one.
 const ENTRY_PROGRAM: &str = "turmericfold-entry";
 
@@ -22,7 +18,7 @@
     from: u64,
     until: u64,
     domains: String,
-    cut_domain: bool,
+    script: Script,
     faults_ms: u64,
     logs: Option<PathBuf>,
 }
@@ -37,9 +33,10 @@
         .help("Processes and workers of each failure domain")
         .argument("P:W,..")
         .fallback("3:8,2:7,2:7".into());
-    let cut_domain = long("cut-domain")
-        .help("Cut off one whole failure domain, in place of drawn faults")
-        .switch();
+    let script = long("script")
+        .help("Faults: mixed, domain-cut, outage-at-heal or two-cuts")
+        .argument("NAME")
+        .fallback(Script::Mixed);
     let faults_ms = long("faults-ms")
         .help("How long drawn faults begin, in milliseconds")
         .argument("MS")
@@ -52,7 +49,7 @@
         from,
         until,
         domains,
-        cut_domain,
+        script,
         faults_ms,
         logs
     })
@@ -97,22 +94,9 @@
 }
 
 fn scenario(options: &Options, layout: &FleetLayout, seed: u64) -> Scenario {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let plan = match options.cut_domain {
-        true => {
-            let mut plan = FaultPlan::default();
-            let cut_ms = rng.random_range(8_000..11_000);
-            plan.cut_domain(layout, 0, FIRST_FAULT_MS, cut_ms);
-            plan
-        }
-        false => {
-            let span_ms = FIRST_FAULT_MS..options.faults_ms;
-            FaultPlan::draw(&mut rng, layout, span_ms, 500..6_000)
-        }
-    };
     Scenario {
         layout: layout.clone(),
-        plan,
+        plan: options.script.plan(layout, seed, options.faults_ms),
         seed,
     }
 }
@@ -139,10 +123,14 @@
     for (at, fault) in &outcome.faults {
         println!("  {} {fault}", at.0);
     }
+    let mut printed = BTreeSet::new();
     for case in &outcome.cases {
-        println!("  {:?} {}", case.kind, case.first.run.task);
-        for run in outcome.record.runs_of(&case.first.run.task) {
-            println!("    {run}");
+        let task = case.first.run.task;
+        println!("  {:?} {task}", case.kind);
+        if printed.insert(task) {
+            for run in outcome.record.runs_of(&task) {
+                println!("    {run}");
+            }
         }
     }
 }
--- a/tests/src/process_fleet/faults.rs
+++ b/tests/src/process_fleet/faults.rs
@@ -55,17 +55,6 @@
 }
 
 impl FaultPlan {
-    /// Adds a cut of a whole domain, whose places go on reaching each other.
-    pub fn cut_domain(&mut self, layout: &FleetLayout, domain: usize, from_ms: u64, cut_ms: u64) {
-        let (inside, outside) = layout.split(domain);
-        self.faults.push(PlannedFault {
-            name: format!("cut of domain {domain}"),
-            fault: Fault::Hold(between(&inside, &outside)),
-            from_ms,
-            until_ms: from_ms + cut_ms,
-        });
-    }
-
     /// Draws faults that begin within `span`, one after another with pauses in `pauses_ms`.
     pub fn draw(
         rng: &mut StdRng,
@@ -227,15 +216,13 @@
 }
 
 fn processes(layout: &FleetLayout) -> Vec<Place> {
-    (0..layout.process_count()).map(Place::Process).collect()
+    layout.processes().collect()
 }
 
 /// Returns all places but one process.
 fn all_but(layout: &FleetLayout, process: usize) -> Vec<Place> {
-    let workers = (0..layout.worker_count()).map(Place::Worker);
-    let places = processes(layout).into_iter().chain(workers);
-    places
-        .chain([Place::Store])
+    let others = layout.places();
+    others
         .filter(|place| *place != Place::Process(process))
         .collect()
 }
--- a/tests/src/process_fleet/layout.rs
+++ b/tests/src/process_fleet/layout.rs
@@ -41,6 +41,17 @@
         self.domains.iter().map(|domain| domain.workers).sum()
     }
 
+    /// Returns the entry processes.
+    pub fn processes(&self) -> impl Iterator<Item = Place> + use<> {
+        (0..self.process_count()).map(Place::Process)
+    }
+
+    /// Returns all processes and workers, and the store.
+    pub fn places(&self) -> impl Iterator<Item = Place> + use<> {
+        let workers = (0..self.worker_count()).map(Place::Worker);
+        self.processes().chain(workers).chain([Place::Store])
+    }
+
     /// Returns the domain of each process, by number.
     pub(super) fn process_domains(&self) -> Vec<usize> {
         self.spread(|domain| domain.processes)
@@ -53,18 +64,13 @@
 
     /// Returns the processes and workers of a domain, and all other places.
     pub fn split(&self, domain: usize) -> (Vec<Place>, Vec<Place>) {
-        let processes = self.process_domains().into_iter().enumerate();
-        let workers = self.worker_domains().into_iter().enumerate();
-        let processes = processes.map(|(number, domain)| (Place::Process(number), Some(domain)));
-        let workers = workers.map(|(number, domain)| (Place::Worker(number), Some(domain)));
-        let places = processes.chain(workers).chain([(Place::Store, None)]);
-        let (inside, outside): (Vec<_>, Vec<_>) =
-            places.partition(|(_, place_domain)| *place_domain == Some(domain));
-        let place = |(place, _): (Place, Option<usize>)| place;
-        (
-            inside.into_iter().map(place).collect(),
-            outside.into_iter().map(place).collect(),
-        )
+        let process_domains = self.process_domains();
+        let worker_domains = self.worker_domains();
+        self.places().partition(|place| match place {
+            Place::Process(number) => process_domains[*number] == domain,
+            Place::Worker(number) => worker_domains[*number] == domain,
+            Place::Store => false,
+        })
     }
 
     fn spread<Count>(&self, count: Count) -> Vec<usize>
--- a/tests/src/process_fleet/mod.rs
+++ b/tests/src/process_fleet/mod.rs
@@ -16,6 +16,7 @@
 mod process;
 mod run_record;
 mod scenario;
+mod scripted;
 mod store;
 mod worker;
 mod worker_messages;
@@ -33,11 +34,12 @@
 use turmericfold_types::MonotonicMs;
 
 pub use callers::{Callers, JobKind};
-pub use faults::{Fault, FaultPlan};
+pub use faults::{Fault, FaultPlan, PlannedFault};
 pub use layout::{DomainSize, FleetLayout};
 pub use network::{Direction, Network, Place, between};
 pub use run_record::{RecordedRun, RunRecord, TwiceCase, TwiceKind};
 pub use scenario::{Scenario, ScenarioOutcome};
+pub use scripted::{Script, UnknownScript};
 
 use crate::HttpProbe;
 use address_view::AddressView;
--- /dev/null
+++ b/tests/src/process_fleet/scripted.rs
@@ -0,0 +1,105 @@
+//! Scripted faults, which vary in their times with the seed.
+
+use std::str::FromStr;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::faults::{Fault, FaultPlan, PlannedFault};
+use super::layout::FleetLayout;
+use super::network::{Place, between};
+
+/// When the first fault begins, in milliseconds after the first jobs were accepted.
+const FIRST_FAULT_MS: u64 = 3_000;
+
+/// Which faults are injected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Script {
+    /// Drawn faults of all kinds.
+    Mixed,
+    /// One failure domain is cut off as a whole.
+    DomainCut,
+    /// One failure domain is cut off as a whole, and the store falls silent shortly before
+    /// the cut ends.
+    OutageAtHeal,
+    /// The last failure domain is cut off, and then, once its registrations have ended, the
+    /// first one.
+    TwoCuts,
+}
+
+/// The name of a script is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("expected mixed, domain-cut, outage-at-heal or two-cuts")]
+pub struct UnknownScript;
+
+impl FromStr for Script {
+    type Err = UnknownScript;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        match name {
+            "mixed" => Ok(Self::Mixed),
+            "domain-cut" => Ok(Self::DomainCut),
+            "outage-at-heal" => Ok(Self::OutageAtHeal),
+            "two-cuts" => Ok(Self::TwoCuts),
+            _ => Err(UnknownScript),
+        }
+    }
+}
+
+impl Script {
+    /// Returns the faults for a seed; drawn ones begin for `faults_ms`.
+    pub fn plan(self, layout: &FleetLayout, seed: u64, faults_ms: u64) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let faults = match self {
+            Self::Mixed => {
+                let span_ms = FIRST_FAULT_MS..faults_ms;
+                return FaultPlan::draw(&mut rng, layout, span_ms, 500..6_000);
+            }
+            Self::DomainCut => {
+                let cut_ms = rng.random_range(8_000..11_000);
+                vec![domain_cut(layout, 0, FIRST_FAULT_MS, cut_ms)]
+            }
+            Self::OutageAtHeal => {
+                let cut_ms = rng.random_range(9_500..13_000);
+                let outage_ms = FIRST_FAULT_MS + cut_ms - rng.random_range(500..2_500);
+                vec![
+                    domain_cut(layout, 0, FIRST_FAULT_MS, cut_ms),
+                    store_outage(layout, outage_ms, rng.random_range(6_000..10_000)),
+                ]
+            }
+            Self::TwoCuts => {
+                let last = layout.domain_count() - 1;
+                let first_ms = rng.random_range(4_000..6_000);
+                let second_from_ms = FIRST_FAULT_MS + rng.random_range(2_600..3_600);
+                let second_ms = rng.random_range(9_000..13_000);
+                vec![
+                    domain_cut(layout, last, FIRST_FAULT_MS, first_ms),
+                    domain_cut(layout, 0, second_from_ms, second_ms),
+                ]
+            }
+        };
+        FaultPlan { faults }
+    }
+}
+
+/// Returns a cut of a domain, whose places go on reaching each other.
+fn domain_cut(layout: &FleetLayout, domain: usize, from_ms: u64, cut_ms: u64) -> PlannedFault {
+    let (inside, outside) = layout.split(domain);
+    PlannedFault {
+        name: format!("domain {domain} cut"),
+        fault: Fault::Hold(between(&inside, &outside)),
+        from_ms,
+        until_ms: from_ms + cut_ms,
+    }
+}
+
+/// Returns an outage in which the store answers no process.
+fn store_outage(layout: &FleetLayout, from_ms: u64, outage_ms: u64) -> PlannedFault {
+    let processes: Vec<Place> = layout.processes().collect();
+    PlannedFault {
+        name: "store silent".into(),
+        fault: Fault::Hold(between(&processes, &[Place::Store])),
+        from_ms,
+        until_ms: from_ms + outage_ms,
+    }
+}
