Count the start of a cancelled job's task from when its call was due

Cause: traced with the logs of all nodes and calls, without and with reduced faults.

No process decided on a start after the cancellation. (Case (i) of the rule.)

Calls that are not late count as before.

Evidence: `late_orders` (10 cases) checks the oracle at both bounds.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -45,6 +45,7 @@
 mod large_messages;
 mod lasting_waits;
 mod late_completions;
+mod late_orders;
 mod late_owners;
 mod late_reports;
 mod late_watches;
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod calm;
+mod cancelled_runs;
 mod configuration_copies;
 mod configurations;
 mod faults;
@@ -29,6 +30,7 @@
 use turmericfold_standin::{StoreModel, TaskBehaviour, TaskWorkerModel};
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
+pub use cancelled_runs::{CANCEL_GRACE_MS, CONTACT_MS, STOP_TIMEOUT_MS};
 pub use configurations::configuration;
 pub use faults::Faults;
 pub use idle_spans::IdleSpan;
@@ -80,6 +82,8 @@
         /// restarted since does not receive the call.
         worker_started_ms: u64,
         worker_call: WorkerCall,
+        /// By how much a fault makes the call late, in milliseconds.
+        late_ms: u64,
         answered: bool,
     },
 }
@@ -333,6 +337,8 @@
             }
         }
         self.check_waiting_tasks();
+        let is_calm = self.calm.is_calm(self.now);
+        self.oracle.check_cancelled_runs(self.now, is_calm);
     }
 
     fn deliver(&mut self, delivery: Delivery) {
@@ -365,9 +371,11 @@
                 worker,
                 worker_started_ms,
                 worker_call,
+                late_ms,
                 answered,
             } => {
                 if self.worker_started_ms(&worker) == worker_started_ms {
+                    self.expect_start(&worker_call, late_ms);
                     self.call_worker(process, call, worker, worker_call, answered);
                 } else if answered {
                     self.fail_worker_call(&process, call, &worker, &worker_call);
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -98,6 +98,7 @@
                 worker,
                 worker_started_ms,
                 worker_call,
+                late_ms: extra_delay_ms,
                 answered: !lost,
             };
             self.record_late_call(extra_delay_ms);
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -5,7 +5,9 @@
 use turmericfold_jobs::{RunEnd, RunKey};
 use turmericfold_platform::{PlatformError, WorkerEntry};
 use turmericfold_standin::{TaskWorkerModel, WorkerEvent};
-use turmericfold_types::{FailureDomain, InstanceName, ProcessId, Resources, ServiceName};
+use turmericfold_types::{
+    FailureDomain, InstanceName, MonotonicMs, ProcessId, Resources, ServiceName,
+};
 
 use super::{Delivery, FleetWorld, SERVICE};
 
@@ -88,6 +90,14 @@
         self.register_worker(number);
     }
 
+    /// Tells the oracle when a call that now arrives was due, if it starts a run.
+    pub(super) fn expect_start(&mut self, call: &WorkerCall, late_ms: u64) {
+        if let WorkerCall::Start(start) = call {
+            let due_at = MonotonicMs(self.now.0.saturating_sub(late_ms));
+            self.oracle.expect_start(start.run, due_at);
+        }
+    }
+
     pub(super) fn call_worker(
         &mut self,
         process: ProcessId,
