Tell starts after a lapsed lease apart from those after a noted end

They count it if the end is taken note of, which it is not if the worker's lease lapsed between the end and its acknowledgement. The simulated worker did not tell that, so both were `AgainAfterDone`.

Change: the simulated worker tells which ends its lease has outlasted unacknowledged (`EndUnnoted`), and the oracle reports a start after only such ends as `AgainAfterLapse`. Both are violations, so no test and no soak passes that failed before.

--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -54,6 +54,11 @@
         /// The run.
         run: RunKey,
     },
+    /// The worker's lease lapsed before the end of a run was acknowledged.
+    EndUnnoted {
+        /// The run.
+        run: RunKey,
+    },
     /// The end of a run was lost in a restart before it was acknowledged.
     EndLost {
         /// The run.
@@ -77,6 +82,8 @@
     /// The highest number of the ended and stopped runs of each task.
     highest_numbers: BTreeMap<TaskKey, RunNumber>,
     last_end_number: u64,
+    /// The number of the last end before the lease lapsed.
+    unnoted_up_to: u64,
     events: Vec<WorkerEvent>,
 }
 
@@ -94,6 +101,7 @@
             finished: Vec::new(),
             highest_numbers: BTreeMap::new(),
             last_end_number: 0,
+            unnoted_up_to: 0,
             events: Vec::new(),
         }
     }
@@ -186,12 +194,22 @@
             };
             self.end(key, end);
         }
-        if !self.running.is_empty() && self.clock_ms(now) > self.lease_until_ms {
-            let expired: Vec<RunKey> = self.running.keys().copied().collect();
-            for key in expired {
-                self.end(key, RunEnd::Lapsed);
-            }
+        if self.clock_ms(now) > self.lease_until_ms {
+            self.lapse();
+        }
+    }
+
+    /// Handles that the lease has expired.
+    fn lapse(&mut self) {
+        let unnoted = self.finished.iter();
+        let unnoted = unnoted.filter(|ended| ended.end_number > self.unnoted_up_to);
+        let unnoted = unnoted.map(|ended| WorkerEvent::EndUnnoted { run: ended.run });
+        self.events.extend(unnoted);
+        let expired: Vec<RunKey> = self.running.keys().copied().collect();
+        for key in expired {
+            self.end(key, RunEnd::Lapsed);
         }
+        self.unnoted_up_to = self.last_end_number;
     }
 
     /// Handles a call that starts a run.
--- a/tests/src/fleet_world/idle_spans.rs
+++ b/tests/src/fleet_world/idle_spans.rs
@@ -33,7 +33,9 @@
                 WorkerEvent::Ended { run, .. } => {
                     self.idle_since.insert(run.task, now);
                 }
-                WorkerEvent::Acknowledged { .. } | WorkerEvent::EndLost { .. } => {}
+                WorkerEvent::Acknowledged { .. }
+                | WorkerEvent::EndUnnoted { .. }
+                | WorkerEvent::EndLost { .. } => {}
             }
         }
     }
--- a/tests/src/fleet_world/oracle.rs
+++ b/tests/src/fleet_world/oracle.rs
@@ -25,6 +25,9 @@
     /// A run started after an earlier run had completed its task, though the worker still
     /// listed that end or it was acknowledged.
     AgainAfterDone(RunKey),
+    /// The same, where the lease of that worker had lapsed before the end was acknowledged. Then
+    /// the end does not count as taken note of, so the platform allows the start.
+    AgainAfterLapse(RunKey),
     /// A run started before its occurrence was due or before the steps that its step
     /// depends on were done.
     TooEarly(RunKey),
@@ -62,6 +65,8 @@
     done: BTreeSet<RunKey>,
     /// The runs in `done` whose ends are not lost.
     known_done: BTreeSet<RunKey>,
+    /// The runs in `known_done` whose worker's lease lapsed before the end was acknowledged.
+    unnoted_done: BTreeSet<RunKey>,
     pub(super) failed: BTreeSet<RunKey>,
     acknowledged_failed: BTreeSet<RunKey>,
 }
@@ -180,6 +185,12 @@
                         history.acknowledged_failed.insert(*run);
                     }
                 }
+                WorkerEvent::EndUnnoted { run } => {
+                    let history = self.tasks.entry(run.task).or_default();
+                    if history.known_done.contains(run) {
+                        history.unnoted_done.insert(*run);
+                    }
+                }
                 WorkerEvent::EndLost { run } => {
                     let history = self.tasks.entry(run.task).or_default();
                     history.known_done.remove(run);
@@ -236,7 +247,11 @@
             self.violations.push(Violation::TwoAtOnce(*other, run));
         }
         if !is_lasting && !history.known_done.is_empty() {
-            self.violations.push(Violation::AgainAfterDone(run));
+            let violation = match history.known_done.is_subset(&history.unnoted_done) {
+                true => Violation::AgainAfterLapse(run),
+                false => Violation::AgainAfterDone(run),
+            };
+            self.violations.push(violation);
         }
         if !is_lasting && history.acknowledged_failed.len() >= MAX_ATTEMPTS {
             self.violations.push(Violation::TooManyFailures(run));
