--- a/tests/features/partition_soaks.rs
+++ b/tests/features/partition_soaks.rs
@@ -7,7 +7,10 @@
 /// Guards against tasks that run twice, in whatever order such cuts come.
 #[rstest]
 fn tasks_run_once(
-    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
+    #[values(
+        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 131, 253, 1675, 1892
+    )]
+    seed: u64,
 ) {
     assert_eq!(soak(seed), [], "promises were broken");
 }
