--- a/crates/turmericfold-standin/src/task_worker_model.rs
+++ b/crates/turmericfold-standin/src/task_worker_model.rs
@@ -124,6 +124,11 @@
         used.fold(Resources::default(), |sum, used| sum.plus(&used))
     }
 
+    /// Returns whether its lease is in force at `now`.
+    pub fn has_lease(&self, now: MonotonicMs) -> bool {
+        self.clock_ms(now) <= self.lease_until_ms
+    }
+
     /// Returns the number of runs in progress.
     pub fn run_count(&self) -> usize {
         self.running.len()
@@ -205,8 +210,7 @@
 
     /// Reports the ends that were not acknowledged before the lease expired, once.
     fn report_lapse(&mut self, now: MonotonicMs) {
-        let is_expired = self.clock_ms(now) > self.lease_until_ms;
-        if self.has_lapsed || !is_expired {
+        if self.has_lapsed || self.has_lease(now) {
             return;
         }
         self.has_lapsed = true;
@@ -333,7 +337,7 @@
     fn extend_lease(&mut self, now: MonotonicMs, until_ms: u64) {
         let longest_until_ms = self.clock_ms(now) + LEASE_MAX_MS;
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest_until_ms));
-        self.has_lapsed = self.clock_ms(now) > self.lease_until_ms;
+        self.has_lapsed = !self.has_lease(now);
     }
 
     fn end(&mut self, run: RunKey, end: RunEnd) {
--- a/tests/src/process_fleet/worker.rs
+++ b/tests/src/process_fleet/worker.rs
@@ -273,7 +273,9 @@
                 WorkerEvent::Acknowledged { run } => {
                     record.on_acknowledged(self.number, run, now, state.lapsed_at);
                 }
-                WorkerEvent::Started { .. } | WorkerEvent::EndLost { .. } => {}
+                WorkerEvent::Started { .. }
+                | WorkerEvent::EndLost { .. }
+                | WorkerEvent::EndLapsed { .. } => {}
             }
         }
     }
