--- a/tests/src/bin/turmericfold-process-soak.rs
+++ b/tests/src/bin/turmericfold-process-soak.rs
@@ -34,7 +34,7 @@
         .argument("P:W,..")
         .fallback("3:8,2:7,2:7".into());
     let script = long("script")
-        .help("Faults: mixed, domain-cut, outage-at-heal or two-cuts")
+        .help("Faults: mixed, domain-cut, outage-at-heal, two-cuts or restart-in-cut")
         .argument("NAME")
         .fallback(Script::Mixed);
     let faults_ms = long("faults-ms")
--- a/tests/src/process_fleet/scripted.rs
+++ b/tests/src/process_fleet/scripted.rs
@@ -25,11 +25,13 @@
     /// The last failure domain is cut off, and then, once its registrations have ended, the
     /// first one.
     TwoCuts,
+    /// The first failure domain is cut off, and a process outside is killed and starts again.
+    RestartInCut,
 }
 
 /// The name of a script is not known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("expected mixed, domain-cut, outage-at-heal or two-cuts")]
+#[error("expected mixed, domain-cut, outage-at-heal, two-cuts or restart-in-cut")]
 pub struct UnknownScript;
 
 impl FromStr for Script {
@@ -41,6 +43,7 @@
             "domain-cut" => Ok(Self::DomainCut),
             "outage-at-heal" => Ok(Self::OutageAtHeal),
             "two-cuts" => Ok(Self::TwoCuts),
+            "restart-in-cut" => Ok(Self::RestartInCut),
             _ => Err(UnknownScript),
         }
     }
@@ -77,6 +80,14 @@
                     domain_cut(layout, 0, second_from_ms, second_ms),
                 ]
             }
+            Self::RestartInCut => {
+                let killed_ms = FIRST_FAULT_MS + rng.random_range(2_500..4_000);
+                let cut_ms = rng.random_range(13_000..18_000);
+                vec![
+                    domain_cut(layout, 0, FIRST_FAULT_MS, cut_ms),
+                    last_process_killed(layout, killed_ms, 500),
+                ]
+            }
         };
         FaultPlan { faults }
     }
@@ -93,6 +104,17 @@
     }
 }
 
+/// Returns a kill of the last process, which then starts again.
+fn last_process_killed(layout: &FleetLayout, from_ms: u64, down_ms: u64) -> PlannedFault {
+    let process = layout.process_count() - 1;
+    PlannedFault {
+        name: format!("process {process} killed"),
+        fault: Fault::Kill(process),
+        from_ms,
+        until_ms: from_ms + down_ms,
+    }
+}
+
 /// Returns an outage in which the store answers no process.
 fn store_outage(layout: &FleetLayout, from_ms: u64, outage_ms: u64) -> PlannedFault {
     let processes: Vec<Place> = layout.processes().collect();
