--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -118,6 +118,70 @@
     assert_no_violations(world, for_ms + 2_000);
 }
 
+/// Guards against a group that renews leases as most of a list of members that has shrunk.
+#[rstest]
+fn shrunken_list_renews_nothing(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2, 3)] first: usize,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
+) {
+    let nodes = 4;
+    let [killed, peer, second] = [1, 2, 3].map(|offset| (first + offset) % nodes);
+    let (killed_ms, for_ms) = (3_000, 14_000);
+    let kill = FaultKind::KillNode {
+        node: killed,
+        down_ms: killed_ms + 2_500,
+    };
+    let mut plan = FaultPlan::new().with_fault(CUT_AT_MS, kill);
+    let cut_at_ms = CUT_AT_MS + killed_ms;
+    for one in [first, second] {
+        plan = plan.with_fault(cut_at_ms, cut_store(one, for_ms));
+        for other in [killed, peer] {
+            plan = plan.with_fault(cut_at_ms, cut_peers(one, other, for_ms));
+        }
+    }
+    for node in [killed, peer] {
+        plan = with_cut_workers(plan, node, 1, killed_ms + for_ms);
+    }
+    let world = cut_world(nodes, seed, plan, false, work);
+    assert_no_violations(world, killed_ms + for_ms + 2_000);
+}
+
+/// Guards against a minority that ends the runs of an unregistered worker that others still renew.
+#[rstest]
+fn majority_keeps_unregistered_runs(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2, 3, 4)] first: usize,
+    #[values(8_000, 20_000)] for_ms: u64,
+    #[values(false, true)] unregistered: bool,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
+) {
+    let group = [0, 1, 2].map(|offset| (first + offset) % GROUP_NODES);
+    let plan = cut_group(GROUP_NODES, &group, 0, for_ms);
+    let world = cut_world(GROUP_NODES, seed, plan, unregistered, work);
+    assert_no_violations(world, for_ms + 2_000);
+}
+
+/// Guards against processes that the store turns away and that hear one that it serves.
+#[rstest]
+fn served_peer_ends_renewals(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2, 3, 4)] first: usize,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
+) {
+    let for_ms = 20_000;
+    let group = [0, 1, 2].map(|offset| (first + offset) % GROUP_NODES);
+    let mut plan = FaultPlan::new();
+    for node in 0..GROUP_NODES {
+        plan = match group.contains(&node) {
+            true => plan.with_fault(CUT_AT_MS, cut_store(node, for_ms)),
+            false => with_cut_workers(plan, node, 1, for_ms),
+        };
+    }
+    let world = cut_world(GROUP_NODES, seed, plan, true, work);
+    assert_no_violations(world, for_ms + 2_000);
+}
+
 /// Guards against a second run beside one of an owner that loses the store before its peers.
 #[rstest]
 fn late_cut_stops_renewing(
