--- a/tests/features/late_deletions.rs
+++ b/tests/features/late_deletions.rs
@@ -23,13 +23,11 @@
     let gone = WorkerChange::Unregistered(InstanceName::new(WORKER));
     harness.driven.change_workers(vec![gone]);
     harness.wait(DEPARTED_MS);
-    let calls = std::mem::take(&mut harness.driven.out.store).into_iter();
-    let deletion = calls
-        .filter(|request| match &request.store_call {
-            StoreCall::Transact(transaction) => !transaction.remove.is_empty(),
-            _ => false,
-        })
-        .last();
+    let mut calls = std::mem::take(&mut harness.driven.out.store).into_iter();
+    let deletion = calls.rfind(|request| match &request.store_call {
+        StoreCall::Transact(transaction) => !transaction.remove.is_empty(),
+        _ => false,
+    });
     let call = deletion.expect("the owner is not deleted").call;
     let result = Err(no_answer());
     harness.driven.deliver(Event::Store { call, result });
