Count processes that a new owner can't know as members

- A process that starts after others were cut off knew only the members that it read, and was most of them at once.
It now also counts the processes that own units when it starts (cut_domains::restarted_owner_waits).
- A new owner counted acknowledgements that it got while it was not registered itself, when its peers acknowledge the former owner as well.
It is in a minority until it is registered, and after a pause, in which nobody hears that it is registered.
- Peers forgot that a process is registered sooner than that process forgot their acknowledgement.
- Half of the processes is enough to rule out that the others are most of them, so a fleet of two or four that loses half for good does not wait 30 s.
- The time that a new owner adds for renewals which it could not notice covers a ping in transit.
- A worker that was given up and is unregistered keeps its owner pinging all peers until it is gone.

--- a/crates/turmericfold-fleet/src/ownership/state.rs
+++ b/crates/turmericfold-fleet/src/ownership/state.rs
@@ -101,6 +101,11 @@
         })
     }
 
+    /// Returns the process that owns each unit.
+    pub(crate) fn owning_processes(&self) -> impl Iterator<Item = &ProcessId> {
+        self.owners.values().map(|owned| &owned.owner.process)
+    }
+
     /// Returns the number of units that this process owns.
     pub(crate) fn own_count(&self) -> usize {
         self.owned_units.len()
--- a/crates/turmericfold-fleet/src/workers/calls.rs
+++ b/crates/turmericfold-fleet/src/workers/calls.rs
@@ -83,7 +83,7 @@
                 epoch = order.authority.epoch.0,
                 lease_ms = lease_until_ms.saturating_sub(clock.earliest_ms(now)),
                 silent_ms = silent_ms;
-                "start call is sent without a valid registration, as most members are heard"
+                "start call is sent without a valid registration, as most processes acknowledge pings"
             );
         }
         let id = out.call_worker(&entry, WorkerCall::Start(call));
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -164,7 +164,7 @@
         let Some(unregistered_at) = worker.unregistered_at else {
             return false;
         };
-        let departed_since = unregistered_at.max(self.earlier_renewal_at(worker));
+        let departed_since = unregistered_at.max(self.former_renewals_end(moment, worker));
         let is_unresponsive = worker
             .last_answer_at
             .is_none_or(|last_answer_at| moment.since_ms(last_answer_at) > self.leases.usual_ms);
--- a/crates/turmericfold-fleet/src/workers/isolation.rs
+++ b/crates/turmericfold-fleet/src/workers/isolation.rs
@@ -24,16 +24,20 @@
 
 /// The time for which former owners may have renewed leases unnoticed, beyond that for which one
 /// does so whose pings are not acknowledged, in milliseconds.
-pub(super) const UNNOTICED_GAP_MS: u64 = MAX_GAP_MS - MAX_PING_AGE_MS;
+pub(super) const UNNOTICED_GAP_MS: u64 = MAX_GAP_MS;
 
 /// The time for which a process that is no member any more counts as one that may be cut off
 /// together with others, in milliseconds: longer than a worker's new owner takes to claim a
-/// worker and to give it up.
+/// worker and to give it up. A majority that is cut off for longer may still renew leases.
 const FORMER_MEMBER_RETENTION_MS: u64 = 30_000;
 
 /// The interval between counts of the peers, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 100;
 
+/// The delay of a count from which this process may have been paused, in milliseconds: nobody has
+/// heard that it is registered meanwhile.
+const MAX_COUNT_DELAY_MS: u64 = 300;
+
 /// Why a process may act as the owner of its workers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum Ground {
@@ -59,10 +63,11 @@
 #[derive(Debug, Default)]
 pub(super) struct Isolation {
     pings: AcknowledgedPings,
-    /// When each process last was a member.
+    /// When each process last was a member, or was found as the owner of a unit at the start.
     member_at: BTreeMap<InstanceName, MonotonicMs>,
     /// Until when the registrations of the peers are valid, as far as their pings tell.
     registered_until: BTreeMap<InstanceName, MonotonicMs>,
+    has_read_owners: bool,
     ground: Ground,
     /// When this process last may have been part of a minority.
     last_in_minority_at: MonotonicMs,
@@ -84,7 +89,7 @@
     ) -> bool {
         let moment = context.moment;
         if ping.registered_for_ms > 0 {
-            let until = moment + ping.registered_for_ms;
+            let until = moment + ping.registered_for_ms.max(MAX_GAP_MS);
             self.registered_until.insert(from.clone(), until);
             return true;
         }
@@ -116,20 +121,41 @@
 
     /// Returns whether this process may renew the leases of its workers.
     pub(super) fn may_renew(&self, context: Context<'_>) -> bool {
-        context.has_valid_registration || self.reaches_most(context, MAX_PING_AGE_MS)
+        context.has_valid_registration || self.reaches_most(context)
     }
 
-    /// Returns when this process last may have been part of a minority: it had not reached most
-    /// of the processes, itself included. Those may have been cut off together from the store and
-    /// from this process, and have renewed the leases of their former workers until
+    /// Returns when this process last may have been part of a minority: it was not registered, or had
+    /// not reached half of the processes, itself included. The others may have been cut off together
+    /// from the store and from this process, and have renewed the leases of their former workers until
     /// [`MAX_GAP_MS`] after the returned time.
-    pub(super) fn last_in_minority_at(&self) -> MonotonicMs {
-        self.last_in_minority_at
+    pub(super) fn last_in_minority_at(&self, moment: Moment) -> MonotonicMs {
+        match self.is_count_late(moment) {
+            true => moment.now,
+            false => self.last_in_minority_at,
+        }
+    }
+
+    fn is_count_late(&self, moment: Moment) -> bool {
+        moment.since_ms(self.next_count_at) > MAX_COUNT_DELAY_MS
+    }
+
+    /// Returns whether this process and the peers that have acknowledged a ping lately are most of the
+    /// members and of those that were members lately.
+    fn reaches_most(&self, context: Context<'_>) -> bool {
+        let (known, reached) = self.count_reached(context, MAX_PING_AGE_MS);
+        reached * 2 > known
     }
 
-    /// Returns whether this process and the peers that have acknowledged a ping within
-    /// `max_age_ms` are most of the members and of those that were members lately.
-    fn reaches_most(&self, context: Context<'_>, max_age_ms: u64) -> bool {
+    /// Returns whether the other processes, without those that have acknowledged a ping lately, are no
+    /// majority that may renew leases.
+    fn reaches_half(&self, context: Context<'_>) -> bool {
+        let (known, reached) = self.count_reached(context, MAX_GAP_MS);
+        reached * 2 >= known
+    }
+
+    /// Returns the number of the processes that are or lately were members, and of those among them
+    /// that have acknowledged a ping within `max_age_ms`; both include this process.
+    fn count_reached(&self, context: Context<'_>, max_age_ms: u64) -> (usize, usize) {
         let own = context.ownership.instance();
         let members = context.membership.members();
         let members = members.map(|member| &member.process.instance);
@@ -141,15 +167,17 @@
             let is_reached = self.pings.is_acknowledged(context.moment, peer, max_age_ms);
             reached += usize::from(is_reached);
         }
-        reached * 2 > known
+        (known, reached)
     }
 
     fn count_processes(&mut self, context: Context<'_>) {
         let moment = context.moment;
         if moment.has_reached(self.next_count_at) {
+            let is_late = self.is_count_late(moment);
             self.next_count_at = moment + COUNT_INTERVAL_MS;
             self.update_members(context);
-            self.is_in_minority = !self.reaches_most(context, MAX_GAP_MS);
+            let is_certain = context.has_valid_registration && !is_late;
+            self.is_in_minority = !(is_certain && self.reaches_half(context));
         }
         if self.is_in_minority {
             self.last_in_minority_at = moment.now;
@@ -159,6 +187,7 @@
     /// Records the members, and forgets those that left long ago.
     fn update_members(&mut self, context: Context<'_>) {
         let moment = context.moment;
+        self.read_owners_once(context);
         for member in context.membership.members() {
             let instance = &member.process.instance;
             match self.member_at.get_mut(instance) {
@@ -175,6 +204,19 @@
         self.registered_until.retain(|_, until| *until > moment.now);
     }
 
+    /// Records the processes that own units when this process starts: they may have been cut off
+    /// before, so that it has never seen them as members.
+    fn read_owners_once(&mut self, context: Context<'_>) {
+        if self.has_read_owners || !context.ownership.is_loaded() {
+            return;
+        }
+        self.has_read_owners = true;
+        for process in context.ownership.owning_processes() {
+            let instance = process.instance.clone();
+            self.member_at.insert(instance, context.moment.now);
+        }
+    }
+
     /// Returns whether a peer other than the process on the instance `asking` is registered.
     fn knows_registered_peer(&self, moment: Moment, asking: &InstanceName) -> bool {
         let mut peers = self.registered_until.iter();
@@ -184,7 +226,7 @@
     fn ground(&self, context: Context<'_>) -> Ground {
         if context.has_valid_registration {
             Ground::Registration
-        } else if self.reaches_most(context, MAX_PING_AGE_MS) {
+        } else if self.reaches_most(context) {
             Ground::Peers
         } else {
             Ground::None
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -34,12 +34,12 @@
         moment.since_ms(renewed_at) > earlier_lease_ms + EARLIER_LEASE_MARGIN_MS
     }
 
-    /// Returns when former owners of a worker may last have renewed its lease.
+    /// Returns until when former owners of a worker may have renewed its lease.
     ///
     /// Most processes, if this one does not reach them, may have been cut off from the store and
     /// go on renewing the leases of their former workers.
-    pub(super) fn earlier_renewal_at(&self, worker: &Worker) -> MonotonicMs {
-        let in_minority_at = self.isolation.last_in_minority_at();
+    pub(super) fn former_renewals_end(&self, moment: Moment, worker: &Worker) -> MonotonicMs {
+        let in_minority_at = self.isolation.last_in_minority_at(moment);
         worker.earlier_renewal_at.max(in_minority_at) + UNNOTICED_GAP_MS
     }
 
@@ -48,9 +48,7 @@
     pub(super) fn is_idle_unheard(&self, context: Context<'_>, worker: &Worker) -> bool {
         let is_certain_owner =
             context.has_valid_registration && !worker.fenced && !worker.has_later_owner;
-        let renewed_at = self
-            .earlier_renewal_at(worker)
-            .max(worker.earlier_renewal_at + UNNOTICED_GAP_MS);
+        let renewed_at = self.former_renewals_end(context.moment, worker);
         is_certain_owner
             && worker.authorities_known
             && worker.last_answer_at.is_none()
@@ -61,7 +59,7 @@
     pub(crate) fn has_unheard(&self, moment: Moment) -> bool {
         self.workers().any(|worker| {
             worker.last_answer_at.is_none()
-                && !worker.presumed_lost
+                && (!worker.presumed_lost || !worker.registered)
                 && moment.since_ms(worker.owned_since) >= UNHEARD_AFTER_MS
         })
     }
@@ -77,7 +75,7 @@
         };
         let late_ms = self.late_ms(moment, worker);
         let earlier_lease_ms = self.leases.earlier_ms(moment, worker);
-        let renewed_at = self.earlier_renewal_at(worker);
+        let renewed_at = self.former_renewals_end(moment, worker);
         let max_silence_ms =
             earlier_lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS + late_ms;
         let Some(worker) = self.worker_mut(name) else {
--- a/tests/features/cut_domains.rs
+++ b/tests/features/cut_domains.rs
@@ -144,7 +144,7 @@
         plan = with_cut_workers(plan, node, 1, killed_ms + for_ms);
     }
     let world = cut_world(nodes, seed, plan, false, work);
-    assert_no_violations(world, killed_ms + for_ms + 2_000);
+    assert_no_violations(world.with_member_addresses(), killed_ms + for_ms + 2_000);
 }
 
 /// Guards against a minority that ends the runs of an unregistered worker that others still renew.
@@ -159,6 +159,24 @@
     let group = [0, 1, 2].map(|offset| (first + offset) % GROUP_NODES);
     let plan = cut_group(GROUP_NODES, &group, 0, for_ms);
     let world = cut_world(GROUP_NODES, seed, plan, unregistered, work);
+    assert_no_violations(world.with_member_addresses(), for_ms + 2_000);
+}
+
+/// Guards against a new process that does not know the majority which renews its worker's lease.
+#[rstest]
+fn restarted_owner_waits(
+    #[values(1, 2)] seed: u64,
+    #[values(0, 1, 2)] killed: usize,
+    #[values(Work::Finite, Work::Lasting)] work: Work,
+) {
+    let for_ms = 14_000;
+    let group = [1, 2].map(|offset| (killed + offset) % NODES);
+    let kill = FaultKind::KillNode {
+        node: killed,
+        down_ms: 300,
+    };
+    let plan = cut_group(NODES, &group, 0, for_ms).with_fault(CUT_AT_MS + 2_500, kill);
+    let world = cut_world(NODES, seed, plan, true, work).with_member_addresses();
     assert_no_violations(world, for_ms + 2_000);
 }
 
@@ -179,7 +197,7 @@
         };
     }
     let world = cut_world(GROUP_NODES, seed, plan, true, work);
-    assert_no_violations(world, for_ms + 2_000);
+    assert_no_violations(world.with_member_addresses(), for_ms + 2_000);
 }
 
 /// Guards against a second run beside one of an owner that loses the store before its peers.
