--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod policy;
 mod registrations;
 mod settings;
+mod summary_messages;
 mod unit;
 mod workers;
 
@@ -32,12 +33,12 @@
 pub use event::{CallId, Event, WorkerChange, WorkerResult};
 pub use member::{Member, Owner};
 pub use messages::{
-    Authority, PeerMessage, PendingJobs, Ping, RecoveryReport, ReportedEnd, RunDetails,
-    RunProgress, ServingSlack, ShardPending, StartOrder, StartOutcome, StartRefusal, Summary,
-    WorkerSummary,
+    Authority, PeerMessage, Ping, RecoveryReport, ReportedEnd, RunDetails, RunProgress, StartOrder,
+    StartOutcome, StartRefusal,
 };
 pub use moment::Moment;
 pub use node::FleetNode;
 pub use outbox::{CallerReply, Outbox, StoreRequest, WorkerCall, WorkerRequest};
 pub use settings::FleetSettings;
+pub use summary_messages::{PendingJobs, ServingSlack, ShardPending, Summary, WorkerSummary};
 pub use unit::{JOB_SHARD_COUNT, JobShard, Unit};
--- a/crates/turmericfold-fleet/src/workers/isolation.rs
+++ b/crates/turmericfold-fleet/src/workers/isolation.rs
@@ -67,6 +67,7 @@
     member_at: BTreeMap<InstanceName, MonotonicMs>,
     /// Until when the registrations of the peers are valid, as far as their pings tell.
     registered_until: BTreeMap<InstanceName, MonotonicMs>,
+    /// Whether the owners of units were recorded in `member_at`.
     has_read_owners: bool,
     ground: Ground,
     /// When this process last may have been part of a minority.
@@ -80,7 +81,8 @@
     /// Handles a ping of the process on an instance, and returns whether to acknowledge it.
     ///
     /// The acknowledgement shows that no process known here can have claimed the units of the
-    /// sender when the ping arrived: the sender is registered, or nobody is.
+    /// sender when the ping arrived: the sender is registered, or no process that this one has heard
+    /// lately is. A registered process that sends no messages here is not known.
     pub(super) fn on_ping(
         &mut self,
         context: Context<'_>,
