Ask for the usual lease only, and reckon with each deadline that was sent

Cause: one value was both the deadline that calls ask for and the bound by which their sender reckons. After a restart the bound is 22 s ahead, as calls of the former life may grant the longest lease for 12 s. The next poll asked for these 22 s. If it got no answer, and a later one did, the bound fell to 10 s from then, while the poll took effect up to 12 s later and granted 10 s from its own time.

Why it works: a call asks for the usual lease on the present clock (LeaseDeadline), which no bound can become; the bound (LeaseBound) never falls below a deadline that was sent to the present life, answered or not. What earlier calls may have granted is bounded apart.

--- a/crates/turmericfold-fleet/src/workers/calls.rs
+++ b/crates/turmericfold-fleet/src/workers/calls.rs
@@ -57,10 +57,9 @@
         let Some(clock) = worker.clock else {
             return;
         };
-        let renewed_until_ms = clock.estimated_ms(now) + lease_ms;
-        worker.lease_until_ms = worker.lease_until_ms.max(renewed_until_ms);
+        let deadline = clock.deadline(now, lease_ms);
+        worker.lease_bound.on_asked(deadline);
         let (entry, token) = (worker.entry.clone(), worker.token());
-        let lease_until_ms = worker.lease_until_ms;
         let silent_ms = worker.last_answer_at.map_or(0, |at| now.since_ms(at));
         let Some(run) = worker.runs.get_mut(&key) else {
             return;
@@ -71,7 +70,7 @@
         let call = StartCall {
             run: key,
             payload: order.payload.clone(),
-            lease_until_ms,
+            lease_until_ms: deadline.clock_ms(),
             token: token.value(),
             checkpoint: order.checkpoint.clone(),
         };
@@ -81,7 +80,7 @@
                 worker:% = name,
                 token = token.value(),
                 epoch = order.authority.epoch.0,
-                lease_ms = lease_until_ms.saturating_sub(clock.earliest_ms(now)),
+                lease_ms = deadline.clock_ms().saturating_sub(clock.earliest_ms(now)),
                 silent_ms = silent_ms;
                 "start call is sent without a valid registration, as most processes acknowledge pings"
             );
--- a/crates/turmericfold-fleet/src/workers/clock.rs
+++ b/crates/turmericfold-fleet/src/workers/clock.rs
@@ -2,6 +2,8 @@
 
 use turmericfold_types::MonotonicMs;
 
+use super::lease_bound::LeaseDeadline;
+
 /// The lowest rate of a worker's clock that is allowed for, in thousandths of true time.
 const MIN_CLOCK_RATE_PERMILLE: u64 = 980;
 
@@ -48,6 +50,11 @@
         earliest_ms > next_life_ms && (earliest_ms..=latest_ms).contains(&clock_ms)
     }
 
+    /// Returns the deadline of a call that asks for a lease of `lease_ms`.
+    pub(super) fn deadline(&self, now: MonotonicMs, lease_ms: u64) -> LeaseDeadline {
+        LeaseDeadline::new(self.estimated_ms(now) + lease_ms)
+    }
+
     /// Returns the time that the worker's clock probably shows now, in milliseconds.
     pub(crate) fn estimated_ms(&self, now: MonotonicMs) -> u64 {
         self.read_ms + now.since_ms(self.read_at)
--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -153,7 +153,7 @@
     /// `None` if its clock is not known.
     pub(super) fn lease_left_ms(&self, now: MonotonicMs) -> Option<u64> {
         let clock = self.clock?;
-        let expired_at_ms = self.lease_until_ms + LEASE_EXPIRY_MARGIN_MS;
+        let expired_at_ms = self.lease_bound.clock_ms() + LEASE_EXPIRY_MARGIN_MS;
         Some(expired_at_ms.saturating_sub(clock.earliest_ms(now)))
     }
 }
@@ -171,7 +171,7 @@
         return (now > ended_at).then(|| now.since_ms(ended_at));
     };
     let clock_ms = clock.earliest_ms(now);
-    let expired_at_ms = worker.lease_until_ms + LEASE_EXPIRY_MARGIN_MS;
+    let expired_at_ms = worker.lease_bound.clock_ms() + LEASE_EXPIRY_MARGIN_MS;
     (clock_ms > expired_at_ms).then(|| clock_ms - expired_at_ms)
 }
 
--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -101,14 +101,14 @@
                 0
             };
             let earlier_ms = leases.earlier_ms(moment, self) + delay_ms;
-            self.lease_until_ms = self.lease_until_ms.max(clock_ms + earlier_ms);
+            self.lease_bound.infer_until(clock_ms + earlier_ms);
         }
-        if is_running && self.lease_until_ms < clock_ms {
+        if is_running && self.lease_bound.clock_ms() < clock_ms {
             // Its runs would have ended, so it holds a lease that this process does not know.
-            self.lease_until_ms = clock_ms + leases.max_ms;
+            self.lease_bound.infer_until(clock_ms + leases.max_ms);
         }
         if !obeys_earlier_calls {
-            self.lease_until_ms = self.lease_until_ms.min(clock_ms + leases.max_ms);
+            self.lease_bound.limit_inferred(clock_ms + leases.max_ms);
         }
     }
 
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -12,6 +12,7 @@
 mod filler_pace;
 mod isolation;
 mod lateness;
+mod lease_bound;
 mod leases;
 mod load;
 mod order;
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -8,6 +8,7 @@
 
 use super::clock::WorkerClock;
 use super::evidence::EndEvidence;
+use super::lease_bound::LeaseDeadline;
 use super::owner::{WorkerOwner, advance_acknowledged, keys_where};
 use super::run::{Run, RunPhase};
 use super::worker::{Poll, Worker};
@@ -61,11 +62,12 @@
             return;
         }
         let now = context.moment.now;
-        let call = next_poll(worker, now, lease_ms, may_renew);
-        let acknowledged_up_to = call.acknowledged_up_to;
-        if let Some(lease_until_ms) = call.lease_until_ms {
-            worker.lease_until_ms = lease_until_ms;
+        let deadline = next_deadline(worker, now, lease_ms, may_renew);
+        if let Some(deadline) = deadline {
+            worker.lease_bound.on_asked(deadline);
         }
+        let call = next_poll(worker, deadline);
+        let acknowledged_up_to = call.acknowledged_up_to;
         let entry = worker.entry.clone();
         let id = out.call_worker(&entry, WorkerCall::Poll(call));
         worker.poll = Some(Poll {
@@ -295,18 +297,22 @@
     }
 }
 
-fn next_poll(worker: &Worker, now: MonotonicMs, lease_ms: u64, may_renew: bool) -> PollCall {
-    // While a worker does not answer, its lease is not renewed, so that it expires at a
-    // known time.
+/// Returns the deadline that the next poll of a worker asks for, if it renews the lease.
+///
+/// While a worker does not answer, its lease is not renewed, so that it expires at a known time.
+fn next_deadline(
+    worker: &Worker,
+    now: MonotonicMs,
+    lease_ms: u64,
+    may_renew: bool,
+) -> Option<LeaseDeadline> {
     let has_answered = worker.unanswered_polls == 0;
-    let lease_until_ms = worker
-        .clock
-        .filter(|_| has_answered && may_renew && !worker.has_later_owner && !worker.fenced)
-        .map(|clock| {
-            worker
-                .lease_until_ms
-                .max(clock.estimated_ms(now) + lease_ms)
-        });
+    let renews = has_answered && may_renew && !worker.has_later_owner && !worker.fenced;
+    let clock = worker.clock.filter(|_| renews)?;
+    Some(clock.deadline(now, lease_ms))
+}
+
+fn next_poll(worker: &Worker, deadline: Option<LeaseDeadline>) -> PollCall {
     let is_known = worker.is_known();
     let waits = is_known && worker.acknowledgement_due_since.is_none();
     let longest_wait_ms = match worker.has_late_task_beside_fillers() {
@@ -315,7 +321,7 @@
     };
     PollCall {
         token: worker.token().value(),
-        lease_until_ms,
+        lease_until_ms: deadline.map(LeaseDeadline::clock_ms),
         acknowledged_up_to: worker.next_acknowledgement(),
         wait_ms: if waits { longest_wait_ms } else { 0 },
     }
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -8,6 +8,7 @@
 
 use super::clock::WorkerClock;
 use super::fencing_token::FencingToken;
+use super::lease_bound::LeaseBound;
 use super::load::DEFAULT_SERVING_USE_PERMILLE;
 use super::run::Run;
 use super::start_calls::StartCalls;
@@ -80,8 +81,8 @@
     pub(crate) restarted_at: Option<MonotonicMs>,
     /// When it started, as it reports, in milliseconds since 1970; 0 if not known yet.
     pub(crate) started_ms: u64,
-    /// The end of its lease on its own clock, in milliseconds; no run continues beyond it.
-    pub(crate) lease_until_ms: u64,
+    /// The end of its lease, at the latest; no run continues beyond it.
+    pub(crate) lease_bound: LeaseBound,
     /// The number up to which ends are acknowledged to the worker, as they are recorded.
     pub(crate) acknowledged_up_to: u64,
     /// The number up to which it has certainly forgotten ends in its present life.
@@ -170,7 +171,7 @@
             settled_start_ms: 0,
             restarted_at: None,
             started_ms: 0,
-            lease_until_ms: 0,
+            lease_bound: LeaseBound::default(),
             acknowledged_up_to: 0,
             forgotten_up_to: 0,
             acknowledgement_due_since: None,
@@ -243,7 +244,7 @@
         self.leases_known_from = self.token;
         self.acknowledged_up_to = 0;
         self.forgotten_up_to = 0;
-        self.lease_until_ms = 0;
+        self.lease_bound = LeaseBound::default();
         for tracked in self.ends.values_mut() {
             tracked.end_number = None;
         }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -64,6 +64,7 @@
 mod late_reports;
 mod late_starts;
 mod late_watches;
+mod lease_deadlines;
 mod long_leases;
 mod long_lists;
 mod lost_registrations;
