Let next owners wait for leases that late calls grant after a restart

Cause: a next owner that can't reach a worker counted the longest lease from its own claim. A call that was sent before the restart, on the former clock, may take effect up to 12 s after it was sent and grants the longest lease from then: later than that by up to 8 s.

Why it works: the leases of earlier owners end at the later of two times, one usual lease after their last possible renewal, and the end of all leases that calls from before the restart can grant (24.3 s with a longest lease of 10 s, from when the restart was learned). Both are known without the worker.

Cost: lasting tasks of a worker that restarted, lost its owner and stays silent wait up to 25.2 s after the restart was learned; before, 11.9 s after the claim (by reading).

--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -4,6 +4,8 @@
 //! an earlier life of the worker, which was sent before its owner had noticed the restart, therefore
 //! grants the longest lease from the time at which it takes effect.
 
+use turmericfold_types::MonotonicMs;
+
 use super::worker::{Poll, Worker};
 use crate::{FleetSettings, Moment};
 
@@ -38,7 +40,13 @@
     /// Returns the time after a restart of a worker from which all leases have expired that calls
     /// with deadlines on the clock of its former life have granted, in milliseconds.
     pub(crate) fn settling_ms(self) -> u64 {
-        MAX_UNNOTICED_MS + MAX_CALL_DELAY_MS + self.max_ms
+        MAX_UNNOTICED_MS + self.longest_late_lease_ms()
+    }
+
+    /// Returns the time after a call on a former clock was sent from which the lease has expired that
+    /// it has granted, whenever it took effect, in milliseconds.
+    fn longest_late_lease_ms(self) -> u64 {
+        MAX_CALL_DELAY_MS + self.max_ms * SLOWEST_CLOCK_PERCENT / 100
     }
 
     /// Returns the longest lease that a worker may have got from calls with earlier tokens, in
@@ -70,8 +78,7 @@
         self.on_restarted(moment.now);
         self.started_ms = started_ms;
         self.clock = None;
-        let longest_ms = MAX_CALL_DELAY_MS + leases.max_ms * SLOWEST_CLOCK_PERCENT / 100;
-        self.void_leases_end_at = Some(moment + longest_ms);
+        self.void_leases_end_at = Some(moment + leases.longest_late_lease_ms());
     }
 
     /// Returns whether a worker that answers for the first time is in another life than the one that
@@ -112,6 +119,20 @@
         }
     }
 
+    /// Returns when all leases have expired that former owners have granted by calls until
+    /// `renewed_at`, and those by calls that were sent before a restart of the worker and took effect
+    /// after it.
+    pub(super) fn earlier_leases_end_at(
+        &self,
+        renewed_at: MonotonicMs,
+        leases: LeaseLengths,
+    ) -> MonotonicMs {
+        let renewed_end_at = renewed_at + leases.usual_ms;
+        let restarted_at = self.restarted_at;
+        let late_end_at = restarted_at.map(|at| at + leases.settling_ms());
+        late_end_at.map_or(renewed_end_at, |end_at| end_at.max(renewed_end_at))
+    }
+
     /// Returns whether the worker has answered a poll with a token from which on all leases are
     /// known.
     fn has_known_leases(&self) -> bool {
--- a/crates/turmericfold-fleet/src/workers/unheard.rs
+++ b/crates/turmericfold-fleet/src/workers/unheard.rs
@@ -30,8 +30,8 @@
         worker: &Worker,
         renewed_at: MonotonicMs,
     ) -> bool {
-        let earlier_lease_ms = self.leases.earlier_ms(moment, worker);
-        moment.since_ms(renewed_at) > earlier_lease_ms + EARLIER_LEASE_MARGIN_MS
+        let end_at = worker.earlier_leases_end_at(renewed_at, self.leases);
+        moment.since_ms(end_at) > EARLIER_LEASE_MARGIN_MS
     }
 
     /// Returns until when former owners of a worker may have renewed its lease.
@@ -76,8 +76,10 @@
         let late_ms = self.late_ms(moment, worker);
         let renewed_at = self.former_renewals_end(moment, worker);
         let waited_ms = moment.since_ms(renewed_at);
-        let is_lost = self.is_replaced_unheard(moment, worker)
-            || waited_ms >= self.max_silence_ms(moment, worker) + late_ms;
+        let expired_at = worker.earlier_leases_end_at(renewed_at, self.leases);
+        let max_wait_ms = LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS + late_ms;
+        let is_lost =
+            self.is_replaced_unheard(moment, worker) || moment.since_ms(expired_at) >= max_wait_ms;
         let is_unknown = worker.last_answer_at.is_none() && !worker.fenced && !worker.presumed_lost;
         if !is_unknown || !context.has_valid_registration || !is_lost {
             return;
@@ -104,13 +106,6 @@
             && self.have_earlier_leases_expired(moment, worker, renewed_at)
     }
 
-    /// Returns for how long a worker may be silent after its former owner may have renewed its
-    /// lease, in milliseconds.
-    fn max_silence_ms(&self, moment: Moment, worker: &Worker) -> u64 {
-        let earlier_lease_ms = self.leases.earlier_ms(moment, worker);
-        earlier_lease_ms + LEASE_EXPIRY_MARGIN_MS + MAX_OUTCOME_WAIT_MS
-    }
-
     /// Logs at intervals that a worker has not answered this process since it became the owner.
     pub(super) fn log_unheard(&mut self, context: Context<'_>, name: &InstanceName) {
         let moment = context.moment;
