--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -70,7 +70,8 @@
             runs = worker.runs.len(),
             expired_ms = expired_ms,
             late_ms = late_ms,
-            silent_ms = silent_ms(context.moment, worker);
+            silent_ms = silent_ms(context.moment, worker),
+            lease:? = worker.lease_bound;
             "unresponsive worker counts as lost, as its lease has expired; ending its runs"
         );
         self.end_all(context, name, EndEvidence::LeaseExpired, out);
@@ -115,7 +116,8 @@
                 epoch = worker.epoch.0,
                 registered = worker.registered,
                 runs = worker.runs.len(),
-                silent_ms = silent_ms(context.moment, worker);
+                silent_ms = silent_ms(context.moment, worker),
+                lease:? = worker.lease_bound;
                 "lease of an unresponsive worker has expired; its runs are over, but tasks that they may have completed wait for its answer"
             ),
         }
