Let simulated workers be down, and any kind of call be late

A restart of a simulated worker took no time, so no call could arrive while it was down, and only polls could be made late by an exact time. A worker can now crash and be down for a while (CrashWorker): calls that arrive meanwhile are lost, late ones are carried out after its start. Calls of one kind to a worker can be late by an exact time (LateCallsOf), and a share of all calls by 2 to 12 s (LateCalls).

--- a/tests/src/fleet_world/faults.rs
+++ b/tests/src/fleet_world/faults.rs
@@ -2,14 +2,13 @@
 
 use rand::Rng;
 use rand::rngs::StdRng;
-use turmericfold_fleet::WorkerCall;
 use turmericfold_types::{InstanceName, MonotonicMs};
 
 use super::schedule::FaultKind;
 use super::workers::worker_name;
 
 /// The probability that a call loses its answer while a fault that loses the answers of
-/// the store or of workers is active.
+/// the store is active.
 const LOSS_PROBABILITY: f64 = 0.3;
 
 /// The faults that are active at the current time.
@@ -39,7 +38,10 @@
             | FaultKind::MisdirectWorker { for_ms, .. }
             | FaultKind::LateOrders { for_ms }
             | FaultKind::LatePolls { for_ms, .. }
+            | FaultKind::LateCalls { for_ms, .. }
+            | FaultKind::LateCallsOf { for_ms, .. }
             | FaultKind::CutPeers { for_ms, .. } => *for_ms,
+            FaultKind::CrashWorker { down_ms, .. } => *down_ms,
             _ => 0,
         };
         let until = now + duration_ms;
@@ -55,7 +57,15 @@
         !self.active.is_empty()
     }
 
-    fn has_active<Predicate>(&self, matches_kind: Predicate) -> bool
+    /// Returns what an active fault yields, of the first that yields something.
+    pub(super) fn find_active<Find, Found>(&self, find: Find) -> Option<Found>
+    where
+        Find: Fn(&FaultKind) -> Option<Found>,
+    {
+        self.active.iter().find_map(|active| find(&active.kind))
+    }
+
+    pub(super) fn has_active<Predicate>(&self, matches_kind: Predicate) -> bool
     where
         Predicate: Fn(&FaultKind) -> bool,
     {
@@ -106,24 +116,6 @@
         is_losing && random.random_bool(LOSS_PROBABILITY)
     }
 
-    pub(super) fn loses_worker_call(&self, random: &mut StdRng) -> bool {
-        let is_losing = self.has_active(|kind| matches!(kind, FaultKind::LateOrders { .. }));
-        is_losing && random.random_bool(LOSS_PROBABILITY)
-    }
-
-    /// Returns by how much a call to a worker is late, in milliseconds, if it is a poll that
-    /// returns no answer.
-    pub(super) fn poll_delay_ms(&self, name: &InstanceName, call: &WorkerCall) -> Option<u64> {
-        let delay = |active: &ActiveFault| match active.kind {
-            FaultKind::LatePolls {
-                worker, late_ms, ..
-            } if worker_name(worker) == *name => Some(late_ms),
-            _ => None,
-        };
-        let is_poll = matches!(call, WorkerCall::Poll(_));
-        self.active.iter().filter(|_| is_poll).find_map(delay)
-    }
-
     pub(super) fn is_worker_cut(&self, index: usize, name: &InstanceName) -> bool {
         self.has_active(|kind| {
             matches!(kind, FaultKind::CutWorker { node, worker, .. }
--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -9,6 +9,7 @@
 mod departures;
 mod faults;
 mod idle_spans;
+mod lateness;
 mod network;
 mod nodes;
 mod oracle;
@@ -35,6 +36,7 @@
 pub use configurations::configuration;
 pub use faults::Faults;
 pub use idle_spans::IdleSpan;
+pub use lateness::CallKind;
 pub use oracle::{Oracle, Violation};
 pub use schedule::{FaultKind, FaultPlan};
 
@@ -386,8 +388,20 @@
                 answered,
             } => {
                 let is_same_life = self.worker_started_ms(&worker) == worker_started_ms;
-                if answered && !is_same_life {
+                let is_down = self.faults.is_worker_down(&worker);
+                if answered && (is_down || !is_same_life) {
                     self.fail_worker_call(&process, call, &worker, &worker_call);
+                } else if is_down {
+                    let delivery = Delivery::Worker {
+                        process,
+                        call,
+                        worker,
+                        worker_started_ms,
+                        worker_call,
+                        late_ms: late_ms + STEP_MS,
+                        answered,
+                    };
+                    self.schedule(STEP_MS, delivery);
                 } else if !self.departures.has_left(&worker) {
                     self.expect_start(&worker_call, late_ms);
                     self.call_worker(process, call, worker, worker_call, answered);
--- a/tests/src/fleet_world/network.rs
+++ b/tests/src/fleet_world/network.rs
@@ -91,17 +91,15 @@
             self.schedule(delay_ms, Delivery::Node { process, event });
             return;
         }
-        let poll_delay_ms = self.faults.poll_delay_ms(&worker, &worker_call);
-        let lost = self.faults.loses_worker_call(&mut self.random) || poll_delay_ms.is_some();
+        let lateness = self
+            .faults
+            .lateness(&mut self.random, &worker, &worker_call);
+        let lost = lateness.is_some();
         if cut || lost {
             self.fail_worker_call(process, call, &worker, &worker_call);
         }
         if !cut {
-            let extra_delay_ms = match poll_delay_ms {
-                Some(delay_ms) => delay_ms,
-                None if lost => self.random.random_range(0..12_000),
-                None => 0,
-            };
+            let extra_delay_ms = lateness.map_or(0, |lateness| lateness.draw(&mut self.random));
             let worker_started_ms = self.worker_started_ms(&worker);
             let delivery = Delivery::Worker {
                 process: process.clone(),
--- a/tests/src/fleet_world/schedule.rs
+++ b/tests/src/fleet_world/schedule.rs
@@ -5,6 +5,7 @@
 use turmericfold_types::MonotonicMs;
 
 use super::FleetWorld;
+use super::lateness::CallKind;
 
 /// An item that is due at a time; items of the same time keep their sequence.
 pub(super) struct Scheduled<Item> {
@@ -146,6 +147,24 @@
         /// The duration, in milliseconds.
         for_ms: u64,
     },
+    /// A share of the calls to workers take effect 2 to 12 s late and return no answer.
+    LateCalls {
+        /// The share, in percent.
+        share_percent: u32,
+        /// The duration, in milliseconds.
+        for_ms: u64,
+    },
+    /// The calls of a kind to a worker return no answer and take effect late.
+    LateCallsOf {
+        /// The worker.
+        worker: usize,
+        /// The kind.
+        kind: CallKind,
+        /// The time by which they are late, in milliseconds.
+        late_ms: u64,
+        /// The duration, in milliseconds.
+        for_ms: u64,
+    },
     /// Two nodes can't reach each other.
     CutPeers {
         /// The first node.
@@ -160,6 +179,14 @@
         /// The worker.
         worker: usize,
     },
+    /// A worker crashes, and starts again under the same name later. Calls that arrive meanwhile
+    /// are lost, except that late ones are carried out after its start.
+    CrashWorker {
+        /// The worker.
+        worker: usize,
+        /// The time until it starts again, in milliseconds.
+        down_ms: u64,
+    },
     /// A worker loses its registration and registers again later; it runs all the while.
     UnregisterWorker {
         /// The worker.
@@ -203,6 +230,7 @@
     Fault(FaultKind),
     StartNode(usize),
     RegisterWorker(usize),
+    RestartWorker(usize),
 }
 
 impl FaultPlan {
@@ -236,6 +264,7 @@
             match planned.kind {
                 PlannedKind::StartNode(node) => self.start_node(node),
                 PlannedKind::RegisterWorker(worker) => self.register_worker(worker),
+                PlannedKind::RestartWorker(worker) => self.restart_worker(worker),
                 PlannedKind::Fault(kind) => self.apply_fault(kind),
             }
         }
@@ -255,6 +284,12 @@
                 }
             }
             FaultKind::RestartWorker { worker } => self.restart_worker(worker),
+            FaultKind::CrashWorker { worker, down_ms } => {
+                self.crash_worker(worker);
+                self.plan
+                    .add(now + down_ms, PlannedKind::RestartWorker(worker));
+                self.faults.add(now, kind);
+            }
             FaultKind::UnregisterWorker { worker, for_ms } => {
                 self.unregister_worker(worker);
                 let registers = PlannedKind::RegisterWorker(worker);
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -20,15 +20,21 @@
 impl FleetWorld {
     /// Restarts a worker under the same name.
     pub fn restart_worker(&mut self, number: usize) {
+        let name = worker_name(number);
+        self.crash_worker(number);
+        if let Some(entry) = self.entries.get_mut(&name) {
+            entry.started_ms = self.workers[&name].started_ms();
+        }
+    }
+
+    /// Ends all that a worker runs and knows.
+    pub(super) fn crash_worker(&mut self, number: usize) {
         let name = worker_name(number);
         let now = self.now;
         self.disturb();
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.restart(now);
         }
-        if let Some(entry) = self.entries.get_mut(&name) {
-            entry.started_ms = self.workers[&name].started_ms();
-        }
         self.check_worker(&name);
     }
 
