Show that a late poll renews a lease beyond its owner's bound

An owner that has noticed a restart asks for a deadline of its own bound (22 s ahead). The poll gets no answer, a later one is answered and the bound falls to 10 s; the first poll then takes effect and grants 10 s from that moment. If the worker is cut off, its runs go on after the bound, and start elsewhere.

--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -61,6 +61,7 @@
 mod late_deletions;
 mod late_orders;
 mod late_owners;
+mod late_renewals;
 mod late_reports;
 mod late_starts;
 mod late_watches;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod random_faults;
 pub mod registered_owner;
 pub mod restart_soak;
+pub mod restarted_fleet;
 pub mod shard_owner;
 pub mod shared_worker;
 pub mod shared_workers;
