--- a/tests/src/fleet_world/mod.rs
+++ b/tests/src/fleet_world/mod.rs
@@ -9,6 +9,7 @@
 mod departures;
 mod faults;
 mod idle_spans;
+mod lateness;
 mod network;
 mod nodes;
 mod oracle;
@@ -35,6 +36,7 @@
 pub use configurations::configuration;
 pub use faults::Faults;
 pub use idle_spans::IdleSpan;
+pub use lateness::CallKind;
 pub use oracle::{Oracle, Violation};
 pub use schedule::{FaultKind, FaultPlan};
 
@@ -80,8 +82,9 @@
         process: ProcessId,
         call: CallId,
         worker: InstanceName,
-        /// The start time of the worker when the call was sent; a worker that has
-        /// restarted since does not receive the call.
+        /// The start time of the worker when the call was sent. A worker that has restarted
+        /// since carries out a call without an answer; one with an answer ends with its
+        /// connection.
         worker_started_ms: u64,
         worker_call: WorkerCall,
         /// By how much a fault makes the call late, in milliseconds.
@@ -384,11 +387,24 @@
                 late_ms,
                 answered,
             } => {
-                if self.worker_started_ms(&worker) == worker_started_ms {
+                let is_same_life = self.worker_started_ms(&worker) == worker_started_ms;
+                let is_down = self.faults.is_worker_down(&worker);
+                if answered && (is_down || !is_same_life) {
+                    self.fail_worker_call(&process, call, &worker, &worker_call);
+                } else if is_down {
+                    let delivery = Delivery::Worker {
+                        process,
+                        call,
+                        worker,
+                        worker_started_ms,
+                        worker_call,
+                        late_ms: late_ms + STEP_MS,
+                        answered,
+                    };
+                    self.schedule(STEP_MS, delivery);
+                } else if !self.departures.has_left(&worker) {
                     self.expect_start(&worker_call, late_ms);
                     self.call_worker(process, call, worker, worker_call, answered);
-                } else if answered {
-                    self.fail_worker_call(&process, call, &worker, &worker_call);
                 }
             }
         }
