--- a/tests/features/late_renewals.rs
+++ b/tests/features/late_renewals.rs
@@ -50,7 +50,6 @@
 /// Guards against a second run beside one whose lease a late poll has renewed, after a later poll
 /// was answered.
 #[rstest]
-#[ignore = "KNOWN-RED: 30"]
 fn answered_poll_ends_no_lease(
     #[values(1, 2)] seed: u64,
     #[values(10, 30, 50)] late_after_ms: u64,
@@ -79,7 +78,6 @@
 /// Guards against the same by the next owner of the worker, which does not know what its former
 /// owner has sent.
 #[rstest]
-#[ignore = "KNOWN-RED: 31"]
 fn next_owner_reckons_with_it(
     #[values(1, 2)] seed: u64,
     #[values(20, 40)] late_after_ms: u64,
