Keep an acknowledged end noted when a later life loses the same run

A late start can run the same run again in the next life of a worker. If that life lost the run's second end, or its lease lapsed, the oracle took the first end, which had been acknowledged, as not taken note of, and reported the start as one that the platform allows.

--- a/tests/src/fleet_world/oracle.rs
+++ b/tests/src/fleet_world/oracle.rs
@@ -69,6 +69,9 @@
     done: BTreeSet<RunKey>,
     /// The runs in `done` whose ends are neither lost nor lapsed.
     known_done: BTreeSet<RunKey>,
+    /// The runs in `known_done` whose ends were acknowledged in a life of their worker; a later
+    /// life that starts the same run again, and loses it, does not change that.
+    noted_done: BTreeSet<RunKey>,
     /// The runs in `done` whose worker's lease expired before the end was acknowledged.
     lapsed_done: BTreeSet<RunKey>,
     /// The starts that violate the promise of the runs in `known_done`, which may still lapse.
@@ -190,17 +193,8 @@
             match event {
                 WorkerEvent::Started { run } => self.on_start(now, worker, *run),
                 WorkerEvent::Ended { run, end } => self.on_end(*run, *end),
-                WorkerEvent::Acknowledged { run } => {
-                    let history = self.tasks.entry(run.task).or_default();
-                    if history.failed.contains(run) {
-                        history.acknowledged_failed.insert(*run);
-                    }
-                }
-                WorkerEvent::EndLost { run } => {
-                    let history = self.tasks.entry(run.task).or_default();
-                    history.known_done.remove(run);
-                    history.lapsed_done.remove(run);
-                }
+                WorkerEvent::Acknowledged { run } => self.on_acknowledged(*run),
+                WorkerEvent::EndLost { run } => self.on_lost(*run),
                 WorkerEvent::EndLapsed { run } => self.on_lapse(*run),
             }
         }
@@ -290,11 +284,29 @@
         }
     }
 
+    fn on_acknowledged(&mut self, run: RunKey) {
+        let history = self.tasks.entry(run.task).or_default();
+        if history.failed.contains(&run) {
+            history.acknowledged_failed.insert(run);
+        }
+        if history.known_done.contains(&run) {
+            history.noted_done.insert(run);
+        }
+    }
+
+    fn on_lost(&mut self, run: RunKey) {
+        let history = self.tasks.entry(run.task).or_default();
+        if !history.noted_done.contains(&run) {
+            history.known_done.remove(&run);
+        }
+        history.lapsed_done.remove(&run);
+    }
+
     /// Records that an end was not acknowledged before its worker's lease expired. The platform
     /// allows the starts that violate the promise of no other end.
     fn on_lapse(&mut self, run: RunKey) {
         let history = self.tasks.entry(run.task).or_default();
-        if !history.known_done.remove(&run) {
+        if history.noted_done.contains(&run) || !history.known_done.remove(&run) {
             return;
         }
         history.lapsed_done.insert(run);
