Log calls that may still extend a lease

Logs could not tell which poll had extended the lease of a worker beyond what its owner reckoned with. A poll without an answer that renews the lease or acknowledges ends is logged with its token, the life that it was meant for and what it asks for, once a silence; an answer that changes the latest end of the lease is logged with the end before. No logic changes.

--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -93,6 +93,7 @@
         leases: LeaseLengths,
     ) {
         self.void_leases_end_at = None;
+        let bound_before_ms = self.lease_until_ms;
         let obeys_earlier_calls = poll.token < self.leases_known_from;
         if !self.has_known_leases() {
             let delay_ms = if obeys_earlier_calls {
@@ -110,6 +111,24 @@
         if !obeys_earlier_calls {
             self.lease_until_ms = self.lease_until_ms.min(clock_ms + leases.max_ms);
         }
+        if self.lease_until_ms != bound_before_ms {
+            self.log_lease_bound(poll, clock_ms, bound_before_ms);
+        }
+    }
+
+    /// Logs that an answer has changed the time until which the worker may hold a lease.
+    fn log_lease_bound(&self, poll: Poll, clock_ms: u64, bound_before_ms: u64) {
+        log::info!(
+            worker:% = self.id,
+            epoch = self.epoch.0,
+            token = poll.token.value(),
+            known_from = self.leases_known_from.value(),
+            born_ms = self.started_ms,
+            clock_ms = clock_ms,
+            bound_before_ms = bound_before_ms,
+            bound_ms = self.lease_until_ms;
+            "answer of a worker has changed the latest end of its lease that its owner reckons with"
+        );
     }
 
     /// Returns whether the worker has answered a poll with a token from which on all leases are
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -63,7 +63,8 @@
         let now = context.moment.now;
         let call = next_poll(worker, now, lease_ms, may_renew);
         let acknowledged_up_to = call.acknowledged_up_to;
-        if let Some(lease_until_ms) = call.lease_until_ms {
+        let asked_until_ms = call.lease_until_ms;
+        if let Some(lease_until_ms) = asked_until_ms {
             worker.lease_until_ms = lease_until_ms;
         }
         let entry = worker.entry.clone();
@@ -73,6 +74,7 @@
             token: worker.token(),
             sent_at: now,
             acknowledged_up_to,
+            lease_until_ms: asked_until_ms,
             holds_starts: acknowledged_up_to > 0 || worker.is_acknowledgement_overdue(now),
         });
         worker.start_calls.on_poll_sent();
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -42,6 +42,8 @@
     pub(crate) sent_at: MonotonicMs,
     /// The number up to which it acknowledges ends; 0 if it acknowledges none.
     pub(crate) acknowledged_up_to: u64,
+    /// The end of the lease that it asks for, on the worker's clock, if it renews the lease.
+    pub(crate) lease_until_ms: Option<u64>,
     /// Whether starts wait for its answer.
     pub(crate) holds_starts: bool,
 }
@@ -261,11 +263,32 @@
     /// Handles a poll that was not answered and may still take effect.
     pub(super) fn on_unanswered_poll(&mut self, poll: Poll, now: MonotonicMs) {
         self.unanswered_polls += 1;
+        self.log_unanswered_poll(poll, now);
         if poll.acknowledged_up_to > 0 {
             self.fence_acknowledgement(now);
         }
     }
 
+    /// Logs a poll without an answer that may still renew the lease or acknowledge ends; while the
+    /// worker does not answer, later ones do neither.
+    fn log_unanswered_poll(&self, poll: Poll, now: MonotonicMs) {
+        if poll.lease_until_ms.is_none() && poll.acknowledged_up_to == 0 {
+            return;
+        }
+        log::info!(
+            worker:% = self.id,
+            epoch = self.epoch.0,
+            token = poll.token.value(),
+            born_ms = self.started_ms,
+            sent_ago_ms = now.since_ms(poll.sent_at),
+            acknowledges = poll.acknowledged_up_to,
+            asks_until_ms:? = poll.lease_until_ms,
+            clock_ms:? = self.clock.map(|clock| clock.estimated_ms(now)),
+            bound_ms = self.lease_until_ms;
+            "poll got no answer; it may still renew the lease or acknowledge ends"
+        );
+    }
+
     /// Returns whether another worker has probably taken its place: one answers at its address,
     /// and the watch of the workers, which last reported at `reported_at`, knows no new address. The
     /// answer may come over a path of before, so its runs may go on until their lease ends.
