--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -93,7 +93,7 @@
         leases: LeaseLengths,
     ) {
         self.void_leases_end_at = None;
-        let bound_before_ms = self.lease_until_ms;
+        let bound_before_ms = self.lease_bound.clock_ms();
         let obeys_earlier_calls = poll.token < self.leases_known_from;
         if !self.has_known_leases() {
             let delay_ms = if obeys_earlier_calls {
@@ -102,16 +102,16 @@
                 0
             };
             let earlier_ms = leases.earlier_ms(moment, self) + delay_ms;
-            self.lease_until_ms = self.lease_until_ms.max(clock_ms + earlier_ms);
+            self.lease_bound.infer_until(clock_ms + earlier_ms);
         }
-        if is_running && self.lease_until_ms < clock_ms {
+        if is_running && self.lease_bound.clock_ms() < clock_ms {
             // Its runs would have ended, so it holds a lease that this process does not know.
-            self.lease_until_ms = clock_ms + leases.max_ms;
+            self.lease_bound.infer_until(clock_ms + leases.max_ms);
         }
         if !obeys_earlier_calls {
-            self.lease_until_ms = self.lease_until_ms.min(clock_ms + leases.max_ms);
+            self.lease_bound.limit_inferred(clock_ms + leases.max_ms);
         }
-        if self.lease_until_ms != bound_before_ms {
+        if self.lease_bound.clock_ms() != bound_before_ms {
             self.log_lease_bound(poll, clock_ms, bound_before_ms);
         }
     }
@@ -126,7 +126,7 @@
             born_ms = self.started_ms,
             clock_ms = clock_ms,
             bound_before_ms = bound_before_ms,
-            bound_ms = self.lease_until_ms;
+            bound_ms = self.lease_bound.clock_ms();
             "answer of a worker has changed the latest end of its lease that its owner reckons with"
         );
     }
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -8,6 +8,7 @@
 
 use super::clock::WorkerClock;
 use super::fencing_token::FencingToken;
+use super::lease_bound::{LeaseBound, LeaseDeadline};
 use super::load::DEFAULT_SERVING_USE_PERMILLE;
 use super::run::Run;
 use super::start_calls::StartCalls;
@@ -42,8 +43,8 @@
     pub(crate) sent_at: MonotonicMs,
     /// The number up to which it acknowledges ends; 0 if it acknowledges none.
     pub(crate) acknowledged_up_to: u64,
-    /// The end of the lease that it asks for, on the worker's clock, if it renews the lease.
-    pub(crate) lease_until_ms: Option<u64>,
+    /// The deadline that it asks for, if it renews the lease.
+    pub(super) asks_until: Option<LeaseDeadline>,
     /// Whether starts wait for its answer.
     pub(crate) holds_starts: bool,
 }
@@ -82,8 +83,8 @@
     pub(crate) restarted_at: Option<MonotonicMs>,
     /// When it started, as it reports, in milliseconds since 1970; 0 if not known yet.
     pub(crate) started_ms: u64,
-    /// The end of its lease on its own clock, in milliseconds; no run continues beyond it.
-    pub(crate) lease_until_ms: u64,
+    /// The end of its lease, at the latest; no run continues beyond it.
+    pub(crate) lease_bound: LeaseBound,
     /// The number up to which ends are acknowledged to the worker, as they are recorded.
     pub(crate) acknowledged_up_to: u64,
     /// The number up to which it has certainly forgotten ends in its present life.
@@ -172,7 +173,7 @@
             settled_start_ms: 0,
             restarted_at: None,
             started_ms: 0,
-            lease_until_ms: 0,
+            lease_bound: LeaseBound::default(),
             acknowledged_up_to: 0,
             forgotten_up_to: 0,
             acknowledgement_due_since: None,
@@ -245,7 +246,7 @@
         self.leases_known_from = self.token;
         self.acknowledged_up_to = 0;
         self.forgotten_up_to = 0;
-        self.lease_until_ms = 0;
+        self.lease_bound = LeaseBound::default();
         for tracked in self.ends.values_mut() {
             tracked.end_number = None;
         }
@@ -272,7 +273,7 @@
     /// Logs a poll without an answer that may still renew the lease or acknowledge ends; while the
     /// worker does not answer, later ones do neither.
     fn log_unanswered_poll(&self, poll: Poll, now: MonotonicMs) {
-        if poll.lease_until_ms.is_none() && poll.acknowledged_up_to == 0 {
+        if poll.asks_until.is_none() && poll.acknowledged_up_to == 0 {
             return;
         }
         log::info!(
@@ -282,9 +283,9 @@
             born_ms = self.started_ms,
             sent_ago_ms = now.since_ms(poll.sent_at),
             acknowledges = poll.acknowledged_up_to,
-            asks_until_ms:? = poll.lease_until_ms,
+            asks_until_ms:? = poll.asks_until.map(LeaseDeadline::clock_ms),
             clock_ms:? = self.clock.map(|clock| clock.estimated_ms(now)),
-            bound_ms = self.lease_until_ms;
+            bound_ms = self.lease_bound.clock_ms();
             "poll got no answer; it may still renew the lease or acknowledge ends"
         );
     }
