--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -75,6 +75,7 @@
             token: worker.token(),
             sent_at: now,
             acknowledged_up_to,
+            asks_until: deadline,
             holds_starts: acknowledged_up_to > 0 || worker.is_acknowledgement_overdue(now),
         });
         worker.start_calls.on_poll_sent();
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -8,7 +8,7 @@
 
 use super::clock::WorkerClock;
 use super::fencing_token::FencingToken;
-use super::lease_bound::LeaseBound;
+use super::lease_bound::{LeaseBound, LeaseDeadline};
 use super::load::DEFAULT_SERVING_USE_PERMILLE;
 use super::run::Run;
 use super::start_calls::StartCalls;
@@ -43,6 +43,8 @@
     pub(crate) sent_at: MonotonicMs,
     /// The number up to which it acknowledges ends; 0 if it acknowledges none.
     pub(crate) acknowledged_up_to: u64,
+    /// The deadline that it asks for, if it renews the lease.
+    pub(super) asks_until: Option<LeaseDeadline>,
     /// Whether starts wait for its answer.
     pub(crate) holds_starts: bool,
 }
@@ -262,11 +264,32 @@
     /// Handles a poll that was not answered and may still take effect.
     pub(super) fn on_unanswered_poll(&mut self, poll: Poll, now: MonotonicMs) {
         self.unanswered_polls += 1;
+        self.log_unanswered_poll(poll, now);
         if poll.acknowledged_up_to > 0 {
             self.fence_acknowledgement(now);
         }
     }
 
+    /// Logs a poll without an answer that may still renew the lease or acknowledge ends; while the
+    /// worker does not answer, later ones do neither.
+    fn log_unanswered_poll(&self, poll: Poll, now: MonotonicMs) {
+        if poll.asks_until.is_none() && poll.acknowledged_up_to == 0 {
+            return;
+        }
+        log::info!(
+            worker:% = self.id,
+            epoch = self.epoch.0,
+            token = poll.token.value(),
+            born_ms = self.started_ms,
+            sent_ago_ms = now.since_ms(poll.sent_at),
+            acknowledges = poll.acknowledged_up_to,
+            asks_until_ms:? = poll.asks_until.map(LeaseDeadline::clock_ms),
+            clock_ms:? = self.clock.map(|clock| clock.estimated_ms(now)),
+            bound_ms = self.lease_bound.clock_ms();
+            "poll got no answer; it may still renew the lease or acknowledge ends"
+        );
+    }
+
     /// Returns whether another worker has probably taken its place: one answers at its address,
     /// and the watch of the workers, which last reported at `reported_at`, knows no new address. The
     /// answer may come over a path of before, so its runs may go on until their lease ends.
