--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -10,6 +10,7 @@
 mod expiry;
 mod fencing_token;
 mod filler_pace;
+mod filler_use;
 mod isolation;
 mod lateness;
 mod leases;
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -33,6 +33,7 @@
         let max_share_before = max_share(self);
         self.learn_interference(context, name);
         self.log_over_target(context.moment, name);
+        self.log_filler_use(context.moment, name);
         match max_share(self) < max_share_before {
             true => self.set_paces(context, name, out),
             false => self.set_paces_if_due(context, name, out),
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -144,6 +144,8 @@
     pub(super) pace_limit: PaceLimit,
     /// When it was last logged that a task is over its target beside fillers that work.
     pub(super) over_target_logged_at: MonotonicMs,
+    /// When its use by fillers was last logged.
+    pub(super) filler_use_logged_at: MonotonicMs,
     /// When the pace of fillers was last changed.
     pub(crate) paced_at: MonotonicMs,
     /// The part of their reservation that its tasks with a latency target use, in
@@ -200,6 +202,7 @@
             over_target_since: None,
             pace_limit: PaceLimit::default(),
             over_target_logged_at: MonotonicMs::default(),
+            filler_use_logged_at: MonotonicMs::default(),
             paced_at: now,
             serving_use_permille: DEFAULT_SERVING_USE_PERMILLE,
         }
