--- a/crates/turmericfold-fleet/src/workers/load.rs
+++ b/crates/turmericfold-fleet/src/workers/load.rs
@@ -98,7 +98,11 @@
 
     /// Returns the slack that the fillers on the worker would take at full pace from a task
     /// of the image `serving`.
-    pub(super) fn wanted_slack(&self, interference: &InterferenceModel, serving: &EcoString) -> f64 {
+    pub(super) fn wanted_slack(
+        &self,
+        interference: &InterferenceModel,
+        serving: &EcoString,
+    ) -> f64 {
         let capacity_millicores = self.entry.capacity.cpu_millicores.max(1) as f64;
         let fillers = self
             .runs
