Carry late calls of the process soak out in the next life

The platform's workers take such calls 2 to 12 s late, also in their next life under the same name, after newer calls, and when their sender is dead.

A worker that has left for good drops them, as the next one at its address has another name. Runs that a late call started count as all others do; the record shows when the call arrived. Each worker writes a log of its lives, of the calls that it carries out and of the ends of its runs.

--- a/tests/src/process_fleet/mod.rs
+++ b/tests/src/process_fleet/mod.rs
@@ -26,6 +26,7 @@
 mod worker;
 mod worker_faults;
 mod worker_life;
+mod worker_log;
 mod worker_messages;
 mod worker_scripts;
 mod worker_state;
@@ -61,6 +62,7 @@
 use store::{FleetStore, serve_store};
 use worker::FleetWorker;
 use worker_life::HEARTBEAT_MS;
+use worker_log::WorkerLog;
 
 /// The interval at which the workers end runs whose time has come, in milliseconds.
 const WORKER_STEP_MS: u64 = 10;
@@ -122,7 +124,7 @@
             links: Vec::new(),
             servers: JoinSet::new(),
         };
-        fleet.add_workers(&store, absent).await;
+        fleet.add_workers(&store, absent, folder).await;
         fleet.add_processes(program, folder);
         fleet.connect(&store).await;
         for process in &mut fleet.processes {
@@ -211,12 +213,14 @@
         self.servers.shutdown().await;
     }
 
-    async fn add_workers(&mut self, store: &Arc<FleetStore>, absent: &[usize]) {
+    async fn add_workers(&mut self, store: &Arc<FleetStore>, absent: &[usize], folder: &Path) {
         for (number, domain) in self.layout.worker_domains().into_iter().enumerate() {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
             let zone = zone(domain);
-            let worker = FleetWorker::new(number, zone, address, self.clock, self.record.clone());
+            let log = WorkerLog::create(folder, number);
+            let record = self.record.clone();
+            let worker = FleetWorker::new(number, zone, address, self.clock, record, log);
             if absent.contains(&number) {
                 worker.leave(None);
                 self.network.refuse(&self.paths_of_worker(number));
--- a/tests/src/process_fleet/run_record.rs
+++ b/tests/src/process_fleet/run_record.rs
@@ -19,6 +19,8 @@
     pub starter: Place,
     /// The fencing token of that call.
     pub token: u64,
+    /// When that call arrived, which is earlier than the start if it was carried out late.
+    pub received_at: MonotonicMs,
     /// When it started.
     pub started_at: MonotonicMs,
     /// When and how it ended, if it has; a crash of the worker counts as lapsed.
@@ -149,13 +151,14 @@
             worker,
             starter,
             token,
+            received_at,
             started_at,
             ..
         } = self;
         write!(
             formatter,
-            "run {} on worker {worker} through {starter:?}, token {token}: start {}",
-            run.number.0, started_at.0
+            "run {} on worker {worker} through {starter:?}, token {token}, call {}: start {}",
+            run.number.0, received_at.0, started_at.0
         )?;
         match self.ended {
             Some((at, end)) => write!(formatter, ", end {} {end:?}", at.0)?,
--- a/tests/src/process_fleet/worker.rs
+++ b/tests/src/process_fleet/worker.rs
@@ -1,5 +1,6 @@
 //! A worker of the fleet, and its HTTP interface.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -17,12 +18,12 @@
 use super::fleet_clock::FleetClock;
 use super::http_service::{NoAnswer, Served, ServedRequest};
 use super::layout::process_at;
-use super::network::Place;
 use super::run_record::{RecordedRun, RunRecord};
+use super::worker_log::WorkerLog;
 use super::worker_messages::{
     Hold, RunStart, RunStop, WorkerCall, answer, finished_row, running_row,
 };
-use super::worker_state::{LateCall, WorkerState};
+use super::worker_state::{LateCall, ReceivedCall, WorkerState};
 
 /// How long a run takes to stop, in milliseconds.
 const STOP_MS: u64 = 100;
@@ -48,6 +49,7 @@
     record: Arc<Mutex<RunRecord>>,
     state: Mutex<WorkerState>,
     has_ended_runs: Notify,
+    log: WorkerLog,
 }
 
 impl FleetWorker {
@@ -58,6 +60,7 @@
         address: SocketAddr,
         clock: FleetClock,
         record: Arc<Mutex<RunRecord>>,
+        log: WorkerLog,
     ) -> Self {
         let capacity = Resources {
             cpu_millicores: CPU_MILLICORES,
@@ -78,8 +81,8 @@
             own_clock,
             record,
             state: Mutex::new(WorkerState::new(model)),
-
             has_ended_runs: Notify::new(),
+            log,
         }
     }
 
@@ -102,7 +105,7 @@
         };
         for late in due {
             // Its sender does not learn of the answer.
-            let _ = self.carry_out_at_once(late.client, &late.call);
+            let _ = self.carry_out_at_once(&late.received);
         }
     }
 
@@ -135,53 +138,55 @@
             }
             state.treatment()
         };
-        let call = WorkerCall::decode(parts.uri.path(), body)?;
+        let received_at = self.clock.now();
+        let received = ReceivedCall {
+            received_at,
+            sender: process_at(client.ip()),
+            call: WorkerCall::decode(parts.uri.path(), body)?,
+        };
         match treatment {
-            Treatment::Prompt => self.carry_out(client, call).await,
+            Treatment::Prompt => self.carry_out(&received).await,
             Treatment::Late(delay_ms, silence) => {
-                let due_at = self.clock.now() + delay_ms;
-                let late = LateCall {
-                    due_at,
-                    client,
-                    call,
-                };
+                let due_at = received_at + delay_ms;
+                let late = LateCall { due_at, received };
                 self.lock().late_calls.push(late);
                 stay_silent(silence).await
             }
             Treatment::AnswerLost(silence) => {
                 // The sender does not learn of the answer.
-                let _ = self.carry_out(client, call).await;
+                let _ = self.carry_out(&received).await;
                 stay_silent(silence).await
             }
         }
     }
 
-    async fn carry_out(&self, client: SocketAddr, call: WorkerCall) -> Served {
-        match call {
-            WorkerCall::Poll(message) => self.poll(&message).await,
-            call => self.carry_out_at_once(client, &call),
+    async fn carry_out(&self, received: &ReceivedCall) -> Served {
+        match &received.call {
+            WorkerCall::Poll(message) => self.poll(received, message).await,
+            _ => self.carry_out_at_once(received),
         }
     }
 
     /// Carries out a call; a poll does not wait for an end.
-    fn carry_out_at_once(&self, client: SocketAddr, call: &WorkerCall) -> Served {
-        match call {
-            WorkerCall::Start(message) => self.start(client, message),
-            WorkerCall::Stop(message) => self.stop(message),
-            WorkerCall::Poll(message) => poll_answer(&self.poll_once(&message.call())?),
+    fn carry_out_at_once(&self, received: &ReceivedCall) -> Served {
+        match &received.call {
+            WorkerCall::Start(message) => self.start(received, message),
+            WorkerCall::Stop(message) => self.stop(received, message),
+            WorkerCall::Poll(message) => poll_answer(&self.poll_once(received, &message.call())?),
             WorkerCall::Pace => answer(StatusCode::OK, &json!({})),
         }
     }
 
-    fn start(&self, client: SocketAddr, message: &RunStart) -> Served {
+    fn start(&self, received: &ReceivedCall, message: &RunStart) -> Served {
         let mut state = self.lock();
         let now = self.advance_state(&mut state);
         let call = message.call();
         let reply = state.model.start(now, &call, message.behaviour());
         let has_started = |event: &WorkerEvent| matches!(event, WorkerEvent::Started { .. });
         if state.model.take_events().iter().any(has_started) {
-            self.record_start(call.run, process_at(client.ip()), call.token);
+            self.record_start(call.run, call.token, received);
         }
+        self.log_call(received, &state, now, format_args!("{reply:?}"));
         let (status, reason) = match reply {
             StartReply::Started { .. } => (StatusCode::OK, ""),
             StartReply::Fenced => (StatusCode::CONFLICT, "fence"),
@@ -194,11 +199,12 @@
         answer(status, &json!({"clock_ms": clock_ms, "reason": reason}))
     }
 
-    fn stop(&self, message: &RunStop) -> Served {
+    fn stop(&self, received: &ReceivedCall, message: &RunStop) -> Served {
         let mut state = self.lock();
         let now = self.advance_state(&mut state);
         let is_stopped = state.model.stop(now, &message.call());
         self.record_events(&mut state);
+        self.log_call(received, &state, now, format_args!("taken: {is_stopped}"));
         let clock_ms = clock_ms(&state, now);
         match is_stopped {
             true => answer(StatusCode::OK, &json!({"clock_ms": clock_ms})),
@@ -209,12 +215,12 @@
         }
     }
 
-    async fn poll(&self, message: &Hold) -> Served {
+    async fn poll(&self, received: &ReceivedCall, message: &Hold) -> Served {
         let call = message.call();
         let deadline = Instant::now() + Duration::from_millis(call.wait_ms);
         loop {
             let changed = self.has_ended_runs.notified();
-            match self.poll_once(&call)? {
+            match self.poll_once(received, &call)? {
                 PollReply::Runs { ref finished, .. }
                     if finished.is_empty() && Instant::now() < deadline => {}
                 reply => return poll_answer(&reply),
@@ -224,7 +230,7 @@
         }
     }
 
-    fn poll_once(&self, call: &PollCall) -> Result<PollReply, NoAnswer> {
+    fn poll_once(&self, received: &ReceivedCall, call: &PollCall) -> Result<PollReply, NoAnswer> {
         let mut state = self.lock();
         if !state.is_up() {
             return Err(NoAnswer);
@@ -232,6 +238,7 @@
         let now = self.advance_state(&mut state);
         let reply = state.model.poll(now, call);
         self.record_events(&mut state);
+        self.log_call(received, &state, now, format_args!("{}", listed(&reply)));
         Ok(reply)
     }
 
@@ -246,13 +253,14 @@
         now
     }
 
-    fn record_start(&self, run: RunKey, starter: Place, token: u64) {
+    fn record_start(&self, run: RunKey, token: u64, received: &ReceivedCall) {
         let mut record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
         record.on_started(RecordedRun {
             run,
             worker: self.number,
-            starter,
+            starter: received.sender,
             token,
+            received_at: received.received_at,
             started_at: self.clock.now(),
             ended: None,
             noted_at: None,
@@ -269,6 +277,8 @@
         for event in events {
             match event {
                 WorkerEvent::Ended { run, end } => {
+                    let (task, number) = (run.task, run.number.0);
+                    self.log_line(format_args!("{task} run {number} has ended: {end:?}"));
                     record.on_ended(self.number, run, now, end);
                     self.has_ended_runs.notify_waiters();
                 }
@@ -282,6 +292,34 @@
         }
     }
 
+    /// Writes a line into the log of the worker.
+    pub(super) fn log_line(&self, line: fmt::Arguments<'_>) {
+        self.log.write(self.clock.now(), line);
+    }
+
+    fn log_call(
+        &self,
+        received: &ReceivedCall,
+        state: &WorkerState,
+        now: MonotonicMs,
+        reply: fmt::Arguments<'_>,
+    ) {
+        let ReceivedCall {
+            received_at,
+            sender,
+            call,
+        } = received;
+        let (at, clock_ms) = (received_at.0, clock_ms(state, now));
+        self.log_line(format_args!(
+            "clock {clock_ms}, from {sender:?} at {at}: {call}: {reply}"
+        ));
+    }
+
+    /// Returns the name of the worker that is at the address.
+    pub(super) fn name(&self) -> String {
+        self.id(&self.lock())
+    }
+
     /// Returns the name of the worker.
     pub(super) fn id(&self, state: &WorkerState) -> String {
         format!("i-{:04}-{}", self.number, state.predecessors)
@@ -297,6 +335,16 @@
     (now.0 + 1).saturating_sub(state.model.started_ms())
 }
 
+/// Returns how many runs a poll lists.
+fn listed(reply: &PollReply) -> String {
+    match reply {
+        PollReply::Runs {
+            running, finished, ..
+        } => format!("{} in progress, {} ended", running.len(), finished.len()),
+        reply => format!("{reply:?}"),
+    }
+}
+
 fn poll_answer(reply: &PollReply) -> Served {
     let PollReply::Runs {
         clock_ms,
--- a/tests/src/process_fleet/worker_life.rs
+++ b/tests/src/process_fleet/worker_life.rs
@@ -22,6 +22,7 @@
         let mut state = self.lock();
         if state.is_up() {
             self.end_life(&mut state, Presence::Crashed);
+            self.log_line(format_args!("crashed"));
         }
     }
 
@@ -46,6 +47,8 @@
         let mut state = self.lock();
         let lease = state.registration;
         self.end_life(&mut state, Presence::Left);
+        state.late_calls.clear();
+        self.log_line(format_args!("left"));
         if let (Some(store), Some(lease)) = (store, lease) {
             store.call(StoreCall::RevokeLease { lease });
         }
@@ -92,6 +95,8 @@
         state.lapsed_at = None;
         state.leaves_at = None;
         state.presence = Presence::Up;
+        let id = self.id(state);
+        self.log_line(format_args!("a life of {id} begins"));
     }
 
     fn end_life(&self, state: &mut WorkerState, presence: Presence) {
@@ -100,7 +105,6 @@
         state.model.restart(now);
         state.presence = presence;
         state.registration = None;
-        state.late_calls.clear();
         self.record_events(state);
     }
 
--- a/tests/src/process_fleet/worker_messages.rs
+++ b/tests/src/process_fleet/worker_messages.rs
@@ -1,5 +1,7 @@
 //! The messages of the workers' HTTP interface.
 
+use std::fmt;
+
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use serde::Deserialize;
@@ -123,6 +125,35 @@
     }
 }
 
+impl fmt::Display for WorkerCall {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Start(start) => {
+                let call = start.call();
+                write!(
+                    formatter,
+                    "start {} run {}, token {}, deadline {}",
+                    call.run.task, call.run.number.0, call.token, call.lease_until_ms
+                )
+            }
+            Self::Stop(stop) => {
+                let StopCall { run, token, .. } = stop.call();
+                let number = run.number.0;
+                write!(formatter, "stop {} run {number}, token {token}", run.task)
+            }
+            Self::Poll(hold) => {
+                let call = hold.call();
+                write!(
+                    formatter,
+                    "poll, token {}, deadline {:?}, acknowledged {}",
+                    call.token, call.lease_until_ms, call.acknowledged_up_to
+                )
+            }
+            Self::Pace => write!(formatter, "pace"),
+        }
+    }
+}
+
 fn decode<Call>(body: Value) -> Result<Call, NoAnswer>
 where
     Call: serde::de::DeserializeOwned,
--- a/tests/src/process_fleet/worker_state.rs
+++ b/tests/src/process_fleet/worker_state.rs
@@ -1,23 +1,31 @@
 //! The state of a worker of the fleet.
 
-use std::net::SocketAddr;
-
 use turmericfold_platform::LeaseId;
 use turmericfold_standin::TaskWorkerModel;
 use turmericfold_types::MonotonicMs;
 
 use super::call_faults::{CallFaults, Treatment};
+use super::network::Place;
 use super::worker_messages::WorkerCall;
 
-/// A call that a worker will carry out later.
+/// A call that has reached a worker.
+#[derive(Debug)]
+pub(super) struct ReceivedCall {
+    /// When it arrived.
+    pub(super) received_at: MonotonicMs,
+    /// From where it came.
+    pub(super) sender: Place,
+    /// The call.
+    pub(super) call: WorkerCall,
+}
+
+/// A call that a worker will carry out later, in its next life if it crashes before.
 #[derive(Debug)]
 pub(super) struct LateCall {
-    /// When it is carried out.
+    /// When it is carried out; while the worker is down, it waits.
     pub(super) due_at: MonotonicMs,
-    /// The address of its sender.
-    pub(super) client: SocketAddr,
     /// The call.
-    pub(super) call: WorkerCall,
+    pub(super) received: ReceivedCall,
 }
 
 /// Whether a worker runs.
@@ -85,8 +93,11 @@
         faults.map_or(Treatment::Prompt, CallFaults::draw)
     }
 
-    /// Removes and returns the late calls whose time has come.
+    /// Removes and returns the late calls whose time has come; while the worker is down, none.
     pub(super) fn take_due_calls(&mut self, now: MonotonicMs) -> Vec<LateCall> {
+        if !self.is_up() {
+            return Vec::new();
+        }
         let is_due = |late: &mut LateCall| late.due_at <= now;
         self.late_calls.extract_if(.., is_due).collect()
     }
