Add scripts of restarts that are soon followed by cuts

Cause: restarts, cuts and deaths of owners came one at a time in the process soak.

Change: `recut` crashes all workers of a domain, which are back under their names after 0.6 s and cut off 2.6 s after the crash for 9 s, three times in series; 30% of all calls are late and some answers are lost, while tasks of up to 12 s run. `recut-kill` also kills the process that owns most of these workers 0.6 s before each cut. `recut-mixed` draws such restarts, cuts and kills, and outages of the store, which overlap.

--- a/tests/src/process_fleet/fault_planner.rs
+++ b/tests/src/process_fleet/fault_planner.rs
@@ -66,6 +66,11 @@
         Self { rng, layout, plan }
     }
 
+    /// Returns when the last fault ends, in milliseconds.
+    pub(super) fn end_ms(&self) -> u64 {
+        self.plan.end_ms()
+    }
+
     /// Returns the planned faults.
     pub(super) fn finish(self) -> FaultPlan {
         self.plan
@@ -108,10 +113,29 @@
     /// Lets a worker crash and start again under its name.
     pub(super) fn crash(&mut self, worker: usize, from_ms: u64) {
         let down_ms = self.rng.random_range(100..2_500);
+        self.crash_for(worker, from_ms, down_ms);
+    }
+
+    /// Lets a worker crash, and start again under its name after `down_ms`.
+    pub(super) fn crash_for(&mut self, worker: usize, from_ms: u64, down_ms: u64) {
         let name = format!("worker {worker} crashed");
         self.add(name, Fault::CrashWorker(worker), from_ms, down_ms);
     }
 
+    /// Kills the process that owns most of these workers, and starts it again after `down_ms`.
+    pub(super) fn kill_owner(&mut self, workers: &[usize], from_ms: u64, down_ms: u64) {
+        let name = format!("owner of workers {workers:?} killed");
+        let fault = Fault::KillOwner(workers.to_vec());
+        self.add(name, fault, from_ms, down_ms);
+    }
+
+    /// Lets the store answer no process.
+    pub(super) fn silence_store(&mut self, from_ms: u64) {
+        let cut = between(&processes(self.layout), &[Place::Store]);
+        let outage_ms = self.rng.random_range(1_000..10_000);
+        self.add("store silent".into(), Fault::Hold(cut), from_ms, outage_ms);
+    }
+
     /// Disturbs the calls to a worker.
     pub(super) fn disturb_calls(&mut self, worker: usize, from_ms: u64, kind: CallFaultKind) {
         let fault = Fault::DisturbCalls(worker, kind, self.rng.random());
@@ -196,7 +220,14 @@
         self.add(name, fault, from_ms, remaining_ms);
     }
 
-    fn add_worker_cut(&mut self, worker: usize, from_ms: u64, cut_ms: u64, kind: CutKind) {
+    /// Cuts a worker off from everything for `cut_ms`.
+    pub(super) fn add_worker_cut(
+        &mut self,
+        worker: usize,
+        from_ms: u64,
+        cut_ms: u64,
+        kind: CutKind,
+    ) {
         let mut others = processes(self.layout);
         others.push(Place::Store);
         let cut = between(&[Place::Worker(worker)], &others);
@@ -204,7 +235,8 @@
         self.add(name, kind.fault(cut), from_ms, cut_ms);
     }
 
-    fn add(&mut self, name: String, fault: Fault, from_ms: u64, lasts_ms: u64) {
+    /// Adds a fault.
+    pub(super) fn add(&mut self, name: String, fault: Fault, from_ms: u64, lasts_ms: u64) {
         let until_ms = from_ms + lasts_ms;
         self.plan.faults.push(PlannedFault {
             name,
--- a/tests/src/process_fleet/faults.rs
+++ b/tests/src/process_fleet/faults.rs
@@ -19,6 +19,8 @@
     Suspend(usize),
     /// A process is killed and started again.
     Kill(usize),
+    /// The process that owns most of these workers is killed and started again.
+    KillOwner(Vec<usize>),
     /// A process is told to stop and started again.
     Terminate(usize),
     /// A worker crashes and starts again under the name that it had.
@@ -90,6 +92,7 @@
             Self::Delay(directions, delay_ms) => fleet.network().delay(directions, *delay_ms),
             Self::Suspend(process) => fleet.suspend(*process),
             Self::Kill(process) => fleet.kill(*process),
+            Self::KillOwner(workers) => fleet.kill_owner(workers),
             Self::Terminate(process) => fleet.terminate(*process),
             Self::CrashWorker(worker) => fleet.crash_worker(*worker),
             Self::DrainWorker(worker, remaining_ms) => fleet.drain_worker(*worker, *remaining_ms),
@@ -112,6 +115,7 @@
             Self::Delay(directions, _) => fleet.network().delay(directions, 0),
             Self::Suspend(process) => fleet.resume(*process),
             Self::Kill(process) => fleet.start_again(*process),
+            Self::KillOwner(workers) => fleet.start_owner_again(workers),
             Self::Terminate(process) => {
                 fleet.kill(*process);
                 fleet.start_again(*process);
--- a/tests/src/process_fleet/layout.rs
+++ b/tests/src/process_fleet/layout.rs
@@ -73,6 +73,14 @@
         })
     }
 
+    /// Returns the numbers of the workers of a domain.
+    pub(super) fn workers_of(&self, domain: usize) -> Vec<usize> {
+        let domains = self.worker_domains();
+        (0..domains.len())
+            .filter(|worker| domains[*worker] == domain)
+            .collect()
+    }
+
     fn spread<Count>(&self, count: Count) -> Vec<usize>
     where
         Count: Fn(&DomainSize) -> usize,
--- a/tests/src/process_fleet/load.rs
+++ b/tests/src/process_fleet/load.rs
@@ -15,6 +15,10 @@
 /// How long the tasks of the first jobs work, in milliseconds.
 const LONG_WORK_MS: u64 = 20_000;
 
+/// How long the tasks of the first jobs work where a third of the jobs work long, in
+/// milliseconds.
+const MEDIUM_WORK_MS: u64 = 12_000;
+
 /// The jobs that are submitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Load {
@@ -22,6 +26,8 @@
     Partial,
     /// Jobs that take all workers, and fillers, with faults from the start.
     Full,
+    /// Jobs of which a third work long, and some last, with faults from the start.
+    Long,
 }
 
 impl Load {
@@ -30,6 +36,7 @@
         match self {
             Self::Partial => 30,
             Self::Full => 50,
+            Self::Long => 30,
         }
     }
 
@@ -37,7 +44,7 @@
     fn interval_ms(self) -> u64 {
         match self {
             Self::Partial => 250,
-            Self::Full => 200,
+            Self::Full | Self::Long => 200,
         }
     }
 
@@ -48,6 +55,9 @@
             (Self::Full, 4) => JobKind::Filler {
                 work_ms: LONG_WORK_MS,
             },
+            (Self::Long, _) => JobKind::Work {
+                work_ms: MEDIUM_WORK_MS,
+            },
             _ => JobKind::Work {
                 work_ms: LONG_WORK_MS,
             },
@@ -57,6 +67,12 @@
     /// Draws what the tasks of a later job do.
     fn later_kind(self, rng: &mut StdRng) -> JobKind {
         match (self, rng.random_range(0..10)) {
+            (Self::Long, 0..=3) => JobKind::Work {
+                work_ms: rng.random_range(8_000..=MEDIUM_WORK_MS),
+            },
+            (Self::Long, 4..=8) => JobKind::Work {
+                work_ms: rng.random_range(500..4_000),
+            },
             (_, 0..=3) => JobKind::Work { work_ms: 800 },
             (_, 4..=5) | (Self::Partial, 6) => JobKind::Work { work_ms: 2_000 },
             (Self::Full, 6) => JobKind::Filler {
--- a/tests/src/process_fleet/mod.rs
+++ b/tests/src/process_fleet/mod.rs
@@ -18,6 +18,7 @@
 mod load;
 mod network;
 mod process;
+mod recut_scripts;
 mod reserved_port;
 mod run_record;
 mod scenario;
@@ -91,6 +92,8 @@
     store: Arc<FleetStore>,
     processes: Vec<EntryProcess>,
     workers: Vec<Arc<FleetWorker>>,
+    /// The processes that were killed as owners of workers, with these workers.
+    killed_owners: Vec<(Vec<usize>, usize)>,
     record: Arc<Mutex<RunRecord>>,
     links: Vec<Link>,
     servers: JoinSet<()>,
@@ -120,6 +123,7 @@
             store: store.clone(),
             processes: Vec::new(),
             workers: Vec::new(),
+            killed_owners: Vec::new(),
             record: Arc::default(),
             links: Vec::new(),
             servers: JoinSet::new(),
--- a/tests/src/process_fleet/process.rs
+++ b/tests/src/process_fleet/process.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Returns the name of the process.
+    pub(super) fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Returns the address for callers.
     pub(super) fn front(&self) -> SocketAddr {
         SocketAddr::new(self.ip, FRONT_PORT)
--- a/tests/src/process_fleet/scenario.rs
+++ b/tests/src/process_fleet/scenario.rs
@@ -58,9 +58,9 @@
             Load::Partial => {
                 accepted_jobs = submit_first(self.load, callers.clone(), &mut rng).await;
             }
-            Load::Full => {
+            load @ (Load::Full | Load::Long) => {
                 let (callers, mut rng) = (callers.clone(), StdRng::from_rng(&mut rng));
-                let first = async move { submit_first(Load::Full, callers, &mut rng).await };
+                let first = async move { submit_first(load, callers, &mut rng).await };
                 submissions.spawn(first);
             }
         }
--- a/tests/src/process_fleet/scripted.rs
+++ b/tests/src/process_fleet/scripted.rs
@@ -9,6 +9,7 @@
 use super::layout::FleetLayout;
 use super::load::Load;
 use super::network::{Place, between};
+use super::recut_scripts::{self, Owners};
 use super::worker_scripts;
 
 /// When the first fault begins, in milliseconds after the first jobs were accepted.
@@ -37,6 +38,13 @@
     LeaveReturn,
     /// Calls to workers are carried out late, or their answers are lost.
     LateCalls,
+    /// All workers of a domain start again and are cut off soon after, while calls are late.
+    Recut,
+    /// The same, and the process that owns most of them is killed before each cut.
+    RecutKill,
+    /// Drawn restarts and cuts of workers, kills of their owners, and outages of the store, while
+    /// calls are late.
+    RecutMixed,
     /// Drawn faults of all kinds, also of workers, from the start.
     All,
 }
@@ -44,7 +52,7 @@
 /// The name of a script is not known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error(
-    "expected mixed, domain-cut, outage-at-heal, two-cuts, restart-in-cut, drain-cut, misroute, leave-return, late-calls or all"
+    "expected mixed, domain-cut, outage-at-heal, two-cuts, restart-in-cut, drain-cut, misroute, leave-return, late-calls, recut, recut-kill, recut-mixed or all"
 )]
 pub struct UnknownScript;
 
@@ -62,6 +70,9 @@
             "misroute" => Ok(Self::Misroute),
             "leave-return" => Ok(Self::LeaveReturn),
             "late-calls" => Ok(Self::LateCalls),
+            "recut" => Ok(Self::Recut),
+            "recut-kill" => Ok(Self::RecutKill),
+            "recut-mixed" => Ok(Self::RecutMixed),
             "all" => Ok(Self::All),
             _ => Err(UnknownScript),
         }
@@ -73,6 +84,7 @@
     pub fn load(self) -> Load {
         match self {
             Self::LeaveReturn | Self::LateCalls | Self::All => Load::Full,
+            Self::Recut | Self::RecutKill | Self::RecutMixed => Load::Long,
             _ => Load::Partial,
         }
     }
@@ -119,6 +131,13 @@
             Self::Misroute => return worker_scripts::misroutes(&mut rng, layout, faults_ms),
             Self::LeaveReturn => return worker_scripts::departures(&mut rng, layout, faults_ms),
             Self::LateCalls => return worker_scripts::late_calls(&mut rng, layout, faults_ms),
+            Self::Recut => {
+                return recut_scripts::recuts(&mut rng, layout, faults_ms, Owners::RunOn);
+            }
+            Self::RecutKill => {
+                return recut_scripts::recuts(&mut rng, layout, faults_ms, Owners::Killed);
+            }
+            Self::RecutMixed => return recut_scripts::mixed_recuts(&mut rng, layout, faults_ms),
             Self::All => return worker_scripts::all_kinds(&mut rng, layout, faults_ms),
         };
         FaultPlan {
--- a/tests/src/process_fleet/worker_faults.rs
+++ b/tests/src/process_fleet/worker_faults.rs
@@ -1,5 +1,10 @@
 //! Crashes and departures of the workers of a fleet, and faults of calls to them.
 
+use ecow::eco_format;
+use turmericfold_fleet::Owner;
+use turmericfold_fleet::keys::FLEET_PREFIX;
+use turmericfold_platform::{StoreCall, StoreReply};
+
 use super::ProcessFleet;
 use super::call_faults::{CallFaultKind, CallFaults};
 use super::network::{Direction, Place, between};
@@ -16,6 +21,25 @@
         self.workers[worker].start_again();
     }
 
+    /// Kills the process that owns most of these workers.
+    pub fn kill_owner(&mut self, workers: &[usize]) {
+        let Some(process) = self.owner_of_most(workers) else {
+            return;
+        };
+        self.kill(process);
+        self.killed_owners.push((workers.to_vec(), process));
+    }
+
+    /// Starts the process again that [`Self::kill_owner`] has killed.
+    pub fn start_owner_again(&mut self, workers: &[usize]) {
+        let mut killed = self.killed_owners.iter();
+        let Some(found) = killed.position(|(owned, _)| owned == workers) else {
+            return;
+        };
+        let (_, process) = self.killed_owners.remove(found);
+        self.start_again(process);
+    }
+
     /// Lets a worker say that it is draining, and will leave in `remaining_ms` at the earliest.
     pub fn drain_worker(&self, worker: usize, remaining_ms: u64) {
         self.workers[worker].drain(remaining_ms);
@@ -59,6 +83,31 @@
         self.workers[worker].set_misrouted(false);
     }
 
+    fn owner_of_most(&self, workers: &[usize]) -> Option<usize> {
+        let mut owned = vec![0; self.processes.len()];
+        for worker in workers {
+            if let Some(owner) = self.owner_of(*worker) {
+                owned[owner] += 1;
+            }
+        }
+        let most = owned.iter().copied().max().filter(|most| *most > 0)?;
+        owned.iter().position(|count| *count == most)
+    }
+
+    /// Returns the process that owns a worker, as the store says.
+    fn owner_of(&self, worker: usize) -> Option<usize> {
+        let key = eco_format!(
+            "{FLEET_PREFIX}owners/workers/{}",
+            self.workers[worker].name()
+        );
+        let StoreReply::Value(Some(stored)) = self.store.call(StoreCall::Get { key }) else {
+            return None;
+        };
+        let owner: Owner = serde_json::from_str(&stored.value).unwrap();
+        let mut processes = self.processes.iter();
+        processes.position(|process| process.name() == owner.process.instance.as_str())
+    }
+
     fn reaches_store(&self, worker: usize) -> bool {
         let to_store = (Place::Worker(worker), Place::Store);
         self.network.is_open(to_store)
