Add a script of cuts that outlast the leases

Cause: a cut of 9 s after a restart ends before or soon after the lease that the owner reckons with, so a run that goes on past it shows only if the owner acts within some hundred milliseconds.

Change: `long-recut` cuts the restarted workers off for 13 s. The long tasks of these scripts all take 12 s.

--- a/tests/src/bin/turmericfold-process-soak.rs
+++ b/tests/src/bin/turmericfold-process-soak.rs
@@ -35,7 +35,7 @@
         .argument("P:W,..")
         .fallback("3:8,2:7,2:7".into());
     let script = long("script")
-        .help("Faults: mixed, domain-cut, outage-at-heal, two-cuts, restart-in-cut, drain-cut, misroute, leave-return, late-calls, recut, recut-kill, recut-mixed or all")
+        .help("Faults: mixed, domain-cut, outage-at-heal, two-cuts, restart-in-cut, drain-cut, misroute, leave-return, late-calls, recut, long-recut, recut-kill, recut-mixed or all")
         .argument("NAME")
         .fallback(Script::Mixed);
     let faults_ms = long("faults-ms")
--- a/tests/src/process_fleet/load.rs
+++ b/tests/src/process_fleet/load.rs
@@ -68,7 +68,7 @@
     fn later_kind(self, rng: &mut StdRng) -> JobKind {
         match (self, rng.random_range(0..10)) {
             (Self::Long, 0..=3) => JobKind::Work {
-                work_ms: rng.random_range(8_000..=MEDIUM_WORK_MS),
+                work_ms: MEDIUM_WORK_MS,
             },
             (Self::Long, 4..=8) => JobKind::Work {
                 work_ms: rng.random_range(500..4_000),
--- a/tests/src/process_fleet/recut_scripts.rs
+++ b/tests/src/process_fleet/recut_scripts.rs
@@ -15,8 +15,8 @@
 /// When the first workers crash, in milliseconds.
 const FIRST_CRASH_MS: u64 = 5_000;
 
-/// The time between two crashes of the workers of a domain, in milliseconds.
-const ROUND_MS: usize = 14_000;
+/// The time from the end of a cut to the next crash of the same workers, in milliseconds.
+const CALM_MS: u64 = 2_400;
 
 /// How long a worker is down after a crash, in milliseconds.
 const DOWN_MS: u64 = 600;
@@ -25,7 +25,10 @@
 const CUT_AFTER_MS: u64 = 2_600;
 
 /// How long a worker is cut off, in milliseconds.
-const CUT_MS: u64 = 9_000;
+pub(super) const CUT_MS: u64 = 9_000;
+
+/// How long a worker is cut off in a cut that outlasts its lease, in milliseconds.
+pub(super) const LONG_CUT_MS: u64 = 13_000;
 
 /// How long before the cut the owner of the workers is killed, in milliseconds.
 const KILL_BEFORE_CUT_MS: u64 = 600;
@@ -45,27 +48,29 @@
     Killed,
 }
 
-/// Returns rounds in which all workers of the first domain start again and are cut off; they
-/// begin for `faults_ms`.
+/// Returns rounds in which all workers of the first domain start again and are cut off for
+/// `cut_ms`; they begin for `faults_ms`.
 pub(super) fn recuts(
     rng: &mut StdRng,
     layout: &FleetLayout,
     faults_ms: u64,
+    cut_ms: u64,
     owners: Owners,
 ) -> FaultPlan {
     let workers = layout.workers_of(0);
-    let begins_ms = (FIRST_CRASH_MS..=FIRST_CRASH_MS + faults_ms).step_by(ROUND_MS);
     let mut planner = FaultPlanner::new(rng, layout);
-    for from_ms in begins_ms {
+    let mut from_ms = FIRST_CRASH_MS;
+    while from_ms <= FIRST_CRASH_MS + faults_ms {
         let cut_from_ms = from_ms + CUT_AFTER_MS;
         let kind = CutKind::draw(planner.rng);
         for worker in &workers {
             planner.crash_for(*worker, from_ms, DOWN_MS);
-            planner.add_worker_cut(*worker, cut_from_ms, CUT_MS, kind);
+            planner.add_worker_cut(*worker, cut_from_ms, cut_ms, kind);
         }
         if owners == Owners::Killed {
             planner.kill_owner(&workers, cut_from_ms - KILL_BEFORE_CUT_MS, KILLED_MS);
         }
+        from_ms = cut_from_ms + cut_ms + CALM_MS;
     }
     disturb_all_calls(&mut planner, layout);
     planner.finish()
--- a/tests/src/process_fleet/scripted.rs
+++ b/tests/src/process_fleet/scripted.rs
@@ -9,7 +9,7 @@
 use super::layout::FleetLayout;
 use super::load::Load;
 use super::network::{Place, between};
-use super::recut_scripts::{self, Owners};
+use super::recut_scripts::{CUT_MS, LONG_CUT_MS, Owners, mixed_recuts, recuts};
 use super::worker_scripts;
 
 /// When the first fault begins, in milliseconds after the first jobs were accepted.
@@ -40,7 +40,9 @@
     LateCalls,
     /// All workers of a domain start again and are cut off soon after, while calls are late.
     Recut,
-    /// The same, and the process that owns most of them is killed before each cut.
+    /// The same, with cuts that outlast the leases of the workers.
+    LongRecut,
+    /// As [`Self::Recut`], and the process that owns most of them is killed before each cut.
     RecutKill,
     /// Drawn restarts and cuts of workers, kills of their owners, and outages of the store, while
     /// calls are late.
@@ -52,7 +54,7 @@
 /// The name of a script is not known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error(
-    "expected mixed, domain-cut, outage-at-heal, two-cuts, restart-in-cut, drain-cut, misroute, leave-return, late-calls, recut, recut-kill, recut-mixed or all"
+    "expected mixed, domain-cut, outage-at-heal, two-cuts, restart-in-cut, drain-cut, misroute, leave-return, late-calls, recut, long-recut, recut-kill, recut-mixed or all"
 )]
 pub struct UnknownScript;
 
@@ -71,6 +73,7 @@
             "leave-return" => Ok(Self::LeaveReturn),
             "late-calls" => Ok(Self::LateCalls),
             "recut" => Ok(Self::Recut),
+            "long-recut" => Ok(Self::LongRecut),
             "recut-kill" => Ok(Self::RecutKill),
             "recut-mixed" => Ok(Self::RecutMixed),
             "all" => Ok(Self::All),
@@ -84,7 +87,7 @@
     pub fn load(self) -> Load {
         match self {
             Self::LeaveReturn | Self::LateCalls | Self::All => Load::Full,
-            Self::Recut | Self::RecutKill | Self::RecutMixed => Load::Long,
+            Self::Recut | Self::LongRecut | Self::RecutKill | Self::RecutMixed => Load::Long,
             _ => Load::Partial,
         }
     }
@@ -132,12 +135,15 @@
             Self::LeaveReturn => return worker_scripts::departures(&mut rng, layout, faults_ms),
             Self::LateCalls => return worker_scripts::late_calls(&mut rng, layout, faults_ms),
             Self::Recut => {
-                return recut_scripts::recuts(&mut rng, layout, faults_ms, Owners::RunOn);
+                return recuts(&mut rng, layout, faults_ms, CUT_MS, Owners::RunOn);
+            }
+            Self::LongRecut => {
+                return recuts(&mut rng, layout, faults_ms, LONG_CUT_MS, Owners::RunOn);
             }
             Self::RecutKill => {
-                return recut_scripts::recuts(&mut rng, layout, faults_ms, Owners::Killed);
+                return recuts(&mut rng, layout, faults_ms, CUT_MS, Owners::Killed);
             }
-            Self::RecutMixed => return recut_scripts::mixed_recuts(&mut rng, layout, faults_ms),
+            Self::RecutMixed => return mixed_recuts(&mut rng, layout, faults_ms),
             Self::All => return worker_scripts::all_kinds(&mut rng, layout, faults_ms),
         };
         FaultPlan {
