--- a/crates/turmericfold-fleet/src/workers/expiry.rs
+++ b/crates/turmericfold-fleet/src/workers/expiry.rs
@@ -70,7 +70,8 @@
             runs = worker.runs.len(),
             expired_ms = expired_ms,
             late_ms = late_ms,
-            silent_ms = silent_ms(context.moment, worker);
+            silent_ms = silent_ms(context.moment, worker),
+            lease:? = worker.lease_bound;
             "unresponsive worker counts as lost, as its lease has expired; ending its runs"
         );
         self.end_all(context, name, EndEvidence::LeaseExpired, out);
@@ -115,7 +116,8 @@
                 epoch = worker.epoch.0,
                 registered = worker.registered,
                 runs = worker.runs.len(),
-                silent_ms = silent_ms(context.moment, worker);
+                silent_ms = silent_ms(context.moment, worker),
+                lease:? = worker.lease_bound;
                 "lease of an unresponsive worker has expired; its runs are over, but tasks that they may have completed wait for its answer"
             ),
         }
@@ -153,7 +155,7 @@
     /// `None` if its clock is not known.
     pub(super) fn lease_left_ms(&self, now: MonotonicMs) -> Option<u64> {
         let clock = self.clock?;
-        let expired_at_ms = self.lease_until_ms + LEASE_EXPIRY_MARGIN_MS;
+        let expired_at_ms = self.lease_bound.clock_ms() + LEASE_EXPIRY_MARGIN_MS;
         Some(expired_at_ms.saturating_sub(clock.earliest_ms(now)))
     }
 }
@@ -171,7 +173,7 @@
         return (now > ended_at).then(|| now.since_ms(ended_at));
     };
     let clock_ms = clock.earliest_ms(now);
-    let expired_at_ms = worker.lease_until_ms + LEASE_EXPIRY_MARGIN_MS;
+    let expired_at_ms = worker.lease_bound.clock_ms() + LEASE_EXPIRY_MARGIN_MS;
     (clock_ms > expired_at_ms).then(|| clock_ms - expired_at_ms)
 }
 
