Reckon with the longest lease once another life has answered a start

Cause: the next life shortens that deadline to the longest lease, 10 s. Its owner reckoned with 5 s on the former clock. The clock in the answer shows another life; only acknowledgements asked for it.

Why it works: a clock that goes back, or is further ahead than a late answer explains, is of another life. The token rises, and until that life has answered under it the bound allows for late calls on the former clock (12 s) and the longest lease. slow_answers_prolong_nothing: a slow answer of the known life prolongs nothing.

--- a/crates/turmericfold-fleet/src/workers/clock.rs
+++ b/crates/turmericfold-fleet/src/workers/clock.rs
@@ -50,6 +50,14 @@
         earliest_ms > next_life_ms && (earliest_ms..=latest_ms).contains(&clock_ms)
     }
 
+    /// Returns whether `clock_ms`, in an answer that has arrived now, was certainly read in another
+    /// life of the worker: further before this reading, or further ahead of the estimate, than calls
+    /// that overtake each other explain.
+    pub(crate) fn is_of_other_life(&self, clock_ms: u64, now: MonotonicMs) -> bool {
+        let latest_ms = self.estimated_ms(now) + MAX_EARLIER_MS;
+        clock_ms + MAX_EARLIER_MS < self.read_ms || clock_ms > latest_ms
+    }
+
     /// Returns the deadline of a call that asks for a lease of `lease_ms`.
     pub(super) fn deadline(&self, now: MonotonicMs, lease_ms: u64) -> LeaseDeadline {
         LeaseDeadline::new(self.estimated_ms(now) + lease_ms)
--- a/crates/turmericfold-fleet/src/workers/owner.rs
+++ b/crates/turmericfold-fleet/src/workers/owner.rs
@@ -271,8 +271,9 @@
         match result {
             WorkerResult::Poll(result) => self.on_poll(context, name, call, result, out),
             WorkerResult::Start(result) => {
+                let leases = self.leases;
                 if let Some(worker) = self.worker_mut(name) {
-                    worker.settle_start(context.moment.now, call, &result);
+                    worker.settle_start(context.moment.now, call, &result, leases);
                 }
                 self.on_start_result(context, name, call, result, out);
             }
--- a/crates/turmericfold-fleet/src/workers/start_calls.rs
+++ b/crates/turmericfold-fleet/src/workers/start_calls.rs
@@ -10,6 +10,7 @@
 use turmericfold_platform::{PlatformError, StartReply};
 use turmericfold_types::MonotonicMs;
 
+use super::leases::LeaseLengths;
 use super::worker::Worker;
 use crate::CallId;
 
@@ -56,6 +57,7 @@
         now: MonotonicMs,
         call: CallId,
         result: &Result<StartReply, PlatformError>,
+        leases: LeaseLengths,
     ) {
         let clock_ms = match result {
             Ok(StartReply::Started { clock_ms }) => *clock_ms,
@@ -64,5 +66,10 @@
         let known = self.clock.zip(clock_ms);
         let is_settled = known.is_some_and(|(clock, ms)| clock.is_of_same_life(ms, now));
         self.start_calls.on_result(call, is_settled);
+        if let Some((clock, ms)) = known
+            && clock.is_of_other_life(ms, now)
+        {
+            self.on_other_life_answered(now, clock, leases);
+        }
     }
 }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -78,6 +78,7 @@
 mod odd_jobs;
 mod odd_lists;
 mod other_majorities;
+mod outlived_starts;
 mod owner_pages;
 mod ownership_fuzz;
 mod ownership_searches;
