Forget the clock of a worker that another life has answered for

Found in the review, by reading: the next poll would ask for a deadline on the former clock under the raised token.

--- a/crates/turmericfold-fleet/src/workers/leases.rs
+++ b/crates/turmericfold-fleet/src/workers/leases.rs
@@ -6,7 +6,6 @@
 
 use turmericfold_types::MonotonicMs;
 
-use super::clock::WorkerClock;
 use super::worker::{Poll, Worker};
 use crate::{FleetSettings, Moment};
 
@@ -82,23 +81,18 @@
         self.void_leases_end_at = Some(moment + leases.longest_late_lease_ms());
     }
 
-    /// Handles an answer to a start that shows another life of the worker than `clock`, before a poll
-    /// does.
+    /// Handles an answer to a start that shows another life of the worker than the known one, before
+    /// a poll does.
     ///
     /// That life has shortened the deadline of the start to the longest lease, and so it does with
     /// those of late calls until it has seen the raised token.
-    pub(super) fn on_other_life_answered(
-        &mut self,
-        now: MonotonicMs,
-        clock: WorkerClock,
-        leases: LeaseLengths,
-    ) {
+    pub(super) fn on_other_life_answered(&mut self, now: MonotonicMs, leases: LeaseLengths) {
         log::warn!(worker:% = self.id; "answer to a start call shows that the worker has restarted; reckoning with its longest lease until it has answered a poll");
         self.restarted_at = Some(now);
         self.raise_token();
         self.leases_known_from = self.token();
-        let end = clock.deadline(now, leases.longest_late_lease_ms());
-        self.lease_bound.infer_until(end.clock_ms());
+        self.clock = None;
+        self.void_leases_end_at = Some(now + leases.longest_late_lease_ms());
         self.next_poll_at = self.next_poll_at.min(now);
     }
 
--- a/crates/turmericfold-fleet/src/workers/start_calls.rs
+++ b/crates/turmericfold-fleet/src/workers/start_calls.rs
@@ -69,7 +69,7 @@
         if let Some((clock, ms)) = known
             && clock.is_of_other_life(ms, now)
         {
-            self.on_other_life_answered(now, clock, leases);
+            self.on_other_life_answered(now, leases);
         }
     }
 }
