Show the restart of a crashed simulated worker with its next heartbeat

The registration of a simulated worker showed a restart at once, so its owner mostly learned of it there before a late call could take effect. A worker that has crashed (CrashWorker) now shows its start up to 1.5 s later.

--- a/tests/src/fleet_world/schedule.rs
+++ b/tests/src/fleet_world/schedule.rs
@@ -2,11 +2,15 @@
 
 use std::cmp::Ordering;
 
+use rand::Rng;
 use turmericfold_types::MonotonicMs;
 
 use super::FleetWorld;
 use super::lateness::CallKind;
 
+/// The interval at which a worker renews its registration, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
+
 /// An item that is due at a time; items of the same time keep their sequence.
 pub(super) struct Scheduled<Item> {
     pub(super) at: MonotonicMs,
@@ -180,7 +184,8 @@
         worker: usize,
     },
     /// A worker crashes, and starts again under the same name later. Calls that arrive meanwhile
-    /// are lost, except that late ones are carried out after its start.
+    /// are lost, except that late ones are carried out after its start. Its registration shows the
+    /// start with its next heartbeat.
     CrashWorker {
         /// The worker.
         worker: usize,
@@ -230,7 +235,8 @@
     Fault(FaultKind),
     StartNode(usize),
     RegisterWorker(usize),
-    RestartWorker(usize),
+    ReviveWorker(usize),
+    ShowStart(usize),
 }
 
 impl FaultPlan {
@@ -264,12 +270,21 @@
             match planned.kind {
                 PlannedKind::StartNode(node) => self.start_node(node),
                 PlannedKind::RegisterWorker(worker) => self.register_worker(worker),
-                PlannedKind::RestartWorker(worker) => self.restart_worker(worker),
+                PlannedKind::ReviveWorker(worker) => self.revive_worker(worker),
+                PlannedKind::ShowStart(worker) => self.show_start(worker),
                 PlannedKind::Fault(kind) => self.apply_fault(kind),
             }
         }
     }
 
+    /// Starts a worker that has crashed; its next heartbeat shows that in its registration.
+    fn revive_worker(&mut self, worker: usize) {
+        self.crash_worker(worker);
+        let heartbeat_ms = self.random.random_range(0..HEARTBEAT_MS);
+        let shows_at = self.now + heartbeat_ms;
+        self.plan.add(shows_at, PlannedKind::ShowStart(worker));
+    }
+
     fn apply_fault(&mut self, kind: FaultKind) {
         let now = self.now;
         match kind {
@@ -287,7 +302,7 @@
             FaultKind::CrashWorker { worker, down_ms } => {
                 self.crash_worker(worker);
                 self.plan
-                    .add(now + down_ms, PlannedKind::RestartWorker(worker));
+                    .add(now + down_ms, PlannedKind::ReviveWorker(worker));
                 self.faults.add(now, kind);
             }
             FaultKind::UnregisterWorker { worker, for_ms } => {
--- a/tests/src/fleet_world/workers.rs
+++ b/tests/src/fleet_world/workers.rs
@@ -20,8 +20,13 @@
 impl FleetWorld {
     /// Restarts a worker under the same name.
     pub fn restart_worker(&mut self, number: usize) {
-        let name = worker_name(number);
         self.crash_worker(number);
+        self.show_start(number);
+    }
+
+    /// Lets the registration of a worker show when the worker started.
+    pub(super) fn show_start(&mut self, number: usize) {
+        let name = worker_name(number);
         if let Some(entry) = self.entries.get_mut(&name) {
             entry.started_ms = self.workers[&name].started_ms();
         }
