--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -88,6 +88,7 @@
 mod quiet_passes;
 mod rebalancing;
 mod recurring_jobs;
+mod recut_soaks;
 mod removed_registrations;
 mod replaced_workers;
 mod restart_soaks;
--- a/tests/src/bin/turmericfold-soak.rs
+++ b/tests/src/bin/turmericfold-soak.rs
@@ -7,7 +7,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use turmericfold_tests::soak::{Reduction, Soak, reduce};
-use turmericfold_tests::{partition_soak, restart_soak};
+use turmericfold_tests::{partition_soak, recut_soak, restart_soak};
 
 #[derive(Debug, Clone)]
 struct Options {
@@ -16,6 +16,7 @@
     jobs: usize,
     partitions: bool,
     drains: bool,
+    recut: bool,
     reduce: bool,
 }
 
@@ -35,6 +36,9 @@
     let drains = long("drains")
         .help("Drain, replace and misdirect workers as well, every other one with a slow clock")
         .switch();
+    let recut = long("recut")
+        .help("Cut workers off soon after they restart, with late calls and owners that are killed, in place of the usual faults")
+        .switch();
     let reduce = long("reduce")
         .help("Print the fewest faults that break a promise of the same kind")
         .switch();
@@ -44,6 +48,7 @@
         jobs,
         partitions,
         drains,
+        recut,
         reduce
     })
     .to_options()
@@ -52,9 +57,10 @@
 
 impl Options {
     fn draw(&self, seed: u64) -> Soak {
-        let soak = match self.partitions {
-            true => partition_soak::draw_soak(seed),
-            false => restart_soak::draw_soak(seed),
+        let soak = match (self.recut, self.partitions) {
+            (true, _) => recut_soak::draw_soak(seed),
+            (false, true) => partition_soak::draw_soak(seed),
+            (false, false) => restart_soak::draw_soak(seed),
         };
         match self.drains {
             true => soak.with_drains(),
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod partition_soak;
 pub mod process_fleet;
 pub mod random_faults;
+pub mod recut_soak;
 pub mod registered_owner;
 pub mod restart_soak;
 pub mod restarted_fleet;
