--- a/tests/src/process_fleet/call_faults.rs
+++ b/tests/src/process_fleet/call_faults.rs
@@ -12,7 +12,7 @@
 const CLOSED_SHARE: f64 = 0.5;
 
 /// How late calls are carried out, in milliseconds.
-const LATE_MS: Range<u64> = 300..4_000;
+const LATE_MS: Range<u64> = 300..12_000;
 
 /// What happens to calls to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/tests/src/process_fleet/worker_life.rs
+++ b/tests/src/process_fleet/worker_life.rs
@@ -100,7 +100,9 @@
         state.model.restart(now);
         state.presence = presence;
         state.registration = None;
-        state.late_calls.clear();
+        if presence == Presence::Left {
+            state.late_calls.clear();
+        }
         self.record_events(state);
     }
 
--- a/tests/src/process_fleet/worker_state.rs
+++ b/tests/src/process_fleet/worker_state.rs
@@ -85,8 +85,12 @@
         faults.map_or(Treatment::Prompt, CallFaults::draw)
     }
 
-    /// Removes and returns the late calls whose time has come.
+    /// Removes and returns the late calls whose time has come, if the worker runs. It carries out
+    /// those that were sent to its former life as well.
     pub(super) fn take_due_calls(&mut self, now: MonotonicMs) -> Vec<LateCall> {
+        if !self.is_up() {
+            return Vec::new();
+        }
         let is_due = |late: &mut LateCall| late.due_at <= now;
         self.late_calls.extract_if(.., is_due).collect()
     }
