--- a/tests/features/expired_starts.rs
+++ b/tests/features/expired_starts.rs
@@ -1,11 +1,13 @@
 //! Runs that have not started when the lease of their worker expires.
 
 use rstest::rstest;
-use turmericfold_fleet::{Event, PeerMessage, WorkerCall, WorkerRequest, WorkerResult};
+use turmericfold_fleet::{Event, PeerMessage, WorkerCall, WorkerRequest};
 use turmericfold_platform::{PlatformError, StoreVersion};
 use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
 use turmericfold_tests::node_parts::{member_change, process, run};
-use turmericfold_tests::worker_owner::{JOB, WORKER, WorkerOwnerHarness, entry, no_answer};
+use turmericfold_tests::worker_owner::{
+    JOB, WORKER, WorkerOwnerHarness, carry_out, entry, no_answer,
+};
 use turmericfold_types::{InstanceName, MonotonicMs, Resources};
 
 /// The time between two steps of a test, in milliseconds.
@@ -111,7 +113,7 @@
     fn answer_calls(&mut self) {
         for request in self.take_calls() {
             let now = MonotonicMs(self.harness.driven.now_ms);
-            let result = answer(&mut self.worker, now, &request.worker_call);
+            let result = carry_out(&mut self.worker, now, &request.worker_call, behaviour());
             self.harness.answer(request.call, result);
         }
     }
@@ -155,21 +157,12 @@
     matches!(request.worker_call, WorkerCall::Start(_))
 }
 
-/// Returns the answer of a worker to a call.
-fn answer(worker: &mut TaskWorkerModel, now: MonotonicMs, call: &WorkerCall) -> WorkerResult {
-    let behaviour = TaskBehaviour {
+/// Returns how the runs behave.
+fn behaviour() -> TaskBehaviour {
+    TaskBehaviour {
         resources: Resources::default(),
         work_ms: Some(STEP_MS / 2),
         always_fails: false,
-    };
-    match call {
-        WorkerCall::Start(start) => WorkerResult::Start(Ok(worker.start(now, start, behaviour))),
-        WorkerCall::Stop(stop) => WorkerResult::Stop(match worker.stop(now, stop) {
-            true => Ok(()),
-            false => Err(PlatformError::unknown("fenced")),
-        }),
-        WorkerCall::Pace(_) => WorkerResult::Pace(Ok(())),
-        WorkerCall::Poll(poll) => WorkerResult::Poll(Ok(worker.poll(now, poll))),
     }
 }
 
--- a/tests/features/late_renewals.rs
+++ b/tests/features/late_renewals.rs
@@ -75,6 +75,13 @@
     assert_runs_once(&mut world, CUT_AT_MS + CUT_MS);
 }
 
+/// Kills the owner of the worker some time after the restart, and checks that no task runs twice.
+fn assert_next_owner_reckons(mut world: FleetWorld, killed_after_ms: u64) {
+    run_until(&mut world, RESTART_AT_MS + killed_after_ms);
+    kill_owner(&mut world);
+    assert_runs_once(&mut world, CUT_AT_MS + CUT_MS);
+}
+
 /// Guards against the same by the next owner of the worker, which does not know what its former
 /// owner has sent.
 #[rstest]
@@ -87,10 +94,8 @@
     #[values(false, true)] has_slow_clocks: bool,
 ) {
     let plan = plan(RESTART_AT_MS + late_after_ms, late_ms);
-    let mut world = fleet(seed, plan, is_lasting, has_slow_clocks);
-    run_until(&mut world, RESTART_AT_MS + killed_after_ms);
-    kill_owner(&mut world);
-    assert_runs_once(&mut world, CUT_AT_MS + CUT_MS);
+    let world = fleet(seed, plan, is_lasting, has_slow_clocks);
+    assert_next_owner_reckons(world, killed_after_ms);
 }
 
 /// Guards against the same at other times of the kill and of the late call.
@@ -104,10 +109,8 @@
     #[values(false, true)] has_slow_clocks: bool,
 ) {
     let plan = plan(RESTART_AT_MS + late_after_ms, late_ms);
-    let mut world = fleet(seed, plan, is_lasting, has_slow_clocks);
-    run_until(&mut world, RESTART_AT_MS + killed_after_ms);
-    kill_owner(&mut world);
-    assert_runs_once(&mut world, CUT_AT_MS + CUT_MS);
+    let world = fleet(seed, plan, is_lasting, has_slow_clocks);
+    assert_next_owner_reckons(world, killed_after_ms);
 }
 
 /// Guards against the same where the owner dies before the restart.
--- a/tests/features/lease_deadlines.rs
+++ b/tests/features/lease_deadlines.rs
@@ -5,7 +5,7 @@
 use turmericfold_platform::{PlatformError, PollCall, StoreVersion};
 use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
 use turmericfold_tests::node_parts::{member_change, process, run};
-use turmericfold_tests::worker_owner::{JOB, WorkerOwnerHarness, entry};
+use turmericfold_tests::worker_owner::{JOB, WorkerOwnerHarness, carry_out, entry};
 use turmericfold_types::{MonotonicMs, Resources};
 
 /// The time between two steps of a test, in milliseconds.
@@ -83,7 +83,7 @@
             for request in self.take_calls() {
                 self.note_deadline(&request.worker_call);
                 let now = self.now();
-                let result = answer(&mut self.worker, now, &request.worker_call);
+                let result = carry_out(&mut self.worker, now, &request.worker_call, behaviour());
                 self.harness.answer(request.call, result);
             }
             self.step();
@@ -171,21 +171,12 @@
     }
 }
 
-/// Returns the answer of a worker to a call.
-fn answer(worker: &mut TaskWorkerModel, now: MonotonicMs, call: &WorkerCall) -> WorkerResult {
-    let behaviour = TaskBehaviour {
+/// Returns how the runs behave.
+fn behaviour() -> TaskBehaviour {
+    TaskBehaviour {
         resources: Resources::default(),
         work_ms: None,
         always_fails: false,
-    };
-    match call {
-        WorkerCall::Start(start) => WorkerResult::Start(Ok(worker.start(now, start, behaviour))),
-        WorkerCall::Stop(stop) => WorkerResult::Stop(match worker.stop(now, stop) {
-            true => Ok(()),
-            false => Err(PlatformError::unknown("fenced")),
-        }),
-        WorkerCall::Pace(_) => WorkerResult::Pace(Ok(())),
-        WorkerCall::Poll(poll) => WorkerResult::Poll(Ok(worker.poll(now, poll))),
     }
 }
 
--- a/tests/features/outlived_starts.rs
+++ b/tests/features/outlived_starts.rs
@@ -5,7 +5,7 @@
 use turmericfold_platform::{PlatformError, PollCall, StartCall, StartReply, StoreVersion};
 use turmericfold_standin::{TaskBehaviour, TaskWorkerModel, WorkerEvent};
 use turmericfold_tests::node_parts::{member_change, process, run};
-use turmericfold_tests::worker_owner::{JOB, WORKER, WorkerOwnerHarness, entry};
+use turmericfold_tests::worker_owner::{JOB, WORKER, WorkerOwnerHarness, carry_out, entry};
 use turmericfold_types::{InstanceName, MonotonicMs, Resources};
 
 /// The time between two steps of a test, in milliseconds.
@@ -85,17 +85,7 @@
 
     fn carry_out(&mut self, call: &WorkerCall) -> WorkerResult {
         let (now, behaviour) = (self.now(), self.behaviour());
-        match call {
-            WorkerCall::Start(start) => {
-                WorkerResult::Start(Ok(self.worker.start(now, start, behaviour)))
-            }
-            WorkerCall::Stop(stop) => WorkerResult::Stop(match self.worker.stop(now, stop) {
-                true => Ok(()),
-                false => Err(PlatformError::unknown("fenced")),
-            }),
-            WorkerCall::Pace(_) => WorkerResult::Pace(Ok(())),
-            WorkerCall::Poll(poll) => WorkerResult::Poll(Ok(self.worker.poll(now, poll))),
-        }
+        carry_out(&mut self.worker, now, call, behaviour)
     }
 
     fn take_calls(&mut self) -> Vec<WorkerRequest> {
--- a/tests/src/worker_owner.rs
+++ b/tests/src/worker_owner.rs
@@ -9,7 +9,7 @@
     LeaseId, PlatformError, PollCall, PollReply, StartCall, StoreCall, StoreReply, StoreVersion,
     WorkerEntry,
 };
-use turmericfold_standin::TaskWorkerModel;
+use turmericfold_standin::{TaskBehaviour, TaskWorkerModel};
 use turmericfold_types::{FailureDomain, InstanceName, MonotonicMs, Resources};
 
 use crate::driven_node::DrivenNode;
@@ -315,3 +315,21 @@
 pub fn no_answer() -> WorkerResult {
     WorkerResult::Start(Err(PlatformError::unknown("no answer")))
 }
+
+/// Lets a worker carry out a call; its runs behave as `behaviour` says.
+pub fn carry_out(
+    worker: &mut TaskWorkerModel,
+    now: MonotonicMs,
+    call: &WorkerCall,
+    behaviour: TaskBehaviour,
+) -> WorkerResult {
+    match call {
+        WorkerCall::Start(start) => WorkerResult::Start(Ok(worker.start(now, start, behaviour))),
+        WorkerCall::Stop(stop) => WorkerResult::Stop(match worker.stop(now, stop) {
+            true => Ok(()),
+            false => Err(PlatformError::unknown("fenced")),
+        }),
+        WorkerCall::Pace(_) => WorkerResult::Pace(Ok(())),
+        WorkerCall::Poll(poll) => WorkerResult::Poll(Ok(worker.poll(now, poll))),
+    }
+}
