--- a/tests/features/outlived_starts.rs
+++ b/tests/features/outlived_starts.rs
@@ -20,9 +20,18 @@
 /// The longest time after which a call without an answer takes effect, in milliseconds.
 const MAX_CALL_DELAY_MS: u64 = 12_000;
 
+/// The time in which all start calls of a run are made, in milliseconds.
+const STARTS_MS: u64 = 2_500;
+
 /// The longest time until a run counts as over, in milliseconds.
 const EXPIRY_MS: u64 = 40_000;
 
+/// The time after which a slow answer arrives, in milliseconds.
+const SLOW_MS: u64 = 400;
+
+/// The longest time until a run counts as over by a usual lease, in milliseconds.
+const MAX_WAIT_MS: u64 = 7_000;
+
 /// An owner, and its worker.
 struct Fleet {
     harness: WorkerOwnerHarness,
@@ -62,15 +71,13 @@
     }
 
     fn note_ends(&mut self) {
-        for message in std::mem::take(&mut self.harness.driven.out.messages)
-            .into_values()
-            .flatten()
-        {
+        let messages = std::mem::take(&mut self.harness.driven.out.messages);
+        for message in messages.into_values().flatten() {
             if let PeerMessage::RunsExpired { ends, .. } | PeerMessage::EndsReported { ends, .. } =
                 message
             {
-                self.over
-                    .extend(ends.iter().map(|end| end.ended.run.number.0));
+                let numbers = ends.iter().map(|end| end.ended.run.number.0);
+                self.over.extend(numbers);
             }
         }
     }
@@ -99,6 +106,7 @@
         }
     }
 
+    /// Lets the worker answer all calls for a while.
     fn answer_for(&mut self, for_ms: u64) {
         let until_ms = self.now().0 + for_ms;
         while self.now().0 < until_ms {
@@ -107,13 +115,19 @@
         }
     }
 
+    /// Lets a call have no answer.
+    fn lose(&mut self, request: &WorkerRequest) {
+        let error = PlatformError::unknown("no answer");
+        let result = request.worker_call.failed(error);
+        self.harness.answer(request.call, result);
+    }
+
+    /// Lets all calls have no answer for a while.
     fn lose_for(&mut self, for_ms: u64) {
         let until_ms = self.now().0 + for_ms;
         while self.now().0 < until_ms {
             for request in self.take_calls() {
-                let error = PlatformError::unknown("no answer");
-                let result = request.worker_call.failed(error);
-                self.harness.answer(request.call, result);
+                self.lose(&request);
             }
             self.step();
         }
@@ -126,7 +140,7 @@
         let mut first = None;
         let mut open: Vec<(u64, WorkerRequest)> = Vec::new();
         let mut seen = 0;
-        let until_ms = self.now().0 + 2_500;
+        let until_ms = self.now().0 + STARTS_MS;
         while self.now().0 < until_ms {
             for request in self.take_calls() {
                 if let WorkerCall::Start(start) = &request.worker_call
@@ -144,15 +158,14 @@
             let (due, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|(at, _)| *at <= now_ms);
             open = rest;
             for (_, request) in due {
-                let error = PlatformError::unknown("no answer");
-                let result = request.worker_call.failed(error);
-                self.harness.answer(request.call, result);
+                self.lose(&request);
             }
             self.step();
         }
         first.expect("no start call was sent")
     }
 
+    /// Lets a start call take effect now.
     fn take_effect(&mut self, start: &StartCall) -> StartReply {
         let (now, behaviour) = (self.now(), self.behaviour());
         self.worker.start(now, start, behaviour)
@@ -355,7 +368,7 @@
         }
         fleet.step();
     }
-    for _ in 0..8 {
+    for _ in 0..SLOW_MS / STEP_MS {
         fleet.step();
     }
     let (call, result) = slow.unwrap();
@@ -369,9 +382,9 @@
     }
     assert_eq!(fleet.worker.run_count(), 1, "the run has not started");
     let from_ms = fleet.now().0;
-    while !fleet.over.contains(&1) && fleet.now().0 < from_ms + 40_000 {
+    while !fleet.over.contains(&1) && fleet.now().0 < from_ms + EXPIRY_MS {
         fleet.lose_for(STEP_MS);
     }
     let waited_ms = fleet.now().0 - from_ms;
-    assert!(waited_ms <= 7_000, "reported after {waited_ms} ms");
+    assert!(waited_ms <= MAX_WAIT_MS, "reported after {waited_ms} ms");
 }
