--- a/crates/turmericfold-fleet/src/jobs/write_outcome.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_outcome.rs
@@ -9,6 +9,7 @@
 use super::job_entry::ReceivedEnd;
 use super::owner::JobOwner;
 use super::write_queue::{Change, PendingWrite};
+use crate::policy::urgency::objective_ms;
 use crate::{CallId, CallerAnswer, JobShard, Moment, Outbox, PeerMessage, Unit, keys};
 
 /// The time after its submission at which a job that could not be written is refused
@@ -107,7 +108,8 @@
                         queue:% = entry.job.record.queue.name,
                         state:? = state,
                         version = version.0,
-                        age_ms = moment.since_ms(entry.received_at);
+                        age_ms = moment.since_ms(entry.received_at),
+                        objective_ms = objective_ms(&entry.job);
                         "job ended"
                     );
                 }
--- a/crates/turmericfold-fleet/src/workers/ends.rs
+++ b/crates/turmericfold-fleet/src/workers/ends.rs
@@ -30,7 +30,9 @@
         let key = ended.run;
         let end_number = evidence.end_number();
         let run = worker.runs.remove(&key);
-        let mut ran_ms = run.map_or(0, |run| context.moment.since_ms(run.known_since));
+        let now = context.moment.now;
+        let worked_ms = run.as_ref().map_or(0, |run| run.pace.worked_ms(now));
+        let mut ran_ms = run.map_or(0, |run| now.since_ms(run.known_since));
         if let Some(tracked) = worker.ends.get_mut(&key) {
             if end_number.is_none() || tracked.end.listed {
                 tracked.end_number = tracked.end_number.or(end_number);
@@ -44,14 +46,14 @@
             listed: end_number.is_some(),
             ran_ms,
         };
-        log_end(context, worker, &end, evidence);
+        log_end(context, worker, &end, worked_ms, evidence);
         worker.ends.insert(
             key,
             TrackedEnd {
                 end: end.clone(),
                 end_number,
                 is_recorded: false,
-                reported_at: context.moment.now,
+                reported_at: now,
             },
         );
         if let Some(owner) = context.job_owner(&key) {
@@ -178,7 +180,13 @@
     }
 }
 
-fn log_end(context: Context<'_>, worker: &Worker, end: &ReportedEnd, evidence: EndEvidence) {
+fn log_end(
+    context: Context<'_>,
+    worker: &Worker,
+    end: &ReportedEnd,
+    worked_ms: u64,
+    evidence: EndEvidence,
+) {
     log::info!(
         run:% = end.ended.run,
         worker:% = worker.id,
@@ -186,6 +194,8 @@
         end:? = end.ended.end,
         evidence:? = evidence,
         ran_ms = end.ran_ms,
+        worked_ms = worked_ms,
+        beside_target = worker.has_target(),
         silent_ms = worker.last_answer_at.map_or(0, |at| context.moment.since_ms(at)),
         lease_left_ms:? = worker.lease_left_ms(context.moment.now),
         registered = worker.registered,
--- a/crates/turmericfold-fleet/src/workers/filler_pace.rs
+++ b/crates/turmericfold-fleet/src/workers/filler_pace.rs
@@ -4,6 +4,7 @@
 use turmericfold_types::MonotonicMs;
 
 use super::leases::MAX_CALL_DELAY_MS;
+use super::pace_history::PaceHistory;
 use crate::CallId;
 
 /// The pace of a run at its start, and the highest, in percent.
@@ -34,24 +35,27 @@
     /// Until when an earlier call without an answer may still take effect, unless a call that
     /// was sent later has set the pace.
     late_call_until: Option<MonotonicMs>,
+    history: PaceHistory,
 }
 
 impl FillerPace {
     /// Returns the pace of a run that this process starts.
-    pub(super) fn of_started() -> Self {
+    pub(super) fn of_started(now: MonotonicMs) -> Self {
         Self {
             known: KnownPace::Percent(FULL_PACE_PERCENT),
             call: None,
             late_call_until: None,
+            history: PaceHistory::new(now),
         }
     }
 
     /// Returns the pace of a run that was found on its worker.
-    pub(super) fn of_found() -> Self {
+    pub(super) fn of_found(now: MonotonicMs) -> Self {
         Self {
             known: KnownPace::Unknown,
             call: None,
             late_call_until: None,
+            history: PaceHistory::new(now),
         }
     }
 
@@ -75,6 +79,12 @@
         }
     }
 
+    /// Returns the time at full pace in which as much work is done as the run has done since it
+    /// is known, at most, in milliseconds.
+    pub(super) fn worked_ms(&self, now: MonotonicMs) -> u64 {
+        self.history.worked_ms(now)
+    }
+
     /// Returns whether a call that sets the pace is in progress.
     pub(super) fn is_being_set(&self) -> bool {
         self.call.is_some()
@@ -108,12 +118,14 @@
         match result {
             Ok(()) => {
                 self.known = KnownPace::Percent(sent.percent);
+                self.history.on_change(now, sent.percent);
                 let is_undone = |until: &MonotonicMs| sent.sent_at < *until;
                 self.late_call_until = self.late_call_until.filter(is_undone);
             }
             Err(error) if error.has_no_effect() => {}
             Err(_) => {
                 self.known = KnownPace::Unknown;
+                self.history.on_change(now, FULL_PACE_PERCENT);
                 self.late_call_until = Some(now + MAX_CALL_DELAY_MS);
             }
         }
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -20,6 +20,7 @@
 mod over_target;
 mod owner;
 mod pace;
+mod pace_history;
 mod permission;
 mod poll;
 mod refusal;
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -88,7 +88,7 @@
         Self {
             details: Some(order.details.clone()),
             order: Some(order),
-            pace: FillerPace::of_started(),
+            pace: FillerPace::of_started(now),
             ..Self::found(now)
         }
         .with_phase(RunPhase::Ordered)
@@ -110,7 +110,7 @@
             progress_percent: 0,
             checkpoint: None,
             measurement: 0,
-            pace: FillerPace::of_found(),
+            pace: FillerPace::of_found(now),
             slack_tracker: SlackTracker::default(),
             reported_at: MonotonicMs::default(),
         }
--- a/crates/turmericfold-fleet/src/workers/worker.rs
+++ b/crates/turmericfold-fleet/src/workers/worker.rs
@@ -293,6 +293,12 @@
         );
     }
 
+    /// Returns whether it runs a task with a latency target.
+    pub(super) fn has_target(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.latency_target_ms().is_some())
+    }
+
     /// Returns whether another worker has probably taken its place: one answers at its address,
     /// and the watch of the workers, which last reported at `reported_at`, knows no new address. The
     /// answer may come over a path of before, so its runs may go on until their lease ends.
