Place fillers by the present slack of the tasks beside them

Cause: a worker was judged by the mean of the slack over some 5 s, less the whole swing around it (five points through 1.5 mean deviations). The swing takes 20 s and a filler 2 s. So workers whose load had just fallen refused fillers, those whose load had just risen took some, which then had a low pace, and on the rest the deviation alone kept fillers out.

Now the last measurement counts, with a third of the swing, as the slack moves no further while a filler runs. The owner of a worker judges orders by the same rule.

filler_paces::slack_is_given_once ordered a filler just after the slack had fallen, and counted on its start by the mean of before. The order is refused now. The filler is ordered as one of a starved job instead, which starts there too. The test is as strict: without the slack of fillers whose call is in progress it fails as before (run with that reckoning taken out).

--- a/crates/turmericfold-fleet/src/policy/offer.rs
+++ b/crates/turmericfold-fleet/src/policy/offer.rs
@@ -11,9 +11,9 @@
 
 /// The points at which the slack of a task is sampled, as multiples of its mean deviation.
 ///
-/// The slack swings around its mean with the load of the task; the points are five even
-/// steps through a sine.
-const SWING_PHASES: [f64; 5] = [-1.5, -0.9, 0.0, 0.9, 1.5];
+/// The slack swings with the load of the task, in many times the duration of a filler: while one
+/// runs, the slack moves by a part of its mean deviation from its present value.
+const SWING_PHASES: [f64; 5] = [-0.45, -0.27, 0.0, 0.27, 0.45];
 
 /// The least slack loss that is assumed of a filler; it is a divisor.
 const MIN_SLACK_LOSS: f64 = 0.001;
--- a/crates/turmericfold-fleet/src/summary_messages.rs
+++ b/crates/turmericfold-fleet/src/summary_messages.rs
@@ -51,7 +51,7 @@
 pub struct ServingSlack {
     /// The image.
     pub image: EcoString,
-    /// The mean slack, in thousandths; negative if fillers already need more.
+    /// The present slack, in thousandths; negative if fillers already need more.
     pub slack_permille: i64,
     /// The mean deviation of the slack from its mean, in thousandths.
     pub swing_permille: i64,
--- a/crates/turmericfold-fleet/src/workers/load.rs
+++ b/crates/turmericfold-fleet/src/workers/load.rs
@@ -78,8 +78,10 @@
             let Some((image, _)) = run.serving() else {
                 continue;
             };
-            let slack =
-                run.slack_tracker.mean_slack() - MIN_SLACK - self.wanted_slack(interference, image);
+            let present = run.predicted_slack(interference);
+            let slack = present.unwrap_or(run.slack_tracker.mean_slack())
+                - MIN_SLACK
+                - self.wanted_slack(interference, image);
             let entry = ServingSlack {
                 image: image.clone(),
                 slack_permille: permille(slack),
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -339,7 +339,7 @@
     while worker.pace_calls.is_empty() {
         worker.run_for(10);
     }
-    worker.order(filler_key(9), filler_details(250));
+    worker.order_starved(filler_key(9), filler_details(250));
     worker.run_for(300);
     let outcome = worker.outcomes.get(&filler_key(9));
     assert_eq!(outcome, Some(&StartOutcome::Started));
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -115,6 +115,7 @@
 mod starved_fillers;
 mod starved_refusals;
 mod successors;
+mod swinging_slack;
 mod unanswered_watches;
 mod unheard_handovers;
 mod unheard_workers;
