Fill the gaps between tasks with a latency target before empty workers

Cause: fillers run unhindered only on workers without a task with a latency target. A process put such tasks on its own workers before others' that ran some already, and among others' workers went by an order of its own instead of the tightest fit. So these tasks spread.

Now a task goes where such tasks run, in the tightest gap, whoever owns the worker; of those that fit alike an own one is chosen.

--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -8,8 +8,10 @@
 //!
 //! In a full fleet, room appears on few workers at a time, and many processes look for it. A
 //! process knows the workers of others late, so among those it does not choose the tightest
-//! fit, which they all would, but goes by an order of its own.
+//! fit, which they all would, but goes by an order of its own. Only for tasks with a latency target
+//! it does, as each worker that runs one slows down fillers for as long as it lasts.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use turmericfold_jobs::StepSpec;
@@ -20,6 +22,10 @@
 use crate::policy::interference::InterferenceModel;
 use crate::policy::offer::Offer;
 
+/// The unit in which free processor time is compared, in millicores; smaller differences do not
+/// count.
+const FREE_STEP_MILLICORES: u64 = 64;
+
 /// The requirements of a task on its worker.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'job> {
@@ -87,14 +93,17 @@
     has_siblings: bool,
     /// Whether all tasks of its step that are not placed yet would fit.
     fits_rest: bool,
-    /// Whether this process owns the worker, so that processes that place tasks at the
-    /// same time fill different workers.
-    is_own: bool,
     /// Whether the worker runs any task with a latency target.
     has_serving: bool,
     /// Whether the worker runs no such task of another image; images differ in which
     /// fillers slow them down.
     has_same_image_only: bool,
+    /// The free processor time, in units of `FREE_STEP_MILLICORES`; the tightest fit is chosen, also among the workers
+    /// of other processes, as partly filled workers are of little use to fillers.
+    free: Reverse<u64>,
+    /// Whether this process owns the worker, so that processes that place tasks at the
+    /// same time fill different workers of those that suit them equally.
+    is_own: bool,
 }
 
 /// Returns the highest value of a worker with room for a filler, in thousandths of its full
@@ -190,8 +199,9 @@
     CoLocation {
         has_siblings: demand.siblings_by_worker.contains_key(&worker.worker),
         fits_rest: demand.unplaced_millicores() <= worker.free.cpu_millicores,
-        is_own: offer.is_own,
         has_serving: !worker.serving.is_empty(),
         has_same_image_only: serving.all(|slack| slack.image == demand.step.image),
+        free: Reverse(worker.free.cpu_millicores / FREE_STEP_MILLICORES),
+        is_own: offer.is_own,
     }
 }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -80,6 +80,7 @@
 mod other_majorities;
 mod outlived_starts;
 mod owner_pages;
+mod packed_workers;
 mod ownership_fuzz;
 mod ownership_searches;
 mod partition_soaks;
