Reckon with the longest task of a step in the objective of a job

Cause: the objective of a job counts its longest chain of work. We took one task's estimate for each step, but a step ends with its longest task, which of 39 tasks is about twice as long. So jobs counted as late, and their fillers and tasks went last, while they were not.

Evidence: job_urgency::longest_task_counts failed before: a job of 40 tasks counted as late at the same time as one of 1 task.

Now the longest of n tasks counts as 1 + 0.25 ln(n) estimates, about as for durations that vary by a third, in the objective and in what remains.

--- a/crates/turmericfold-fleet/src/policy/urgency.rs
+++ b/crates/turmericfold-fleet/src/policy/urgency.rs
@@ -9,6 +9,10 @@
 /// The time after which a job is worth nothing, as a multiple of its objective.
 const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
 
+/// By which part of the estimate the longest task of a step grows while the number of tasks grows
+/// by a factor of e, as the tasks of one step differ.
+const LONGEST_TASK_GROWTH: f64 = 0.25;
+
 /// The urgency of a job, compared field by field; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
@@ -68,8 +72,8 @@
         longest_path_ms(steps.map(|(spec, step)| {
             let left_ms = match (step.is_done(), step.waiting_count) {
                 (true, _) => 0,
-                (false, 0) => spec.estimate_ms / 2,
-                (false, _) => spec.estimate_ms,
+                (false, 0) => longest_task_ms(spec) / 2,
+                (false, _) => longest_task_ms(spec),
             };
             (spec, left_ms)
         }))
@@ -102,10 +106,17 @@
     work_ms.saturating_add(queue.target_duration_ms)
 }
 
-/// Returns the estimated duration of the longest chain of dependent steps, in
-/// milliseconds.
+/// Returns the estimated duration of the longest chain of dependent steps, each as long as its
+/// longest task, in milliseconds.
 pub fn critical_path_ms(spec: &JobSpec) -> u64 {
-    longest_path_ms(spec.steps.iter().map(|step| (step, step.estimate_ms)))
+    longest_path_ms(spec.steps.iter().map(|step| (step, longest_task_ms(step))))
+}
+
+/// Returns the estimated duration of the longest task of a step, in milliseconds.
+fn longest_task_ms(step: &StepSpec) -> u64 {
+    let task_count = f64::from(step.task_count.max(1));
+    let factor = 1.0 + LONGEST_TASK_GROWTH * task_count.ln();
+    (step.estimate_ms as f64 * factor) as u64
 }
 
 /// Returns the longest chain of dependent steps, each with its duration in milliseconds.
--- a/tests/features/job_urgency.rs
+++ b/tests/features/job_urgency.rs
@@ -65,6 +65,14 @@
     assert!(urgency(&later, now_ms) < hopeless);
 }
 
+/// Guards against a wide job that counts as late as soon as its average task would be.
+#[test]
+fn longest_task_counts() {
+    let now_ms = ACCEPTED_MS + OBJECTIVE_MS - 2 * ESTIMATE_MS + 1;
+    assert!(urgency(&job(1, None), now_ms).is_late);
+    assert!(!urgency(&job(40, None), now_ms).is_late);
+}
+
 /// Guards against a recurring job whose later occurrences count as late from the start.
 #[rstest]
 #[case(0, false)]
