Give slack to the fillers that began first

Cause: fillers got slack in the order of how little they take. One that began with full pace was slowed down once others that take less began beside it, and stayed so for as long as more came. A step of 39 tasks waited for such a run.

Now those that began first come first; of those that began together, the ones that take the least. Late jobs still go last, and the bound on the pace beside a task over its target is unchanged.

--- a/crates/turmericfold-fleet/src/policy/pacing.rs
+++ b/crates/turmericfold-fleet/src/policy/pacing.rs
@@ -1,10 +1,10 @@
 //! The pace of the fillers on one worker.
 //!
-//! Batch work runs as fillers beside tasks with a latency target. The fillers that
-//! interfere least come first and run at full pace, so that the most work is done while
-//! every tail latency stays below its target.
+//! Batch work runs as fillers beside tasks with a latency target. The fillers that began first
+//! run at full pace, as far as every tail latency stays below its target.
 
 use ecow::EcoString;
+use turmericfold_types::MonotonicMs;
 
 use crate::policy::interference::InterferenceModel;
 
@@ -35,6 +35,8 @@
     pub is_pace_fixed: bool,
     /// Whether the objective of its job has passed.
     pub is_late: bool,
+    /// When it was ordered or found.
+    pub known_since: MonotonicMs,
     /// The part of its work that is done, in percent.
     pub progress_percent: u32,
     /// The share of the worker that it uses at full pace, from 0 to 1.
@@ -80,8 +82,9 @@
 /// Returns the indices of the fillers in the order in which they get slack.
 ///
 /// Those whose pace is fixed come first, as they take it in any case. Fillers whose jobs can still
-/// be in time come next, then those that take the least slack. Of the same image, those that are
-/// nearest to their end come first.
+/// be in time come next, then those that began first: a step ends with its last task, so a filler
+/// keeps its pace when others begin beside it. Of those that began together, the ones that take the
+/// least slack come first, then those that are nearest to their end.
 fn priority_order(
     interference: &InterferenceModel,
     serving: &[ServingTask],
@@ -100,9 +103,11 @@
         let progress = |index: usize| fillers[index].progress_percent;
         let is_fixed = |index: usize| fillers[index].is_pace_fixed;
         let is_late = |index: usize| fillers[index].is_late;
+        let known_since = |index: usize| fillers[index].known_since;
         is_fixed(*other)
             .cmp(&is_fixed(*one))
             .then(is_late(*one).cmp(&is_late(*other)))
+            .then(known_since(*one).cmp(&known_since(*other)))
             .then(costs[*one].total_cmp(&costs[*other]))
             .then(progress(*other).cmp(&progress(*one)))
     });
--- a/crates/turmericfold-fleet/src/workers/pace.rs
+++ b/crates/turmericfold-fleet/src/workers/pace.rs
@@ -227,6 +227,7 @@
         is_pace_fixed: !can_be_paced(run),
         is_late: run.is_starved
             || details.is_some_and(|details| context.moment.unix_ms > details.due_ms),
+        known_since: run.known_since,
         progress_percent: run.progress_percent,
         full_pace_share: share(wanted, worker),
     }
--- a/tests/features/filler_paces.rs
+++ b/tests/features/filler_paces.rs
@@ -12,6 +12,7 @@
     Conditions, LOST_CALL_MS, SharedWorker, filler_details, filler_key, serving_details,
     serving_key,
 };
+use turmericfold_types::MonotonicMs;
 
 /// The longest time for which fillers may keep a task over its target, in milliseconds: clearly
 /// less than the shortest bound of a site, 4 s.
@@ -276,6 +277,7 @@
         pace_percent,
         is_pace_fixed: false,
         is_late: false,
+        known_since: MonotonicMs::default(),
         progress_percent: 0,
         full_pace_share: share,
     };
--- a/tests/features/fleet_policy.rs
+++ b/tests/features/fleet_policy.rs
@@ -4,6 +4,7 @@
 use turmericfold_fleet::policy::evacuation::{EvacuationCandidate, should_stop_now};
 use turmericfold_fleet::policy::interference::{FillerUse, InterferenceModel};
 use turmericfold_fleet::policy::pacing::{FillerTask, ServingTask, filler_paces};
+use turmericfold_types::MonotonicMs;
 
 fn uses(image: &str, share: f64) -> Vec<FillerUse> {
     vec![FillerUse {
@@ -39,6 +40,7 @@
         pace_percent: 100.0,
         is_pace_fixed: false,
         is_late,
+        known_since: MonotonicMs::default(),
         progress_percent: 0,
         full_pace_share: 0.25,
     }
@@ -77,6 +79,28 @@
     assert!(paces[1] > paces[0], "{paces:?}");
 }
 
+/// Guards against a filler that is slowed down when others begin beside it, though its step ends
+/// with its last task.
+#[test]
+fn begun_fillers_keep_pace() {
+    let begun = FillerTask {
+        known_since: MonotonicMs(1_000),
+        ..filler("heavy", false)
+    };
+    let newer = FillerTask {
+        known_since: MonotonicMs(2_000),
+        ..filler("light", false)
+    };
+    let paces = filler_paces(
+        &learned_interference(),
+        &desk(3.2),
+        &[newer, begun],
+        f64::INFINITY,
+    );
+    assert_eq!(paces[1], 100.0, "{paces:?}");
+    assert!(paces[0] < 50.0, "{paces:?}");
+}
+
 fn leaving() -> EvacuationCandidate {
     EvacuationCandidate {
         worker_remaining_ms: 4_000,
--- a/tests/src/shared_workers.rs
+++ b/tests/src/shared_workers.rs
@@ -14,7 +14,7 @@
 use turmericfold_fleet::policy::placement::{Demand, choose_offer};
 use turmericfold_fleet::{ServingSlack, WorkerSummary};
 use turmericfold_jobs::StepSpec;
-use turmericfold_types::{InstanceName, Resources, ServiceName};
+use turmericfold_types::{InstanceName, MonotonicMs, Resources, ServiceName};
 
 /// The duration of one step, in milliseconds.
 const STEP_MS: u64 = 50;
@@ -323,6 +323,7 @@
         pace_percent: filler.pace_percent,
         is_pace_fixed: false,
         is_late: false,
+        known_since: MonotonicMs::default(),
         progress_percent: (100.0 - filler.remaining_ms * 100.0 / FILLER_RUN_MS as f64) as u32,
         full_pace_share: capacity_share(FILLER_MILLICORES),
     }
