Move slow fillers to workers on which they end sooner

Cause: a filler stayed on its worker whatever the load beside it became. With 39 tasks a step nearly always has some on workers whose load rises, while three quarters of the fleet's slack were left. The owner of the worker sees the pace, the owner of the job sees other workers; neither could move the run.

Now the owner of a worker reports fillers that have had a low pace for 0.4 s, with what they have done and at which pace. The owner of the job stops a run that saves checkpoints if it ends sooner elsewhere with what a move costs, and if another worker has nearly full speed for it now. A run moves once.

--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -18,6 +18,7 @@
 mod run_review;
 mod schedule;
 mod shard;
+mod slow_runs;
 mod starvation;
 mod tracked_runs;
 mod waiting;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -10,6 +10,7 @@
 use super::job_entry::JobEntry;
 use super::run_ends::reliable_ends;
 use super::shard::Shard;
+use super::slow_runs::SlowRunReport;
 use super::tracked_runs::TrackedRuns;
 use super::waiting_steps::WaitingSteps;
 use super::write_queue::WriteQueue;
@@ -41,6 +42,8 @@
     pub(super) fleet_resources: FleetResources,
     pub(super) write_queue: WriteQueue,
     pub(super) waiting_steps: WaitingSteps,
+    /// The reports on slow runs since the last pass over the tasks.
+    pub(super) slow_runs: Vec<SlowRunReport>,
     pub(super) job_retention_ms: u64,
     /// Whether a change since the last attempt may allow more tasks to start.
     pub(super) should_start_tasks: bool,
@@ -76,6 +79,7 @@
             fleet_resources: FleetResources::default(),
             write_queue: WriteQueue::default(),
             waiting_steps: WaitingSteps::default(),
+            slow_runs: Vec::new(),
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
             next_pass_at: MonotonicMs::default(),
@@ -191,6 +195,9 @@
                     }
                 }
             }
+            PeerMessage::RunsSlowed { worker, runs } => {
+                self.on_runs_slowed(context.moment, &worker, runs);
+            }
             PeerMessage::RecoveryReport(report) => self.on_report(context, from, &report, out),
             PeerMessage::LeasesExpired {
                 worker,
@@ -232,6 +239,7 @@
             self.pass_due_at = context.moment + MAX_PASS_INTERVAL_MS;
             self.passes += 1;
             self.start_tasks(context, workers, configuration, out);
+            self.move_slow_runs(context, workers, configuration, out);
         }
     }
 
--- a/crates/turmericfold-fleet/src/lib.rs
+++ b/crates/turmericfold-fleet/src/lib.rs
@@ -33,8 +33,8 @@
 pub use event::{CallId, Event, WorkerChange, WorkerResult};
 pub use member::{Member, Owner};
 pub use messages::{
-    Authority, PeerMessage, Ping, RecoveryReport, ReportedEnd, RunDetails, RunProgress, StartOrder,
-    StartOutcome, StartRefusal,
+    Authority, PeerMessage, Ping, RecoveryReport, ReportedEnd, RunDetails, RunProgress, SlowRun,
+    StartOrder, StartOutcome, StartRefusal,
 };
 pub use moment::Moment;
 pub use node::FleetNode;
--- a/crates/turmericfold-fleet/src/messages.rs
+++ b/crates/turmericfold-fleet/src/messages.rs
@@ -179,6 +179,14 @@
         /// The time at which the ping was sent, as it states.
         sent_at: MonotonicMs,
     },
+    /// Reports fillers that have had a low pace for a while. Sent by the owner of a worker to the
+    /// owner of the jobs, which may move them.
+    RunsSlowed {
+        /// The worker.
+        worker: InstanceName,
+        /// The fillers.
+        runs: Vec<SlowRun>,
+    },
 }
 
 impl PeerMessage {
@@ -210,6 +218,7 @@
             Self::PendingReport { .. } => "pending report",
             Self::Ping(_) => "ping",
             Self::PingAck { .. } => "acknowledged ping",
+            Self::RunsSlowed { .. } => "slow runs",
         }
     }
 
@@ -339,6 +348,20 @@
     pub percent: u32,
 }
 
+/// A filler at a low pace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowRun {
+    /// The run.
+    pub run: RunKey,
+    /// The completed part of its work, in percent.
+    pub done_percent: u32,
+    /// Its pace, in percent.
+    pub pace_percent: u32,
+    /// The time at full pace in which as much work is done as the run has done, at most, in
+    /// milliseconds.
+    pub worked_ms: u64,
+}
+
 /// The runs that may be in progress on a worker and its unrecorded ends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecoveryReport {
--- a/crates/turmericfold-fleet/src/policy/mod.rs
+++ b/crates/turmericfold-fleet/src/policy/mod.rs
@@ -10,5 +10,6 @@
 pub mod pace_limit;
 pub mod pacing;
 pub mod placement;
+pub mod relocation;
 pub mod room_wait;
 pub mod urgency;
--- a/crates/turmericfold-fleet/src/workers/filler_pace.rs
+++ b/crates/turmericfold-fleet/src/workers/filler_pace.rs
@@ -85,6 +85,11 @@
         self.history.worked_ms(now)
     }
 
+    /// Returns since when the pace has been low, if it is.
+    pub(super) fn slow_since(&self) -> Option<MonotonicMs> {
+        self.history.slow_since()
+    }
+
     /// Returns whether a call that sets the pace is in progress.
     pub(super) fn is_being_set(&self) -> bool {
         self.call.is_some()
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -27,6 +27,7 @@
 mod report;
 mod run;
 mod slack;
+mod slow_fillers;
 mod start_calls;
 mod unheard;
 mod unusable;
--- a/crates/turmericfold-fleet/src/workers/pace_history.rs
+++ b/crates/turmericfold-fleet/src/workers/pace_history.rs
@@ -4,6 +4,9 @@
 
 use super::filler_pace::FULL_PACE_PERCENT;
 
+/// The highest pace that counts as low, in percent.
+const MAX_LOW_PERCENT: u32 = 60;
+
 /// The paces of a run since it is known.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct PaceHistory {
@@ -13,6 +16,8 @@
     changed_at: MonotonicMs,
     /// The time before that, each part of it weighted with its pace in percent, in milliseconds.
     earlier_percent_ms: u64,
+    /// Since when the pace has been low, if it is.
+    slow_since: Option<MonotonicMs>,
 }
 
 impl PaceHistory {
@@ -22,6 +27,7 @@
             percent: FULL_PACE_PERCENT,
             changed_at: now,
             earlier_percent_ms: 0,
+            slow_since: None,
         }
     }
 
@@ -30,6 +36,13 @@
         self.earlier_percent_ms = self.percent_ms(now);
         self.changed_at = now;
         self.percent = percent;
+        let is_low = percent <= MAX_LOW_PERCENT;
+        self.slow_since = is_low.then(|| self.slow_since.unwrap_or(now));
+    }
+
+    /// Returns since when the pace has been low, if it is.
+    pub(super) fn slow_since(&self) -> Option<MonotonicMs> {
+        self.slow_since
     }
 
     /// Returns the time at full pace in which as much work is done, in milliseconds.
--- a/crates/turmericfold-fleet/src/workers/poll.rs
+++ b/crates/turmericfold-fleet/src/workers/poll.rs
@@ -193,6 +193,7 @@
             self.end_unlisted(context, name, poll.sent_at, &listed.runs, &ended, out);
         }
         self.pace_fillers(context, name, out);
+        self.report_slow_fillers(context, name, out);
         if let Some(worker) = self.worker_mut(name) {
             worker.has_listed_all |= is_complete;
             advance_acknowledged(worker);
--- a/tests/src/job_owner.rs
+++ b/tests/src/job_owner.rs
@@ -113,7 +113,8 @@
         });
     }
 
-    fn submit_step(&mut self, step: StepSpec) {
+    /// Submits the job, of one step.
+    pub fn submit_step(&mut self, step: StepSpec) {
         let request = CallerRequest::Submit {
             queue: QueueName(QUEUE.into()),
             job: JOB,
@@ -141,25 +142,49 @@
 
     fn report_worker(&mut self, usable: bool, spare_millicores: u64) {
         let worker = WorkerSummary {
-            worker: InstanceName::new(WORKER),
             epoch: self.worker_epoch,
-            service: ServiceName::new(SERVICE),
-            domain: FailureDomain::new("west"),
-            capacity: resources(),
-            free: resources(),
-            spare_millicores,
             usable,
-            ..WorkerSummary::default()
+            ..summary(WORKER, spare_millicores)
         };
+        self.report(vec![worker]);
+    }
+
+    /// Gives another worker to the owner of the first one.
+    pub fn add_worker(&mut self, name: &str) {
+        let worker_key = format!("turmericfold/fleet/owners/workers/{name}");
+        let change = owner_change(&worker_key, process(1, 1), WORKER_EPOCH);
+        self.driven.deliver(Event::KeysChanged(vec![change]));
+    }
+
+    /// Reports workers that can take runs, each with the processor time that it has for one more
+    /// filler, in millicores.
+    pub fn report_workers(&mut self, workers: &[(&str, u64)]) {
+        let workers = workers.iter().map(|(name, spare)| summary(name, *spare));
+        self.report(workers.collect());
+    }
+
+    fn report(&mut self, workers: Vec<WorkerSummary>) {
         self.receive(PeerMessage::Summary(Arc::new(Summary {
             process: process(1, 1),
             made_at: self.peer_time,
             configuration: 1,
-            workers: vec![Arc::new(worker)],
+            workers: workers.into_iter().map(Arc::new).collect(),
             ..Summary::default()
         })));
     }
 
+    /// Returns the runs that were to be stopped since the last call, and in a next pass.
+    pub fn stopped_runs(&mut self) -> Vec<RunKey> {
+        self.driven.now_ms += PASS_MS;
+        self.driven.deliver(Event::Tick);
+        let messages = std::mem::take(&mut self.driven.out.messages);
+        let stop = |message| match message {
+            PeerMessage::Stop { run, .. } => Some(run),
+            _ => None,
+        };
+        messages.into_values().flatten().filter_map(stop).collect()
+    }
+
     /// Reports that a run has lapsed, as its worker has listed.
     pub fn report_end(&mut self, run: RunKey) {
         self.report_lapse(run, true);
@@ -312,6 +337,22 @@
     )
 }
 
+/// Returns the summary of an idle worker with this processor time for one more filler, in
+/// millicores.
+fn summary(name: &str, spare_millicores: u64) -> WorkerSummary {
+    WorkerSummary {
+        worker: InstanceName::new(name),
+        epoch: WORKER_EPOCH,
+        service: ServiceName::new(SERVICE),
+        domain: FailureDomain::new("west"),
+        capacity: resources(),
+        free: resources(),
+        spare_millicores,
+        usable: true,
+        ..WorkerSummary::default()
+    }
+}
+
 /// Returns the resources of a task, and of the worker.
 fn resources() -> Resources {
     Resources::new(2_000, 1 << 30)
--- a/tests/src/shared_worker/mod.rs
+++ b/tests/src/shared_worker/mod.rs
@@ -11,7 +11,8 @@
 use rand::{Rng, SeedableRng};
 use turmericfold_fleet::policy::interference::EffectEstimate;
 use turmericfold_fleet::{
-    CallId, Event, PeerMessage, Ping, RunDetails, StartOutcome, Summary, WorkerCall, WorkerResult,
+    CallId, Event, PeerMessage, Ping, RunDetails, SlowRun, StartOutcome, Summary, WorkerCall,
+    WorkerResult,
 };
 use turmericfold_jobs::RunKey;
 use turmericfold_platform::{
@@ -90,6 +91,8 @@
     pub poll_waits: Vec<(u64, u64)>,
     /// The outcomes of start orders.
     pub outcomes: BTreeMap<RunKey, StartOutcome>,
+    /// The slow runs that the owner of the jobs was told of.
+    pub slow_runs: Vec<SlowRun>,
     /// The longest time on end in which fillers kept a task over its target, in milliseconds.
     pub longest_harm_ms: u64,
     /// The share of the worker that fillers could use at their paces, summed over all steps.
@@ -121,6 +124,7 @@
             pace_calls: Vec::new(),
             poll_waits: Vec::new(),
             outcomes: BTreeMap::new(),
+            slow_runs: Vec::new(),
             longest_harm_ms: 0,
             paced_share_sum: 0.0,
             harm_ms: 0,
@@ -276,6 +280,7 @@
                 }
                 PeerMessage::RunsFound { runs, .. } => self.send_details(&runs),
                 PeerMessage::Ping(ping) => self.acknowledge(ping),
+                PeerMessage::RunsSlowed { runs, .. } => self.slow_runs.extend(runs),
                 _ => {}
             }
         }
