--- a/crates/turmericfold-fleet/src/workers/filler_use.rs
+++ b/crates/turmericfold-fleet/src/workers/filler_use.rs
@@ -3,7 +3,6 @@
 
 use turmericfold_types::InstanceName;
 
-use super::filler_pace::FULL_PACE_PERCENT;
 use super::owner::WorkerOwner;
 use super::pace::share;
 use super::run::Run;
@@ -64,7 +63,7 @@
             capacity_millicores = worker.entry.capacity.cpu_millicores,
             fillers = worker.runs.values().filter(|run| run.is_filler()).count(),
             wanted_share = worker.working_share(Run::wanted_millicores),
-            paced_share = worker.working_share(paced_millicores),
+            paced_share = worker.working_share(Run::paced_millicores),
             used_share = worker.working_share(|run| run.measurement),
             has_target = least.is_some(),
             present_slack = slack.present,
@@ -78,7 +77,3 @@
         }
     }
 }
-
-fn paced_millicores(run: &Run) -> u64 {
-    run.wanted_millicores() * u64::from(run.pace.highest_percent()) / u64::from(FULL_PACE_PERCENT)
-}
--- a/crates/turmericfold-fleet/src/workers/load.rs
+++ b/crates/turmericfold-fleet/src/workers/load.rs
@@ -64,7 +64,7 @@
             .runs
             .values()
             .filter(|run| run.is_filler() && !run.is_starved)
-            .map(|run| run.wanted_millicores() * u64::from(run.pace.highest_percent()) / 100)
+            .map(Run::paced_millicores)
             .sum();
         let serving_use = reserved_millicores(true) * self.serving_use_permille / 1_000;
         let used = serving_use + reserved_millicores(false) + fillers;
@@ -134,7 +134,7 @@
         let (mut expected, mut used) = (0, 0);
         for run in self.runs.values().filter(is_measured) {
             if run.latency_target_ms().is_none() {
-                expected += run.wanted_millicores() * u64::from(run.pace.highest_percent()) / 100;
+                expected += run.paced_millicores();
                 used += run.measurement;
             }
         }
--- a/crates/turmericfold-fleet/src/workers/over_target.rs
+++ b/crates/turmericfold-fleet/src/workers/over_target.rs
@@ -94,9 +94,8 @@
         let Some((run, task, _)) = worker.worst_task().filter(|_| fillers > 0) else {
             return;
         };
-        let paced =
-            |run: &Run| run.wanted_millicores() * u64::from(run.pace.highest_percent()) / 100;
-        let paced_millicores: u64 = worker.working_fillers().map(paced).sum();
+        let working = worker.working_fillers();
+        let paced_millicores: u64 = working.map(Run::paced_millicores).sum();
         log::info!(
             worker:% = name,
             run:% = run,
--- a/crates/turmericfold-fleet/src/workers/run.rs
+++ b/crates/turmericfold-fleet/src/workers/run.rs
@@ -6,7 +6,7 @@
 use turmericfold_types::MonotonicMs;
 
 use super::fencing_token::FencingToken;
-use super::filler_pace::FillerPace;
+use super::filler_pace::{FULL_PACE_PERCENT, FillerPace};
 use super::slack::SlackTracker;
 use crate::policy::interference::InterferenceModel;
 use crate::{CallId, RunDetails, StartOrder};
@@ -145,6 +145,12 @@
         details.map_or(0, |details| details.wanted_millicores)
     }
 
+    /// Returns the processor time that the run may use at its present pace, at most, in millicores.
+    pub(super) fn paced_millicores(&self) -> u64 {
+        let percent = u64::from(self.pace.highest_percent());
+        self.wanted_millicores() * percent / u64::from(FULL_PACE_PERCENT)
+    }
+
     /// Returns the image and the latency target in milliseconds, if the run has a target.
     pub(crate) fn serving(&self) -> Option<(&EcoString, u64)> {
         let details = self.details.as_ref()?;
