Serve the jobs of which the least share remains first

Cause: within an owner the job with the least remaining work went first, so a large one waited behind each small one that came, also when it was nearly done.

Now the share of the work that remains counts first, in twentieths, and the remaining work between equals.

--- a/crates/turmericfold-fleet/src/policy/urgency.rs
+++ b/crates/turmericfold-fleet/src/policy/urgency.rs
@@ -13,6 +13,9 @@
 /// by a factor of e, as the tasks of one step differ.
 const LONGEST_TASK_GROWTH: f64 = 0.25;
 
+/// The parts in which the remaining share of a job's work is counted.
+const REMAINING_PARTS: u64 = 20;
+
 /// The urgency of a job, compared field by field; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
@@ -22,8 +25,11 @@
     pub is_late: bool,
     /// The priority of the queue; the lowest number goes first.
     pub priority: u32,
-    /// The remaining work, in core-milliseconds. The least goes first, as a job that is
-    /// half done is worth nothing yet, and small jobs are worth more for their work.
+    /// The remaining share of the work, in parts of [`REMAINING_PARTS`]. The least goes first, as a
+    /// job that is half done is worth nothing yet, whatever its size.
+    pub remaining_parts: u64,
+    /// The remaining work, in core-milliseconds. The least goes first, as small jobs are worth
+    /// more for their work.
     pub remaining_core_ms: u64,
 }
 
@@ -36,12 +42,15 @@
         let limit_ms = objective_ms.saturating_mul(objectives);
         ends_ms > begins_ms.saturating_add(limit_ms)
     };
+    let remaining_core_ms = remaining_core_ms(job);
+    let part_core_ms = (all_core_ms(job) / REMAINING_PARTS).max(1);
     let long_running = job.spec().is_long_running();
     Urgency {
         is_worthless: !long_running && ends_after_ms(WORTHLESS_AFTER_OBJECTIVES),
         is_late: !long_running && ends_after_ms(1),
         priority: job.record.queue.priority,
-        remaining_core_ms: remaining_core_ms(job),
+        remaining_parts: remaining_core_ms / part_core_ms,
+        remaining_core_ms,
     }
 }
 
@@ -84,13 +93,25 @@
 
 /// Returns the remaining work of a job, in core-milliseconds, by the caller's estimates.
 pub fn remaining_core_ms(job: &Job) -> u64 {
+    core_ms(job, |step, spec| {
+        spec.task_count.saturating_sub(step.done_count)
+    })
+}
+
+/// Returns all work of the open occurrences of a job, in core-milliseconds, by the caller's
+/// estimates.
+fn all_core_ms(job: &Job) -> u64 {
+    core_ms(job, |_, spec| spec.task_count)
+}
+
+/// Returns the work of some tasks of each step, in core-milliseconds, by the caller's estimates.
+fn core_ms(job: &Job, task_count: fn(&Step, &StepSpec) -> u32) -> u64 {
     let spec = job.spec();
     let step_core_ms = |(step, spec): (&Step, &StepSpec)| {
-        let remaining = u64::from(spec.task_count.saturating_sub(step.done_count));
         let task_core_ms = spec
             .estimate_ms
             .saturating_mul(spec.resources.cpu_millicores);
-        remaining.saturating_mul(task_core_ms) / 1_000
+        u64::from(task_count(step, spec)).saturating_mul(task_core_ms) / 1_000
     };
     let steps = job.occurrences().values();
     let steps = steps.flat_map(|occurrence| occurrence.steps.iter().zip(&spec.steps));
--- a/tests/features/job_urgency.rs
+++ b/tests/features/job_urgency.rs
@@ -5,7 +5,8 @@
 use rstest::rstest;
 use turmericfold_fleet::policy::urgency::urgency;
 use turmericfold_jobs::{
-    Job, JobId, JobRecord, JobSpec, QueueName, QueueSettings, Recurrence, StepSpec,
+    EndedRun, Job, JobId, JobRecord, JobSpec, QueueName, QueueSettings, Recurrence, RunEnd, RunKey,
+    RunNumber, StepSpec, TaskKey,
 };
 use turmericfold_types::{Resources, ServiceName};
 
@@ -65,6 +66,33 @@
     assert!(urgency(&later, now_ms) < hopeless);
 }
 
+/// Guards against a large job that is nearly done and waits behind each small one that comes.
+#[test]
+fn begun_job_goes_first() {
+    let mut begun = job(40, None);
+    for index in 0..30 {
+        let task = TaskKey {
+            job: begun.id,
+            occurrence: 0,
+            step: 0,
+            index,
+        };
+        let run = RunKey {
+            task,
+            number: RunNumber(1),
+        };
+        let change = begun.end_run(&EndedRun {
+            run,
+            end: RunEnd::Done,
+            checkpoint: None,
+        });
+        assert!(change.must_persist);
+    }
+    let fresh = job(8, None);
+    assert!(urgency(&begun, ACCEPTED_MS) < urgency(&fresh, ACCEPTED_MS));
+    assert!(urgency(&fresh, ACCEPTED_MS) < urgency(&job(40, None), ACCEPTED_MS));
+}
+
 /// Guards against a wide job that counts as late as soon as its average task would be.
 #[test]
 fn longest_task_counts() {
