--- a/crates/turmericfold-fleet/src/policy/urgency.rs
+++ b/crates/turmericfold-fleet/src/policy/urgency.rs
@@ -13,7 +13,7 @@
 /// by a factor of e, as the tasks of one step differ.
 const LONGEST_TASK_GROWTH: f64 = 0.25;
 
-/// The parts in which the remaining share of a job's work is counted.
+/// The number of parts in which the remaining share of a job's work is counted.
 const REMAINING_PARTS: u64 = 20;
 
 /// The urgency of a job, compared field by field; the least goes first.
@@ -25,7 +25,7 @@
     pub is_late: bool,
     /// The priority of the queue; the lowest number goes first.
     pub priority: u32,
-    /// The remaining share of the work, in parts of [`REMAINING_PARTS`]. The least goes first, as a
+    /// The remaining share of the work, in twentieths. The least goes first, as a
     /// job that is half done is worth nothing yet, whatever its size.
     pub remaining_parts: u64,
     /// The remaining work, in core-milliseconds. The least goes first, as small jobs are worth
