--- a/crates/turmericfold-fleet/src/policy/placement.rs
+++ b/crates/turmericfold-fleet/src/policy/placement.rs
@@ -8,8 +8,8 @@
 //!
 //! In a full fleet, room appears on few workers at a time, and many processes look for it. A
 //! process knows the workers of others late, so among those it does not choose the tightest
-//! fit, which they all would, but goes by an order of its own. Only for tasks with a latency target
-//! it does, as each worker that runs one slows down fillers for as long as it lasts.
+//! fit, which they all would, but goes by an order of its own. Tasks with a latency target go to the
+//! tightest fit all the same, as each worker that runs one slows down fillers for as long as it lasts.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -98,8 +98,8 @@
     /// Whether the worker runs no such task of another image; images differ in which
     /// fillers slow them down.
     has_same_image_only: bool,
-    /// The free processor time, in units of `FREE_STEP_MILLICORES`; the tightest fit is chosen, also among the workers
-    /// of other processes, as partly filled workers are of little use to fillers.
+    /// The free processor time, in units of `FREE_STEP_MILLICORES`; the tightest fit is chosen, also
+    /// among the workers of other processes, as partly filled workers are of little use to fillers.
     free: Reverse<u64>,
     /// Whether this process owns the worker, so that processes that place tasks at the
     /// same time fill different workers of those that suit them equally.
--- a/crates/turmericfold-fleet/src/policy/urgency.rs
+++ b/crates/turmericfold-fleet/src/policy/urgency.rs
@@ -25,8 +25,8 @@
     pub is_late: bool,
     /// The priority of the queue; the lowest number goes first.
     pub priority: u32,
-    /// The remaining share of the work, in twentieths. The least goes first, as a
-    /// job that is half done is worth nothing yet, whatever its size.
+    /// The remaining share of the work, in twentieths. The least goes first, as a job that is half
+    /// done is worth nothing yet, whatever its size.
     pub remaining_parts: u64,
     /// The remaining work, in core-milliseconds. The least goes first, as small jobs are worth
     /// more for their work.
