--- /dev/null
+++ b/review/stand-in-3/fleet.rs
@@ -0,0 +1,83 @@
+//! The project's own processes, started with the command of the deploy file.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use crate::runner::HOLD_MAX_MS;
+
+/// The command of the deploy file, from the root of the repository.
+const PROGRAM: &str = "target/release/turmericfold";
+
+pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// An entry process.
+pub struct Entry {
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Entry {
+    /// Starts the process `number`, with its settings and its log in `folder`.
+    pub fn start(number: usize, store: SocketAddr, folder: &Path, output: Option<Stdio>) -> std::io::Result<Self> {
+        let name = format!("edge-{number}");
+        let [front, ready, control, peer] = free_addresses()?;
+        let zone = ZONES[number % ZONES.len()];
+        let peer_port = peer.port();
+        let text = format!(
+            "node_name={name}\nrole=entry\nmachine_class=edge\nserves=edge\nip=127.0.0.1\nzone={zone}\nregion=region\n\
+             listen_addrs.front={front}\nlisten_addrs.ready={ready}\nlisten_addrs.control={control}\n\
+             port_range={peer_port},{peer_port}\nseeds=\nbootstrap=true\nfault_counted=true\nlimits.cpu_share=0.25\n\
+             limits.cores=1\nlimits.memory_mb=260\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\n\
+             discovery=platform\nentry=vip\nheartbeat_ms=1500\n\
+             contracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing\n\
+             bounds.contact_ms=3000\nbounds.ack_ms=4000\nbounds.drain_ms=2000\nbounds.grace_s=6\nbounds.config_apply_ms=2000\n\
+             bounds.recovery_s=12\nbounds.hold_max_ms={HOLD_MAX_MS}\nbounds.stop_timeout_ms=400\nbounds.gang_timeout_ms=3000\n\
+             bounds.cancel_ms=3000\nbounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\nbounds.status_s=120\n\
+             bounds.lease_ms=3000\norders=invocation\nplatform.address={store}\nplatform.form=kv\nplatform.writes_per_s=400\n\
+             platform.reads_per_s=2000\nplatform.history_s=20\nplatform.value_bytes=1048576\nplatform.ttl_min_ms=1000\n"
+        );
+        let settings = folder.join(format!("{name}.conf"));
+        std::fs::write(&settings, text)?;
+        let output = match output {
+            Some(output) => output,
+            None => File::create(folder.join(format!("{name}.log")))?.into(),
+        };
+        let child = Command::new(PROGRAM)
+            .arg("enter")
+            .env_clear()
+            .env("TURMERICFOLD_CONFIG", &settings)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self { name, front, ready, settings, child })
+    }
+
+    pub fn child(&mut self) -> &mut Child {
+        &mut self.child
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Returns free loopback addresses.
+fn free_addresses() -> std::io::Result<[SocketAddr; 4]> {
+    let bind = || TcpListener::bind("127.0.0.1:0");
+    let held = [bind()?, bind()?, bind()?, bind()?];
+    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); 4];
+    for (address, listener) in addresses.iter_mut().zip(&held) {
+        *address = listener.local_addr()?;
+    }
+    Ok(addresses)
+}
