--- a/review/stand-in-3/runner.rs
+++ b/review/stand-in-3/runner.rs
@@ -64,7 +64,6 @@
 #[derive(Clone)]
 pub struct Runner {
     shared: Arc<Shared>,
-    pub address: SocketAddr,
 }
 
 impl Runner {
@@ -104,7 +103,7 @@
                 std::thread::sleep(HEARTBEAT);
             }
         });
-        Self { shared, address }
+        Self { shared }
     }
 
     /// Returns the number of the tasks of a job that run here.
--- a/review/stand-in-3/store.rs
+++ b/review/stand-in-3/store.rs
@@ -8,6 +8,9 @@
 use crate::http::{Reply, Request, serve};
 use crate::json::{Json, quote};
 
+/// The largest value, in bytes.
+const VALUE_BYTES: usize = 1_048_576;
+
 /// The most items of one page.
 const PAGE_ITEMS: usize = 500;
 
@@ -196,6 +199,10 @@
     if leases.into_iter().any(|lease| lease != 0 && !state.leases.contains_key(&lease)) {
         return Some((404, "{}".to_owned()));
     }
+    let values = body.list("write").iter().filter_map(|row| row.text("value"));
+    if values.into_iter().any(|value| value.len() / 4 * 3 > VALUE_BYTES + 2) {
+        return Some((400, "{}".to_owned()));
+    }
     state.revision += 1;
     for row in body.list("write") {
         let lease = row.number("lease").unwrap_or(0);
--- a/review/stand-in-3/unread_log.rs
+++ b/review/stand-in-3/unread_log.rs
@@ -24,7 +24,10 @@
 const FINISH: Duration = Duration::from_secs(14);
 
 /// The number of accepted jobs that are asked for.
-const ASKED_JOBS: usize = 12;
+const ASKED_JOBS: usize = 4;
+
+/// The time after which a job is asked for once more, for the record.
+const RECOVERY: Duration = Duration::from_secs(6);
 
 /// Returns whether the rule was broken.
 pub fn play(record: Arc<Record>, has_trouble: bool) -> std::io::Result<Option<bool>> {
@@ -56,12 +59,23 @@
     record.line(&format!("end of the traffic; {} jobs accepted", accepted.len()));
     std::thread::sleep(FINISH);
     let asked = accepted.iter().rev().take(ASKED_JOBS);
-    let unanswered = asked.filter(|id| site.state(&ORDERS, id).is_none()).count();
+    let unanswered = asked.filter(|id| !is_known(&site, id)).count();
     record.line(&format!("accepted jobs without an answer from any process: {unanswered}"));
     is_read.store(true, Ordering::Relaxed);
+    record.line("the collector reads on");
+    std::thread::sleep(RECOVERY);
+    is_known(&site, &accepted[0]);
     Ok(Some(unanswered > 0))
 }
 
+/// Returns whether any process tells the state of a job.
+fn is_known(site: &Site, id: &str) -> bool {
+    (0..site.entries.len()).any(|entry| {
+        let answer = site.call(entry, "GET", &ORDERS, id, "");
+        answer.is_some_and(|(status, _)| status == 200)
+    })
+}
+
 /// Reads the log of a process while `is_read` is set.
 fn collect(mut output: ChildStdout, is_read: Arc<AtomicBool>) {
     std::thread::spawn(move || {
