--- a/review/stand-in-3/fleet.rs
+++ b/review/stand-in-3/fleet.rs
@@ -1,6 +1,6 @@
 //! The project's own processes, started with the command of the deploy file.
 
-use std::fs::File;
+use std::fs::OpenOptions;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -18,6 +18,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
@@ -43,19 +44,29 @@
         );
         let settings = folder.join(format!("{name}.conf"));
         std::fs::write(&settings, text)?;
-        let output = match output {
-            Some(output) => output,
-            None => File::create(folder.join(format!("{name}.log")))?.into(),
-        };
-        let child = Command::new(PROGRAM)
-            .arg("enter")
-            .env_clear()
-            .env("TURMERICFOLD_CONFIG", &settings)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(Stdio::null())
-            .spawn()?;
-        Ok(Self { name, front, ready, settings, child })
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(&settings, &log, output)?;
+        Ok(Self { name, front, ready, settings, log, child })
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn restart(&mut self) -> std::io::Result<()> {
+        self.child = spawn(&self.settings, &self.log, None)?;
+        Ok(())
+    }
+
+    /// Returns the resident memory of the process, in MB; 0 if it has ended.
+    pub fn memory_mb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1_024
     }
 
     pub fn child(&mut self) -> &mut Child {
@@ -65,12 +76,27 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
         let _ = std::fs::remove_file(&self.settings);
     }
 }
 
+/// Starts the program, with its log in a file unless there is an `output`.
+fn spawn(settings: &Path, log: &Path, output: Option<Stdio>) -> std::io::Result<Child> {
+    let output = match output {
+        Some(output) => output,
+        None => OpenOptions::new().create(true).append(true).open(log)?.into(),
+    };
+    Command::new(PROGRAM)
+        .arg("enter")
+        .env_clear()
+        .env("TURMERICFOLD_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(output)
+        .stderr(Stdio::null())
+        .spawn()
+}
+
 /// Returns free loopback addresses.
 fn free_addresses() -> std::io::Result<[SocketAddr; 4]> {
     let bind = || TcpListener::bind("127.0.0.1:0");
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod long_series;
+mod many_images;
 mod record;
 mod runner;
 mod site;
@@ -36,6 +37,7 @@
     let played = match case.as_str() {
         "dropped-queue" => dropped_queue::play(Arc::clone(&record), has_trouble),
         "long-series" => long_series::play(Arc::clone(&record), has_trouble),
+        "many-images" => many_images::play(Arc::clone(&record), has_trouble),
         "unread-log" => unread_log::play(Arc::clone(&record), has_trouble),
         _ => {
             eprintln!("no such case: {case}");
--- a/review/stand-in-3/runner.rs
+++ b/review/stand-in-3/runner.rs
@@ -1,6 +1,7 @@
 //! A runner: it starts, stops and lists tasks, and holds them under one lease.
 //!
-//! The text of a job tells what a task of it needs: `MILLISECONDS/MILLICORES`.
+//! The text of a job tells what a task of it needs: `MILLISECONDS/MILLICORES`, with `/serves` for a task that
+//! lasts and has a target, and `/fills` for one that takes what others leave.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -20,6 +21,9 @@
 /// The time that a stop takes.
 const STOP_MS: u64 = 50;
 
+/// The tail of the response times of a task with a target.
+const TAIL_MS: u64 = 5;
+
 /// The most ends in one list.
 const LISTED_ENDS: usize = 500;
 
@@ -34,7 +38,11 @@
 struct Run {
     task: String,
     number: u64,
+    /// What counts against the capacity.
     millicores: u64,
+    /// What it uses, as measured.
+    used_millicores: u64,
+    serves: bool,
     work_ms: u64,
     started_at: Instant,
     stops_at: Option<Instant>,
@@ -230,8 +238,11 @@
     fn start_run(&self, state: &mut State, body: &Json) -> Reply {
         let (task, number) = (body.text("task")?, body.number("run_id")?);
         let spec = body.text("spec")?;
-        let (work_ms, millicores) = spec.split_once('/')?;
-        let (work_ms, millicores) = (work_ms.parse().ok()?, millicores.parse().ok()?);
+        let mut parts = spec.split('/');
+        let (work_ms, used_millicores) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
+        let kind = parts.next().unwrap_or_default();
+        let millicores = if kind == "fills" { 0 } else { used_millicores };
+        let serves = kind == "serves";
         let is_there = |run: &Run| run.task == task && run.number == number;
         if state.runs.iter().any(is_there) {
             self.extend_lease(state, body);
@@ -250,7 +261,7 @@
         }
         self.record.line(&format!("{}: {task} run {number} starts", self.kind.id));
         let started_at = Instant::now();
-        state.runs.push(Run { task, number, millicores, work_ms, started_at, stops_at: None });
+        state.runs.push(Run { task, number, millicores, used_millicores, serves, work_ms, started_at, stops_at: None });
         self.accept()
     }
 
@@ -296,7 +307,10 @@
 
     fn running_row(&self, run: &Run) -> String {
         let ran_ms = run.started_at.elapsed().as_millis() as u64;
-        let percent = (ran_ms * 100 / run.work_ms.max(1)).min(99);
-        format!("[{},{},\"\",{percent},{}]", quote(&run.task), run.number, run.millicores)
+        let (percent, measured) = match run.serves {
+            true => (100, TAIL_MS),
+            false => ((ran_ms * 100 / run.work_ms.max(1)).min(99), run.used_millicores),
+        };
+        format!("[{},{},\"\",{percent},{measured}]", quote(&run.task), run.number)
     }
 }
