--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -2,14 +2,15 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
-mod dropped_queue;
 mod fleet;
 mod http;
 mod json;
+mod late_starts;
 mod long_series;
 mod many_images;
 mod record;
 mod runner;
+mod same_id;
 mod site;
 mod store;
 mod unread_log;
@@ -35,9 +36,11 @@
         }
     };
     let played = match case.as_str() {
-        "dropped-queue" => dropped_queue::play(Arc::clone(&record), has_trouble),
+        "missing-run" => late_starts::play_missing_run(Arc::clone(&record), has_trouble),
+        "unheard-life" => late_starts::play_unheard_life(Arc::clone(&record), has_trouble),
         "long-series" => long_series::play(Arc::clone(&record), has_trouble),
         "many-images" => many_images::play(Arc::clone(&record), has_trouble),
+        "same-id" => same_id::play(Arc::clone(&record), has_trouble),
         "unread-log" => unread_log::play(Arc::clone(&record), has_trouble),
         _ => {
             eprintln!("no such case: {case}");
--- a/review/stand-in-3/runner.rs
+++ b/review/stand-in-3/runner.rs
@@ -24,6 +24,12 @@
 /// The tail of the response times of a task with a target.
 const TAIL_MS: u64 = 5;
 
+/// The time for which a call without an answer is left open.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// The reading of the clock of a runner when a case begins: it has been up for a while.
+const FIRST_CLOCK_MS: u64 = 600_000;
+
 /// The most ends in one list.
 const LISTED_ENDS: usize = 500;
 
@@ -60,23 +66,47 @@
     done: BTreeSet<String>,
 }
 
+/// A life of the runner.
+#[derive(Clone, Copy)]
+struct Life {
+    born_ms: u64,
+    /// The reading of its clock at `began_at`.
+    first_clock_ms: u64,
+    began_at: Instant,
+}
+
+impl Life {
+    fn new(first_clock_ms: u64) -> Self {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born_ms = born.map_or(0, |at| at.as_millis() as u64) - first_clock_ms;
+        Self { born_ms, first_clock_ms, began_at: Instant::now() }
+    }
+}
+
 struct Shared {
     kind: Kind,
-    born_ms: u64,
-    started_at: Instant,
+    life: Mutex<Life>,
+    /// Until when no call reaches the runner, and it reaches nobody.
+    cut_until: Mutex<Option<Instant>>,
+    /// How late the next starts of a job are carried out, which get no answer.
+    late_starts: Mutex<Option<LateStarts>>,
     record: Arc<Record>,
     state: Mutex<State>,
     changed: Condvar,
 }
 
-#[derive(Clone)]
-pub struct Runner {
-    shared: Arc<Shared>,
+/// The start calls of a job that get no answer and are carried out late.
+struct LateStarts {
+    job: String,
+    delay: Duration,
+    ends_at: Instant,
+    /// Whether one has been left without an answer.
+    has_begun: bool,
 }
 
-impl Runner {
-    pub fn start(kind: Kind, store: &Store, record: &Arc<Record>) -> Self {
-        let state = State {
+impl State {
+    fn new() -> Self {
+        Self {
             token: 0,
             deadline_ms: 0,
             runs: Vec::new(),
@@ -84,17 +114,28 @@
             last_end: 0,
             ended: BTreeMap::new(),
             done: BTreeSet::new(),
-        };
+        }
+    }
+}
+
+#[derive(Clone)]
+pub struct Runner {
+    shared: Arc<Shared>,
+}
+
+impl Runner {
+    pub fn start(kind: Kind, store: &Store, record: &Arc<Record>) -> Self {
         let shared = Arc::new(Shared {
             kind,
-            born_ms: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64),
-            started_at: Instant::now(),
+            life: Mutex::new(Life::new(FIRST_CLOCK_MS)),
+            cut_until: Mutex::new(None),
+            late_starts: Mutex::new(None),
             record: Arc::clone(record),
-            state: Mutex::new(state),
+            state: Mutex::new(State::new()),
             changed: Condvar::new(),
         });
         let served = Arc::clone(&shared);
-        let address = serve(move |request| served.answer(request));
+        let address = serve(move |request| Shared::answer(&served, request));
         let worked = Arc::clone(&shared);
         std::thread::spawn(move || {
             loop {
@@ -107,33 +148,65 @@
         std::thread::spawn(move || {
             for sequence in 1.. {
                 let key = format!("servers/{}", registered.kind.id);
-                store.put(&key, &registered.entry(address, sequence));
+                if !registered.is_cut() {
+                    store.put(&key, &registered.entry(address, sequence));
+                }
                 std::thread::sleep(HEARTBEAT);
             }
         });
         Self { shared }
     }
 
-    /// Returns the number of the tasks of a job that run here.
-    pub fn running(&self, job: &str) -> usize {
-        let state = self.shared.lock();
-        state.runs.iter().filter(|run| run.task.starts_with(job)).count()
-    }
-
     /// Returns the number of the tasks of a job that have ended `done` here.
     pub fn done(&self, job: &str) -> usize {
         let state = self.shared.lock();
         state.done.iter().filter(|task| task.starts_with(job)).count()
     }
 
-    /// Returns the capacity that no task uses, in millicores.
-    pub fn free_millicores(&self) -> u64 {
-        self.shared.kind.millicores - self.shared.lock().used()
-    }
-
     pub fn service(&self) -> &str {
         &self.shared.kind.service
     }
+
+    pub fn id(&self) -> &str {
+        &self.shared.kind.id
+    }
+
+    /// Returns the tasks of a job that run here, with the numbers of their runs.
+    pub fn runs(&self, job: &str) -> Vec<(String, u64)> {
+        let state = self.shared.lock();
+        let of_job = state.runs.iter().filter(|run| run.task.starts_with(job));
+        of_job.map(|run| (run.task.clone(), run.number)).collect()
+    }
+
+    /// Leaves the starts of a job without an answer for a while, and carries each out `delay` later.
+    pub fn carry_out_late(&self, job: &str, delay: Duration, lasting: Duration) {
+        let late = LateStarts { job: job.to_owned(), delay, ends_at: Instant::now() + lasting, has_begun: false };
+        *lock(&self.shared.late_starts) = Some(late);
+    }
+
+    /// Returns whether a start has been left without an answer.
+    pub fn has_late_start(&self) -> bool {
+        lock(&self.shared.late_starts).as_ref().is_some_and(|late| late.has_begun)
+    }
+
+    /// Answers all starts from now on.
+    pub fn answer_starts(&self) {
+        *lock(&self.shared.late_starts) = None;
+    }
+
+    /// Crashes and starts again at once under the same id, cut off from all machines and the store for a while.
+    pub fn crash_behind_cut(&self, cut: Duration) {
+        *lock(&self.shared.cut_until) = Some(Instant::now() + cut);
+        let mut state = self.shared.lock();
+        *state = State::new();
+        *lock(&self.shared.life) = Life::new(0);
+        let id = &self.shared.kind.id;
+        self.shared.record.line(&format!("{id}: crashes, starts again and is cut off for {} ms", cut.as_millis()));
+    }
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(|error| error.into_inner())
 }
 
 impl State {
@@ -163,14 +236,33 @@
     }
 
     fn clock_ms(&self) -> u64 {
-        self.started_at.elapsed().as_millis() as u64
+        let life = *lock(&self.life);
+        life.first_clock_ms + life.began_at.elapsed().as_millis() as u64
+    }
+
+    fn born_ms(&self) -> u64 {
+        lock(&self.life).born_ms
+    }
+
+    fn is_cut(&self) -> bool {
+        lock(&self.cut_until).is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Returns how late a call is carried out that gets no answer, if it is one.
+    fn late_by(&self, request: &Request, body: &Json) -> Option<Duration> {
+        let mut late = lock(&self.late_starts);
+        let late = late.as_mut()?;
+        let task = body.text("task")?;
+        let is_late = request.path() == "/-/run-start" && task.starts_with(&late.job) && Instant::now() < late.ends_at;
+        late.has_begun |= is_late;
+        is_late.then_some(late.delay)
     }
 
     fn entry(&self, address: SocketAddr, sequence: u64) -> String {
         let Kind { service, zone, millicores, .. } = &self.kind;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{millicores},\"mem_mb\":64000,\"gpu\":0}},\"labels\":[\"a\",\"r1-1\"],\"born\":{},\"clock_ms\":{},\"sequence\":{sequence}}}",
-            self.born_ms,
+            self.born_ms(),
             self.clock_ms()
         )
     }
@@ -195,37 +287,64 @@
         self.changed.notify_all();
     }
 
-    fn answer(&self, request: &Request) -> Reply {
+    fn answer(shared: &Arc<Self>, request: &Request) -> Reply {
+        if shared.is_cut() {
+            std::thread::sleep(SILENCE);
+            return None;
+        }
         let expected = request.header("expect-instance");
-        if expected.is_some_and(|id| id != self.kind.id) {
+        if expected.is_some_and(|id| id != shared.kind.id) {
             return Some((421, "{}".to_owned()));
         }
         let Some(body) = Json::parse(&request.body) else {
             return Some((400, "{}".to_owned()));
         };
+        if let Some(delay) = shared.late_by(request, &body) {
+            let (task, number) = (body.text("task")?, body.number("run_id")?);
+            shared.record.line(&format!("{}: start of {task} run {number} gets no answer", shared.kind.id));
+            let shared = Arc::clone(shared);
+            let path = request.path().to_owned();
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                let reply = shared.carry_out(&path, &body);
+                let id = &shared.kind.id;
+                shared.record.line(&format!("{id}: late start of {task} run {number} carried out: {reply:?}"));
+            });
+            std::thread::sleep(SILENCE);
+            return None;
+        }
+        let reply = shared.carry_out(request.path(), &body);
+        if shared.is_cut() {
+            std::thread::sleep(SILENCE);
+            return None;
+        }
+        reply
+    }
+
+    fn carry_out(&self, path: &str, body: &Json) -> Reply {
         let token = body.number("fencing_token").unwrap_or(0);
         let mut state = self.lock();
         if token < state.token {
             return self.refuse("fence");
         }
         state.token = token;
-        match request.path() {
-            "/-/run-start" => self.start_run(&mut state, &body),
-            "/-/run-stop" => self.stop_run(&mut state, &body),
+        match path {
+            "/-/run-start" => self.start_run(&mut state, body),
+            "/-/run-stop" => self.stop_run(&mut state, body),
             "/-/pace" => self.accept(),
-            "/-/hold" => self.hold(state, &body),
+            "/-/hold" => self.hold(state, body),
             _ => Some((404, "{}".to_owned())),
         }
     }
 
     fn accept(&self) -> Reply {
-        let body = format!("{{\"clock_ms\":{},\"born\":{}}}", self.clock_ms(), self.born_ms);
+        let body = format!("{{\"clock_ms\":{},\"born\":{}}}", self.clock_ms(), self.born_ms());
         Some((200, body))
     }
 
     fn refuse(&self, reason: &str) -> Reply {
         let clock_ms = self.clock_ms();
-        Some((409, format!("{{\"clock_ms\":{clock_ms},\"born\":{},\"reason\":\"{reason}\"}}", self.born_ms)))
+        Some((409, format!("{{\"clock_ms\":{clock_ms},\"born\":{},\"reason\":\"{reason}\"}}", self.born_ms())))
     }
 
     fn extend_lease(&self, state: &mut State, body: &Json) {
@@ -298,7 +417,7 @@
         let body = format!(
             "{{\"clock_ms\":{},\"born\":{},\"running\":[{}],\"finished\":[{}]}}",
             self.clock_ms(),
-            self.born_ms,
+            self.born_ms(),
             running.join(","),
             finished.join(",")
         );
--- a/review/stand-in-3/site.rs
+++ b/review/stand-in-3/site.rs
@@ -113,10 +113,6 @@
             (status == 200).then(|| Json::parse(&body)?.text("state")).flatten()
         })
     }
-
-    pub fn running(&self, job: &str) -> usize {
-        self.runners.iter().map(|runner| runner.running(job)).sum()
-    }
 }
 
 impl Drop for Site {
--- a/review/stand-in-3/store.rs
+++ b/review/stand-in-3/store.rs
@@ -72,6 +72,13 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.lock();
+        let bytes = decode(&state.items.get(key)?.value);
+        String::from_utf8(bytes).ok()
+    }
+
     fn expire_leases(&self) {
         let mut state = self.lock();
         let now = Instant::now();
@@ -252,3 +259,22 @@
     }
     text
 }
+
+/// Decodes standard base64.
+fn decode(text: &str) -> Vec<u8> {
+    let digit = |byte: u8| match byte {
+        b'A'..=b'Z' => byte - b'A',
+        b'a'..=b'z' => byte - b'a' + 26,
+        b'0'..=b'9' => byte - b'0' + 52,
+        b'+' => 62,
+        _ => 63,
+    };
+    let mut bytes = Vec::new();
+    for chunk in text.trim_end_matches('=').as_bytes().chunks(4) {
+        let bits = chunk.iter().fold(0_u32, |bits, byte| bits << 6 | u32::from(digit(*byte)));
+        let bits = bits << (6 * (4 - chunk.len()));
+        let decoded = [(bits >> 16) as u8, (bits >> 8) as u8, bits as u8];
+        bytes.extend_from_slice(&decoded[..chunk.len() - 1]);
+    }
+    bytes
+}
