Review: the scripts read TROUBLE themselves; late starts are one of nine

Cases 11 and 12 left the only start of their span without an answer, where the kinds allow half of the orders; eight answered ones come beside it. Case 14 asks for a job as often as a client does (four retries).

--- a/review/stand-in-3/late_starts.rs
+++ b/review/stand-in-3/late_starts.rs
@@ -16,6 +16,10 @@
 };
 const JOB: &str = "5c0e7a21d94b36f8";
 
+/// Another job, whose eight starts at the same time are answered.
+const OTHER_JOB: &str = "1d0e7a21d94b36f8";
+const OTHER_BODY: &str = "{\"spec\":\"2000/1000\",\"steps\":[{\"count\":8,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":2000}]}";
+
 /// One of eight runners is disturbed: a share of 0.125.
 const RUNNERS: usize = 8;
 
@@ -41,7 +45,7 @@
     if has_trouble {
         disturb_starts(&site, DELAY);
     }
-    if !site.submit(&ORDERS, JOB, body) {
+    if !site.submit(&ORDERS, OTHER_JOB, OTHER_BODY) || !site.submit(&ORDERS, JOB, body) {
         return Ok(None);
     }
     let sent_at = Instant::now();
@@ -87,7 +91,7 @@
     if has_trouble {
         disturb_starts(&site, DELAY);
     }
-    if !site.submit(&ORDERS, JOB, body) {
+    if !site.submit(&ORDERS, OTHER_JOB, OTHER_BODY) || !site.submit(&ORDERS, JOB, body) {
         return Ok(None);
     }
     let sent_at = Instant::now();
--- a/review/stand-in-3/long_series.rs
+++ b/review/stand-in-3/long_series.rs
@@ -31,8 +31,8 @@
 const ASKED: Duration = Duration::from_secs(50);
 
 /// The calls in a row for one job, each at the next process, that must all fail before the job counts
-/// as one without an answer.
-const ATTEMPTS: usize = 3;
+/// as one without an answer: a client's first attempt and its four retries.
+const ATTEMPTS: usize = 5;
 
 /// Returns whether the rule was broken.
 pub fn play(record: Arc<Record>, has_trouble: bool) -> std::io::Result<Option<bool>> {
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -1,4 +1,5 @@
-//! Plays a case of the review: `stand-in CASE RECORD`, from the root of the repository.
+//! Plays a case of the review: `stand-in CASE RECORD trouble`, from the root of the repository; with
+//! `calm` in place of `trouble` it does the same without the disruption.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
@@ -23,11 +24,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, path] = &arguments[..] else {
-        eprintln!("usage: stand-in CASE RECORD");
+    let [_, case, path, mode] = &arguments[..] else {
+        eprintln!("usage: stand-in CASE RECORD trouble|calm");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = mode != "calm";
     let record = match Record::create(Path::new(path)) {
         Ok(record) => Arc::new(record),
         Err(error) => {
