--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod fleet_resources;
 mod found_runs;
 mod gang;
+mod job_costs;
 mod job_entry;
 mod loading;
 mod owner;
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -7,6 +7,7 @@
 use turmericfold_types::{InstanceName, MonotonicMs, ProcessId};
 
 use super::fleet_resources::FleetResources;
+use super::job_costs::JobCosts;
 use super::job_entry::JobEntry;
 use super::run_ends::reliable_ends;
 use super::shard::Shard;
@@ -42,6 +43,7 @@
     pub(super) fleet_resources: FleetResources,
     pub(super) write_queue: WriteQueue,
     pub(super) waiting_steps: WaitingSteps,
+    pub(super) job_costs: JobCosts,
     /// The reports on slow runs since the last pass over the tasks.
     pub(super) slow_runs: Vec<SlowRunReport>,
     pub(super) job_retention_ms: u64,
@@ -79,6 +81,7 @@
             fleet_resources: FleetResources::default(),
             write_queue: WriteQueue::default(),
             waiting_steps: WaitingSteps::default(),
+            job_costs: JobCosts::default(),
             slow_runs: Vec::new(),
             job_retention_ms: settings.job_retention_ms,
             should_start_tasks: false,
@@ -228,6 +231,7 @@
             self.expire_waiting_callers(context.moment, out);
             self.find_starved_jobs(context.moment, workers.may_start(context));
             self.log_waiting_steps(context, workers, configuration);
+            self.job_costs.log_if_due(context.moment);
         }
         self.write_due(context.moment, out);
         if self.is_pass_due(context.moment)
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -9,6 +9,7 @@
 use turmericfold_jobs::{JobId, RunKey, StepSpec, TaskKey};
 use turmericfold_types::{InstanceName, ServiceName};
 
+use super::job_costs::JobCost;
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
 use super::recovery::details_of;
@@ -106,10 +107,12 @@
         let Some(entry) = entry else {
             return;
         };
+        let job = entry.job.id;
         let service = configuration.service_of(&entry.job.record.queue).clone();
         if !configuration.uses(&service) {
             return;
         }
+        let mut searches = 0;
         let mut skipped_step = None;
         let mut full_step = None;
         for task in tasks.iter().copied() {
@@ -118,6 +121,7 @@
             if skipped_step == step || (full_step == step && is_paused) {
                 continue;
             }
+            searches += 1;
             let interference = workers.interference();
             if self.is_gang(task) {
                 skipped_step = step;
@@ -138,6 +142,12 @@
                 self.order_run(context, interference, run, &mut offers[chosen], out);
             }
         }
+        let cost = JobCost {
+            tasks: tasks.len(),
+            searches,
+            ..JobCost::default()
+        };
+        self.job_costs.record(job, cost);
     }
 
     /// Returns the next run of a task.
--- a/crates/turmericfold-fleet/src/jobs/write_draft.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_draft.rs
@@ -9,6 +9,7 @@
 use turmericfold_jobs::{JobId, JobRecord};
 use turmericfold_platform::{MAX_TRANSACTION_ENTRIES, StoreCall, StoreVersion, Transaction};
 
+use super::job_costs::JobCost;
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
 use super::write_queue::{Change, PendingWrite};
@@ -98,6 +99,7 @@
                 log::error!(job:% = id; "job can't be encoded; it will be refused");
                 continue;
             };
+            self.job_costs.record(id, cost_of_write(&value));
             draft.expect_owner(shard.authority);
             draft.write(keys::job_record(id), None, value);
             entry.is_writing = true;
@@ -136,6 +138,7 @@
                 log::error!(job:% = id; "progress of a job can't be encoded; it stays unrecorded");
                 continue;
             };
+            self.job_costs.record(id, cost_of_write(&value));
             draft.expect_owner(shard.authority);
             draft.write(keys::job_progress(id), entry.progress_version, value);
             entry.is_writing = true;
@@ -177,6 +180,13 @@
     }
 }
 
+fn cost_of_write(value: &str) -> JobCost {
+    JobCost {
+        bytes: value.len(),
+        ..JobCost::default()
+    }
+}
+
 fn is_writable(entry: &JobEntry) -> bool {
     entry.is_stored && !entry.is_writing && entry.dirty_since.is_some()
 }
