--- a/crates/turmericfold-fleet/src/jobs/found_runs.rs
+++ b/crates/turmericfold-fleet/src/jobs/found_runs.rs
@@ -62,10 +62,11 @@
         if entry.job.state().is_final() || (entry.job.has_ended(run) && !may_be_earlier_copy) {
             return false;
         }
-        entry.job.task(run.task).is_none_or(|task| {
-            let elsewhere = task.active.iter().any(|active| active.number != run.number);
-            !task.done && (!elsewhere || step.copies_allowed)
-        })
+        let is_copy = entry.job.task(run.task).is_some_and(|task| {
+            let mut active = task.active.iter();
+            active.any(|active| active.number != run.number)
+        });
+        !entry.job.is_task_done(run.task) && (!is_copy || step.copies_allowed)
     }
 
     /// Tracks a run that was found on a worker and returns its details; `None` if the run is
--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -137,8 +137,20 @@
             false => self.inferred_ends.insert(run),
         };
         if self.job.task(run.task).is_none_or(|task| task.done) {
-            self.inferred_ends
-                .retain(|inferred| inferred.task != run.task);
+            self.forget_task(run.task);
+        }
+    }
+
+    /// Drops what is kept of a task that is done, and with it of the other members of its gang.
+    fn forget_task(&mut self, task: TaskKey) {
+        let is_gang = self.job.step_spec(task).is_some_and(|step| step.gang);
+        let step = |task: TaskKey| (task.occurrence, task.step);
+        let is_kept = |other: TaskKey| other != task && !(is_gang && step(other) == step(task));
+        self.inferred_ends.retain(|run| is_kept(run.task));
+        self.failed_on.remove(&task);
+        self.room_refusals.remove(&task);
+        if is_gang {
+            self.failed_on.retain(|other, _| is_kept(*other));
         }
     }
 
--- a/crates/turmericfold-fleet/src/jobs/owner.rs
+++ b/crates/turmericfold-fleet/src/jobs/owner.rs
@@ -316,7 +316,8 @@
         }
     }
 
-    fn open_due_occurrences(&mut self, moment: Moment) {
+    /// Opens the due occurrences of all recurring jobs, as many as may be open at once.
+    pub(super) fn open_due_occurrences(&mut self, moment: Moment) {
         for entry in self.jobs.values_mut() {
             if entry.job.open_due_occurrences(moment.unix_ms) {
                 self.should_start_tasks = true;
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -35,6 +35,7 @@
         configuration: &Arc<Configuration>,
         out: &mut Outbox,
     ) {
+        self.open_due_occurrences(context.moment);
         let jobs = self.startable_jobs(context);
         if jobs.is_empty() {
             return;
--- a/crates/turmericfold-jobs/src/job/mod.rs
+++ b/crates/turmericfold-jobs/src/job/mod.rs
@@ -1,5 +1,6 @@
 //! A job and its state machine.
 
+mod open;
 mod run_end;
 mod runs;
 mod startable;
@@ -11,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    JobId, JobProgress, JobSpec, Occurrence, OccurrenceProgress, QueueSettings, RunKey, Step,
-    StepProgress, StepSpec, Task, TaskKey,
+    JobId, JobProgress, JobSpec, NumberRanges, Occurrence, OccurrenceProgress, QueueSettings,
+    RunKey, Step, StepProgress, StepSpec, Task, TaskKey,
 };
 
 /// The accepted form of a job, written to the store once and never changed.
@@ -59,13 +60,22 @@
 }
 
 /// The state machine of one job.
+///
+/// Of a recurring job, only the occurrences in progress and some that may begin are kept in full.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Job {
     /// The identifier of the job.
     pub id: JobId,
     /// The job as accepted.
     pub record: Arc<JobRecord>,
+    /// The open occurrences, by number.
     occurrences: BTreeMap<u32, Occurrence>,
+    /// The occurrences of a recurring job that are done.
+    done_occurrences: NumberRanges,
+    /// The number below which each occurrence is open or done.
+    next_occurrence: u32,
+    /// The number of open occurrences that have not begun.
+    unbegun_count: usize,
     started: bool,
     cancelled: bool,
     failed: bool,
@@ -78,6 +88,9 @@
             id,
             record,
             occurrences: BTreeMap::new(),
+            done_occurrences: NumberRanges::default(),
+            next_occurrence: 0,
+            unbegun_count: 0,
             started: false,
             cancelled: false,
             failed: false,
@@ -93,14 +106,18 @@
     pub fn with_progress(mut self, progress: &JobProgress) -> Self {
         self.cancelled = progress.cancelled;
         self.failed = progress.failed;
-        self.started |= !progress.occurrences.is_empty();
+        self.started |= !progress.occurrences.is_empty() || !progress.done_occurrences.is_empty();
+        if self.record.spec.recurrence.is_some() {
+            self.done_occurrences = progress.done_occurrences.clone();
+        }
         for (number, occurrence) in &progress.occurrences {
-            self.open_occurrence(*number);
+            self.begin_occurrence(*number);
             for (step_number, progress) in &occurrence.steps {
                 if let Some(step) = self.step_mut(*number, *step_number) {
                     step.restore(progress);
                 }
             }
+            self.close_if_done(*number);
         }
         self
     }
@@ -117,6 +134,7 @@
         JobProgress {
             cancelled: self.cancelled,
             failed: self.failed,
+            done_occurrences: self.done_occurrences.clone(),
             occurrences: self
                 .occurrences
                 .iter()
@@ -184,52 +202,6 @@
         &self.occurrences
     }
 
-    /// Opens the occurrences of a recurring job that are due at `unix_ms`, in
-    /// milliseconds since 1970.
-    ///
-    /// Returns whether any occurrence was opened.
-    pub fn open_due_occurrences(&mut self, unix_ms: u64) -> bool {
-        let Some(recurrence) = self.record.spec.recurrence else {
-            return false;
-        };
-        if self.state().is_final() || unix_ms < recurrence.first_due_ms {
-            return false;
-        }
-        let elapsed_intervals = (unix_ms - recurrence.first_due_ms) / recurrence.interval_ms.max(1);
-        let due = u64::from(recurrence.count).min(elapsed_intervals + 1);
-        let due = u32::try_from(due).unwrap_or(u32::MAX);
-        let before = self.occurrences.len();
-        for number in 0..due {
-            self.open_occurrence(number);
-        }
-        before != self.occurrences.len()
-    }
-
-    /// Returns the time at which the next occurrence is due, in milliseconds since
-    /// 1970.
-    ///
-    /// Returns `None` if no occurrence is left to open.
-    pub fn next_due_ms(&self) -> Option<u64> {
-        let recurrence = self.record.spec.recurrence?;
-        let next = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
-        (next < recurrence.count).then(|| recurrence.due_ms(next))
-    }
-
-    fn is_done(&self) -> bool {
-        let count = usize::try_from(self.record.spec.occurrence_count()).unwrap_or(usize::MAX);
-        !self.record.spec.is_long_running()
-            && self.occurrences.len() == count
-            && self.occurrences.values().all(Occurrence::is_done)
-    }
-
-    fn open_occurrence(&mut self, number: u32) {
-        if number < self.record.spec.occurrence_count() {
-            let spec = &self.record.spec;
-            let open = || Occurrence::new(spec);
-            self.occurrences.entry(number).or_insert_with(open);
-        }
-    }
-
     fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut Step> {
         let occurrence = self.occurrences.get_mut(&occurrence)?;
         occurrence.steps.get_mut(usize::try_from(step).ok()?)
@@ -239,13 +211,8 @@
     where
         Update: FnOnce(&mut Task) -> Output,
     {
-        let Some(step) = self.step_mut(key.occurrence, key.step) else {
-            return;
-        };
-        let index = usize::try_from(key.index).unwrap_or(usize::MAX);
-        if let Some(task) = step.tasks.get_mut(index) {
-            update(task);
-            step.recount();
+        if let Some(step) = self.step_mut(key.occurrence, key.step) {
+            step.update_task(key.index, update);
         }
     }
 }
--- a/crates/turmericfold-jobs/src/job/run_end.rs
+++ b/crates/turmericfold-jobs/src/job/run_end.rs
@@ -10,7 +10,8 @@
             .step_spec(task)
             .is_none_or(|step| step.long_running || step.copies_allowed);
         let is_open = self.task(task).is_some_and(|task| !task.done);
-        is_open && !is_repeatable && !self.state().is_final()
+        // An open task also shows that the job is not completed.
+        is_open && !is_repeatable && !self.cancelled && !self.failed
     }
 
     /// Returns whether a run has completed its task after a later run of the task was
@@ -29,6 +30,12 @@
     ///
     /// A run whose end is recorded more than once counts once.
     pub fn end_run(&mut self, ended: &EndedRun) -> JobChange {
+        let change = self.apply_end(ended);
+        self.close_if_done(ended.run.task.occurrence);
+        change
+    }
+
+    fn apply_end(&mut self, ended: &EndedRun) -> JobChange {
         let key = ended.run.task;
         let Some(spec) = self.step_spec(key) else {
             return JobChange::default();
@@ -36,8 +43,8 @@
         let (gang, long_running) = (spec.gang, spec.long_running);
         let max_attempts = self.record.queue.max_attempts.max(1);
         let was_final = self.state().is_final();
-        let was_done = self.task(key).is_some_and(|task| task.done);
-        self.open_occurrence(key.occurrence);
+        let was_done = self.is_task_done(key);
+        self.begin_occurrence(key.occurrence);
         self.update_task(key, |task| {
             task.last_number = task.last_number.max(ended.run.number);
             task.remove_run(ended.run.number);
@@ -75,16 +82,18 @@
         let Some(step) = self.step_mut(key.occurrence, key.step) else {
             return JobChange::default();
         };
-        for (index, task) in (0..).zip(&mut step.tasks) {
-            if index != key.index && !gang {
-                continue;
-            }
-            task.done = true;
-            task.checkpoint = None;
+        let finished = match gang {
+            true => 0..step.task_count(),
+            false => key.index..key.index.saturating_add(1),
+        };
+        for index in finished {
             let task_key = TaskKey { index, ..key };
-            stop.extend(task.active.iter().map(|active| run_key(task_key, active)));
+            step.update_task(index, |task| {
+                task.done = true;
+                task.checkpoint = None;
+                stop.extend(task.active.iter().map(|active| run_key(task_key, active)));
+            });
         }
-        step.recount();
         JobChange {
             must_persist: true,
             // The other members of a gang end by themselves.
--- a/crates/turmericfold-jobs/src/job/runs.rs
+++ b/crates/turmericfold-jobs/src/job/runs.rs
@@ -75,22 +75,17 @@
 
     /// Records a run that was ordered or was found on a worker.
     ///
-    /// Returns false if the task does not exist.
+    /// Returns false if the task does not exist, or is done for good.
     pub fn add_run(&mut self, run: RunKey, worker: InstanceName) -> bool {
         let RunKey { task, number } = run;
         if self.step_spec(task).is_none() {
             return false;
         }
-        self.open_occurrence(task.occurrence);
-        let Some(step) = self.step_mut(task.occurrence, task.step) else {
+        self.begin_occurrence(task.occurrence);
+        if self.task(task).is_none() {
             return false;
-        };
-        let index = usize::try_from(task.index).unwrap_or(usize::MAX);
-        let Some(task) = step.tasks.get_mut(index) else {
-            return false;
-        };
-        task.add_run(number, worker);
-        step.recount();
+        }
+        self.update_task(task, |task| task.add_run(number, worker));
         true
     }
 
@@ -103,11 +98,15 @@
     /// Removes a run that was refused and therefore never starts.
     pub fn discard_refused_run(&mut self, run: RunKey) {
         self.update_task(run.task, |task| task.remove_run(run.number));
+        self.close_if_done(run.task.occurrence);
     }
 
     /// Returns whether a run has ended or was refused, as it or a later one is known, and it is
     /// not active.
     pub fn has_ended(&self, run: RunKey) -> bool {
+        if self.done_occurrences.contains(run.task.occurrence) {
+            return true;
+        }
         self.task(run.task).is_some_and(|task| {
             let is_active = task.active.iter().any(|active| active.number == run.number);
             run.number <= task.last_number && !is_active
--- a/crates/turmericfold-jobs/src/lib.rs
+++ b/crates/turmericfold-jobs/src/lib.rs
@@ -5,6 +5,7 @@
 mod end;
 mod ids;
 mod job;
+mod number_ranges;
 mod occurrence;
 mod progress;
 mod queue;
@@ -15,6 +16,7 @@
 pub use end::{EndedRun, RunEnd};
 pub use ids::{JobId, ParseIdError, RunKey, RunNumber, TaskKey};
 pub use job::{Job, JobChange, JobRecord, JobState};
+pub use number_ranges::NumberRanges;
 pub use occurrence::Occurrence;
 pub use progress::{JobProgress, OccurrenceProgress, StepProgress};
 pub use queue::{QueueName, QueueSettings};
--- a/crates/turmericfold-jobs/src/occurrence.rs
+++ b/crates/turmericfold-jobs/src/occurrence.rs
@@ -9,6 +9,8 @@
 pub struct Occurrence {
     /// The steps by number.
     pub steps: Vec<Step>,
+    /// Whether a run of a task was ever ordered or found, as far as the owner of the job knows.
+    pub has_begun: bool,
 }
 
 impl Occurrence {
@@ -20,6 +22,7 @@
                 .iter()
                 .map(|step| Step::new(step.task_count))
                 .collect(),
+            has_begun: false,
         }
     }
 
--- a/crates/turmericfold-jobs/src/progress.rs
+++ b/crates/turmericfold-jobs/src/progress.rs
@@ -5,7 +5,7 @@
 use ecow::EcoString;
 use serde::{Deserialize, Serialize};
 
-use crate::RunNumber;
+use crate::{NumberRanges, RunNumber};
 
 /// The persisted progress of a job.
 ///
@@ -18,7 +18,11 @@
     /// Whether the job has failed.
     #[serde(default)]
     pub failed: bool,
-    /// The occurrences that have any progress, by number.
+    /// The occurrences of a recurring job that are done.
+    #[serde(default, skip_serializing_if = "NumberRanges::is_empty")]
+    pub done_occurrences: NumberRanges,
+    /// The other occurrences that have any progress, by number; values of earlier versions list
+    /// those that are done here too.
     #[serde(default)]
     pub occurrences: BTreeMap<u32, OccurrenceProgress>,
 }
--- a/crates/turmericfold-jobs/src/spec.rs
+++ b/crates/turmericfold-jobs/src/spec.rs
@@ -4,13 +4,9 @@
 use serde::{Deserialize, Serialize};
 use turmericfold_types::Resources;
 
-/// The maximum number of tasks in a job, summed over its steps.
+/// The maximum number of tasks in one occurrence of a job, summed over its steps.
 const MAX_TASKS: u64 = 20_000;
 
-/// The maximum number of tasks in a recurring job, summed over its steps and occurrences: all
-/// of them may be due at once, and the owner of the job keeps each one in memory.
-const MAX_RECURRING_TASKS: u64 = 100_000;
-
 /// The reason why a job specification is invalid.
 ///
 /// Such a job is refused whatever the state of the system. The text of the error is
@@ -37,11 +33,6 @@
     /// The job has too many tasks.
     #[error("the job has more than {MAX_TASKS} tasks: split it")]
     TooLarge,
-    /// The job recurs too often for its number of tasks.
-    #[error(
-        "the job has more than {MAX_RECURRING_TASKS} tasks in all its occurrences: let it recur less often"
-    )]
-    TooManyOccurrences,
 }
 
 /// A job as submitted.
@@ -76,18 +67,9 @@
                 });
             }
         }
-        let tasks: u64 = self
-            .steps
-            .iter()
-            .map(|step| u64::from(step.task_count))
-            .sum();
-        if tasks > MAX_TASKS {
+        if self.task_count() > MAX_TASKS {
             return Err(InvalidJobSpec::TooLarge);
         }
-        let recurring_tasks = tasks.saturating_mul(u64::from(self.occurrence_count()));
-        if self.recurrence.is_some() && recurring_tasks > MAX_RECURRING_TASKS {
-            return Err(InvalidJobSpec::TooManyOccurrences);
-        }
         Ok(())
     }
 
@@ -98,6 +80,12 @@
             .map_or(1, |recurrence| recurrence.count)
     }
 
+    /// Returns the number of tasks in one occurrence, summed over the steps.
+    pub fn task_count(&self) -> u64 {
+        let counts = self.steps.iter().map(|step| u64::from(step.task_count));
+        counts.sum()
+    }
+
     /// Returns whether some step runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
@@ -116,6 +104,16 @@
 }
 
 impl Recurrence {
+    /// Returns how many occurrences are due at `unix_ms`, in milliseconds since 1970.
+    pub fn due_count(&self, unix_ms: u64) -> u32 {
+        let Some(elapsed_ms) = unix_ms.checked_sub(self.first_due_ms) else {
+            return 0;
+        };
+        let later = elapsed_ms.checked_div(self.interval_ms);
+        let later = later.and_then(|later| u32::try_from(later).ok());
+        later.unwrap_or(u32::MAX).saturating_add(1).min(self.count)
+    }
+
     /// Returns the time at which an occurrence is due, in milliseconds since 1970.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         let after_first_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
--- a/crates/turmericfold-jobs/src/step.rs
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Returns the number of tasks.
+    pub(crate) fn task_count(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether all tasks are done.
     pub fn is_done(&self) -> bool {
         usize::try_from(self.done_count).is_ok_and(|done| done == self.tasks.len())
@@ -78,7 +83,24 @@
         self.recount();
     }
 
-    /// Recomputes the counts after a change of the tasks.
+    /// Changes a task, if it exists.
+    pub(crate) fn update_task<Update, Output>(&mut self, index: u32, update: Update)
+    where
+        Update: FnOnce(&mut Task) -> Output,
+    {
+        let index = usize::try_from(index).unwrap_or(usize::MAX);
+        let Some(task) = self.tasks.get_mut(index) else {
+            return;
+        };
+        let before = (task.done, task.is_waiting(), task.is_interrupted());
+        update(task);
+        let after = (task.done, task.is_waiting(), task.is_interrupted());
+        adjust(&mut self.done_count, before.0, after.0);
+        adjust(&mut self.waiting_count, before.1, after.1);
+        adjust(&mut self.interrupted_count, before.2, after.2);
+    }
+
+    /// Recomputes the counts after a change of all tasks.
     pub(crate) fn recount(&mut self) {
         let count = |which: fn(&Task) -> bool, tasks: &[Task]| {
             u32::try_from(tasks.iter().filter(|task| which(task)).count()).unwrap_or(u32::MAX)
@@ -88,3 +110,12 @@
         self.interrupted_count = count(Task::is_interrupted, &self.tasks);
     }
 }
+
+/// Changes a count of tasks as one task is counted or not counted any more.
+fn adjust(count: &mut u32, is_counted: bool, is_counted_now: bool) {
+    match (is_counted, is_counted_now) {
+        (false, true) => *count += 1,
+        (true, false) => *count -= 1,
+        _ => {}
+    }
+}
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -68,6 +68,7 @@
 mod lease_deadlines;
 mod long_leases;
 mod long_lists;
+mod long_series;
 mod lost_registrations;
 mod lost_renewals;
 mod lost_stops;
