Search once in a pass for a step that fits in no occurrence

Cause: a pass skips the rest of a step once no worker has room for one of its tasks, but told the steps of two occurrences apart; and each search asked whether the job has any run in progress, which reads the whole job, also for steps that are no fillers.

Why the fix works: workers only become fuller in a pass, and the step has the same requirements in all occurrences. Only the number of siblings on a worker differs; so the step is skipped everywhere only if it would find no worker without siblings either. Gangs have none when they are placed.

--- a/crates/turmericfold-fleet/src/jobs/gang.rs
+++ b/crates/turmericfold-fleet/src/jobs/gang.rs
@@ -21,7 +21,7 @@
         step.is_some_and(|step| step.gang)
     }
 
-    /// Starts the gang of a task, if there is an offer for every member.
+    /// Starts the gang of a task; returns false if there is no offer for some member.
     pub(super) fn start_gang(
         &mut self,
         context: Context<'_>,
@@ -30,12 +30,12 @@
         task: TaskKey,
         offers: &mut [Offer],
         out: &mut Outbox,
-    ) {
+    ) -> bool {
         let Some(first) = self.next_run(task) else {
-            return;
+            return false;
         };
         let Some(chosen_offers) = self.place_members(interference, service, task, offers) else {
-            return;
+            return false;
         };
         for (index, chosen) in (0..).zip(chosen_offers) {
             let member = TaskKey { index, ..task };
@@ -45,6 +45,7 @@
             };
             self.order_run(context, interference, run, &mut offers[chosen], out);
         }
+        true
     }
 
     /// Stops the other runs of a gang after one member was refused, as they would wait
--- a/crates/turmericfold-fleet/src/jobs/job_entry.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_entry.rs
@@ -176,8 +176,8 @@
     /// Returns whether the next run of a step starts also where it is not worth it: the job has
     /// been without a run for too long, and has none now. A gang starts as a whole.
     pub(crate) fn needs_any_run(&self, step: &StepSpec) -> bool {
-        let has_none = step.gang || !self.job.has_active_runs();
-        step.filler && has_none && self.starvation.is_starved()
+        let has_none = || step.gang || !self.job.has_active_runs();
+        step.filler && self.starvation.is_starved() && has_none()
     }
 
     /// Marks the progress as different from the stored progress.
--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod expired_runs;
 mod fleet_resources;
 mod found_runs;
+mod full_steps;
 mod gang;
 mod job_costs;
 mod job_entry;
--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -9,6 +9,7 @@
 use turmericfold_jobs::{JobId, RunKey, StepSpec, TaskKey};
 use turmericfold_types::{InstanceName, ServiceName};
 
+use super::full_steps::FullSteps;
 use super::job_costs::JobCost;
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
@@ -114,28 +115,33 @@
             return;
         }
         let mut searches = 0;
-        let mut skipped_step = None;
-        let mut full_step = None;
+        let mut full_steps = FullSteps::default();
+        let mut paused_step = None;
         for task in tasks.iter().copied() {
             let step = Some((task.occurrence, task.step));
             let is_paused = self.is_paused(context.moment, task);
-            if skipped_step == step || (full_step == step && is_paused) {
+            if full_steps.contains(task) || (paused_step == step && is_paused) {
                 continue;
             }
             searches += 1;
             let interference = workers.interference();
             if self.is_gang(task) {
-                skipped_step = step;
-                self.start_gang(context, interference, &service, task, offers, out);
+                match self.start_gang(context, interference, &service, task, offers, out) {
+                    true => full_steps.insert(task),
+                    false => full_steps.insert_everywhere(task),
+                }
                 continue;
             }
             let chosen = self.choose_worker(context.moment, interference, &service, task, offers);
             let Some(chosen) = chosen else {
                 // All tasks of a step have the same requirements, so if there is no offer
                 // for one, there is none for the others; but each pauses by itself.
-                match is_paused {
-                    true => full_step = step,
-                    false => skipped_step = step,
+                if is_paused {
+                    paused_step = step;
+                } else if self.fits_without_siblings(interference, &service, task, offers) {
+                    full_steps.insert(task);
+                } else {
+                    full_steps.insert_everywhere(task);
                 }
                 continue;
             };
@@ -217,6 +223,26 @@
         })
     }
 
+    /// Returns whether there is an offer with room for a task if no other task of its step and
+    /// occurrence runs: then the step may have one in another occurrence.
+    fn fits_without_siblings(
+        &self,
+        interference: &InterferenceModel,
+        service: &ServiceName,
+        task: TaskKey,
+        offers: &[Offer],
+    ) -> bool {
+        let no_siblings = BTreeMap::new();
+        let chosen = self.choose_by_demand(service, task, |demand| {
+            let demand = Demand {
+                siblings_by_worker: &no_siblings,
+                ..demand
+            };
+            choose_offer(interference, demand, offers)
+        });
+        chosen.is_some()
+    }
+
     /// Chooses by what a task requires of its worker.
     pub(super) fn choose_by_demand<Choose, Chosen>(
         &self,
--- a/tests/features/long_series.rs
+++ b/tests/features/long_series.rs
@@ -147,6 +147,28 @@
     assert!(world.jobs()[&SERIES].state.is_some(), "{scenario}");
 }
 
+/// Guards against a search in each occurrence for a worker that no occurrence finds.
+#[test]
+fn unfit_steps_cost_little() {
+    captured_logs::capture();
+    let mut world = FleetWorld::new(2, 3, 4);
+    world.run_for(4_000);
+    let small = Resources::new(100, 1 << 20);
+    let behaviour = TaskBehaviour {
+        resources: small,
+        work_ms: Some(200),
+        always_fails: false,
+    };
+    let huge = Resources::new(1_000_000, 1 << 20);
+    let steps = vec![StepSpec::new(1, small, 200), StepSpec::new(1, huge, 200)];
+    world.submit(0, SERIES, spec(steps, 2_500, 0), vec![behaviour, behaviour]);
+    world.run_for(8_000);
+    let costly = captured_logs::take();
+    let costly: Vec<_> = costly.iter().filter(|it| it.message == COSTLY).collect();
+    assert!(world.runs_begun() > 1_500, "{} runs", world.runs_begun());
+    assert_eq!(costly, Vec::<&captured_logs::LogLine>::new());
+}
+
 /// Guards against an owner that keeps each due occurrence in full, however many there are.
 #[rstest]
 fn waiting_times_are_counted(#[values(1_000, DAY, u32::MAX)] count: u32) {
