Log start calls that are sent long after their order or once more

A start that a worker gets after it has said that it leaves may have been held here, repeated here, or sent by a process that did not know of it. No line told which. The line is one for each start call that is sent 100 ms or more after its order, or again, with what the owner of the worker knows of it. No decision has changed.

--- a/crates/turmericfold-fleet/src/workers/calls.rs
+++ b/crates/turmericfold-fleet/src/workers/calls.rs
@@ -9,6 +9,9 @@
 use crate::context::Context;
 use crate::{Outbox, WorkerCall};
 
+/// The time since an order from which its start call is logged, in milliseconds.
+const MIN_LOGGED_WAIT_MS: u64 = 100;
+
 impl WorkerOwner {
     /// Retries start and stop calls that are due, and stops that did not take effect.
     pub(super) fn retry_calls(
@@ -60,6 +63,7 @@
         let deadline = clock.deadline(now, lease_ms);
         worker.lease_bound.on_asked(deadline);
         let (entry, token) = (worker.entry.clone(), worker.token());
+        let is_registered = worker.registered;
         let silent_ms = worker.last_answer_at.map_or(0, |at| now.since_ms(at));
         let Some(run) = worker.runs.get_mut(&key) else {
             return;
@@ -85,6 +89,18 @@
                 "start call is sent without a valid registration, as most processes acknowledge pings"
             );
         }
+        let waited_ms = now.since_ms(run.known_since);
+        if run.start_token.is_some() || waited_ms >= MIN_LOGGED_WAIT_MS {
+            log::info!(
+                run:% = key,
+                worker:% = name,
+                waited_ms = waited_ms,
+                unanswered = run.unanswered_starts,
+                draining = entry.draining,
+                registered = is_registered;
+                "start call is sent long after its order or once more"
+            );
+        }
         let id = out.call_worker(&entry, WorkerCall::Start(call));
         run.call = Some(id);
         run.start_token = Some(token);
