--- a/crates/turmericfold-fleet/src/workers/calls.rs
+++ b/crates/turmericfold-fleet/src/workers/calls.rs
@@ -5,7 +5,8 @@
 use turmericfold_types::InstanceName;
 
 use super::owner::{WorkerOwner, keys_where};
-use super::run::{Run, RunPhase};
+use super::run::RunPhase;
+use super::start_decision::StartDecision;
 use crate::context::Context;
 use crate::{Outbox, WorkerCall};
 
@@ -23,25 +24,27 @@
         let Some(worker) = self.worker(name) else {
             return;
         };
-        let due = keys_where(worker, |_, run| {
-            let is_unanswered = match run.phase {
-                RunPhase::Ordered => worker.has_seen_token(),
-                RunPhase::Running { .. } => false,
-                RunPhase::Stopping { .. } => true,
-            };
-            is_unanswered && run.call.is_none() && context.moment.has_reached(run.next_call_at)
+        let waiting = keys_where(worker, |_, run| {
+            let is_unanswered = !matches!(run.phase, RunPhase::Running { .. });
+            is_unanswered && run.call.is_none()
         });
-        for run in due {
-            let known = self.worker(name).and_then(|worker| worker.runs.get(&run));
-            match known.is_some_and(Run::is_stopping) {
-                true => self.send_stop(context, name, run, out),
-                false => self.send_start(context, name, run, out),
+        for key in waiting {
+            let known = self.worker(name).and_then(|worker| worker.runs.get(&key));
+            let Some(run) = known else {
+                continue;
+            };
+            match run.is_stopping() {
+                true if context.moment.has_reached(run.next_call_at) => {
+                    self.send_stop(context, name, key, out);
+                }
+                true => {}
+                false => self.send_start(context, name, key, out),
             }
         }
     }
 
-    /// Sends the start call of an ordered run. It waits while this process may no longer own the
-    /// worker, and for the answer to an acknowledgement.
+    /// Sends the start call of an ordered run, or gives the start up if its order does not hold any
+    /// more. The call may have to wait.
     pub(super) fn send_start(
         &mut self,
         context: Context<'_>,
@@ -51,10 +54,20 @@
     ) {
         let lease_ms = self.leases.usual_ms;
         let now = context.moment.now;
-        let may_send = self
-            .worker(name)
-            .is_some_and(|worker| self.may_act_on(context, worker) && !worker.holds_starts(now));
-        let Some(worker) = self.worker_mut(name).filter(|_| may_send) else {
+        let known = self.worker(name).and_then(|worker| worker.runs.get(&key));
+        let Some(order) = known.and_then(|run| run.order.clone()) else {
+            return;
+        };
+        let is_admitted = self.admits(context.ownership, order.authority);
+        match self.decide_start(context, name, key, &order, is_admitted) {
+            StartDecision::Send => {}
+            StartDecision::Wait => return,
+            StartDecision::GiveUp(cause) => {
+                self.give_up_start(context, name, key, cause, out);
+                return;
+            }
+        }
+        let Some(worker) = self.worker_mut(name) else {
             return;
         };
         let Some(clock) = worker.clock else {
@@ -63,14 +76,10 @@
         let deadline = clock.deadline(now, lease_ms);
         worker.lease_bound.on_asked(deadline);
         let (entry, token) = (worker.entry.clone(), worker.token());
-        let is_registered = worker.registered;
         let silent_ms = worker.last_answer_at.map_or(0, |at| now.since_ms(at));
         let Some(run) = worker.runs.get_mut(&key) else {
             return;
         };
-        let Some(order) = run.order.clone() else {
-            return;
-        };
         let call = StartCall {
             run: key,
             payload: order.payload.clone(),
@@ -96,8 +105,7 @@
                 worker:% = name,
                 waited_ms = waited_ms,
                 unanswered = run.unanswered_starts,
-                draining = entry.draining,
-                registered = is_registered;
+                age_ms = now.since_ms(order.sent_after);
                 "start call is sent long after its order or once more"
             );
         }
--- a/crates/turmericfold-fleet/src/workers/load.rs
+++ b/crates/turmericfold-fleet/src/workers/load.rs
@@ -40,14 +40,21 @@
 
     /// Returns the resources that are not reserved by runs.
     pub(crate) fn unused_resources(&self) -> Resources {
-        let used = self
-            .runs
+        self.entry.capacity.minus(&self.used_resources())
+    }
+
+    /// Returns whether the runs reserve more than the worker has.
+    pub(super) fn is_overcommitted(&self) -> bool {
+        !self.used_resources().fits_in(&self.entry.capacity)
+    }
+
+    fn used_resources(&self) -> Resources {
+        self.runs
             .values()
             .filter_map(|run| run.details.as_ref())
             .fold(Resources::default(), |sum, details| {
                 sum.plus(&details.resources)
-            });
-        self.entry.capacity.minus(&used)
+            })
     }
 
     /// Returns the processor time that is left for one more filler, in millicores.
--- a/crates/turmericfold-fleet/src/workers/mod.rs
+++ b/crates/turmericfold-fleet/src/workers/mod.rs
@@ -29,6 +29,7 @@
 mod slack;
 mod slow_fillers;
 mod start_calls;
+mod start_decision;
 mod unheard;
 mod unusable;
 mod waiting_orders;
--- a/crates/turmericfold-fleet/src/workers/refusal.rs
+++ b/crates/turmericfold-fleet/src/workers/refusal.rs
@@ -85,7 +85,7 @@
 }
 
 /// Returns whether an order may have been sent so long ago that its run must not start any more.
-fn is_out_of_date(moment: Moment, order: &StartOrder) -> bool {
+pub(super) fn is_out_of_date(moment: Moment, order: &StartOrder) -> bool {
     moment.since_ms(order.sent_after) >= MAX_ORDER_AGE_MS
 }
 
--- a/crates/turmericfold-fleet/src/workers/unusable.rs
+++ b/crates/turmericfold-fleet/src/workers/unusable.rs
@@ -84,7 +84,7 @@
     }
 
     /// Returns the first run whose details are not known, if there is one.
-    fn unknown_run(&self) -> Option<RunKey> {
+    pub(super) fn unknown_run(&self) -> Option<RunKey> {
         let unknown = self.runs.iter().find(|(_, run)| run.details.is_none());
         unknown.map(|(key, _)| *key)
     }
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -66,6 +66,7 @@
 mod late_starts;
 mod late_watches;
 mod lease_deadlines;
+mod leaving_starts;
 mod long_leases;
 mod long_lists;
 mod long_series;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod captured_logs;
 pub mod cut_fleet;
 pub mod driven_node;
+pub mod ended_run;
 pub mod fleet_world;
 pub mod fuzz;
 pub mod job_owner;
