--- a/crates/turmericfold-jobs/src/job/mod.rs
+++ b/crates/turmericfold-jobs/src/job/mod.rs
@@ -12,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    JobId, JobProgress, JobSpec, NumberRanges, Occurrence, OccurrenceProgress, QueueSettings,
-    RunKey, Step, StepProgress, StepSpec, Task, TaskKey,
+    JobId, JobProgress, JobSpec, NumberRanges, Occurrence, QueueSettings, RunKey, Step, StepSpec,
+    Task, TaskKey,
 };
 
 /// The accepted form of a job, written to the store once and never changed.
@@ -112,10 +112,8 @@
         }
         for (number, occurrence) in &progress.occurrences {
             self.begin_occurrence(*number);
-            for (step_number, progress) in &occurrence.steps {
-                if let Some(step) = self.step_mut(*number, *step_number) {
-                    step.restore(progress);
-                }
+            if let Some(open) = self.occurrences.get_mut(number) {
+                open.restore(occurrence);
             }
             self.close_if_done(*number);
         }
@@ -124,13 +122,6 @@
 
     /// Returns the progress to persist.
     pub fn progress(&self) -> JobProgress {
-        let occurrence_progress = |occurrence: &Occurrence| OccurrenceProgress {
-            steps: (0..)
-                .zip(&occurrence.steps)
-                .map(|(number, step)| (number, step.progress()))
-                .filter(|(_, progress)| *progress != StepProgress::default())
-                .collect(),
-        };
         JobProgress {
             cancelled: self.cancelled,
             failed: self.failed,
@@ -138,8 +129,8 @@
             occurrences: self
                 .occurrences
                 .iter()
-                .map(|(number, occurrence)| (*number, occurrence_progress(occurrence)))
-                .filter(|(_, progress)| !progress.steps.is_empty())
+                .map(|(number, occurrence)| (*number, occurrence.progress()))
+                .filter(|(_, progress)| !progress.is_empty())
                 .collect(),
         }
     }
--- a/crates/turmericfold-jobs/src/occurrence.rs
+++ b/crates/turmericfold-jobs/src/occurrence.rs
@@ -1,6 +1,6 @@
 //! The state of one occurrence of a job.
 
-use crate::{JobSpec, Step};
+use crate::{JobSpec, OccurrenceProgress, Step, StepProgress};
 
 /// The state of one occurrence of a job, in which every step runs once.
 ///
@@ -26,6 +26,33 @@
         }
     }
 
+    /// Returns the progress to persist.
+    pub(crate) fn progress(&self) -> OccurrenceProgress {
+        let mut progress = OccurrenceProgress::default();
+        for (number, step) in (0..).zip(&self.steps) {
+            if step.is_done() {
+                progress.complete_steps.insert(number);
+                continue;
+            }
+            let step = step.progress();
+            if step != StepProgress::default() {
+                progress.steps.insert(number, step);
+            }
+        }
+        progress
+    }
+
+    /// Applies the progress that was read from the store.
+    pub(crate) fn restore(&mut self, progress: &OccurrenceProgress) {
+        for (number, step) in (0..).zip(&mut self.steps) {
+            if progress.complete_steps.contains(number) {
+                step.complete();
+            } else if let Some(progress) = progress.steps.get(&number) {
+                step.restore(progress);
+            }
+        }
+    }
+
     /// Returns whether all steps are done.
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(Step::is_done)
--- a/crates/turmericfold-jobs/src/progress.rs
+++ b/crates/turmericfold-jobs/src/progress.rs
@@ -30,7 +30,10 @@
 /// The persisted progress of an occurrence.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OccurrenceProgress {
-    /// The steps that have done tasks, failed runs or checkpoints, by number.
+    /// The steps all of whose tasks are done.
+    #[serde(default, skip_serializing_if = "NumberRanges::is_empty")]
+    pub complete_steps: NumberRanges,
+    /// The other steps that have done tasks, failed runs or checkpoints, by number.
     #[serde(default)]
     pub steps: BTreeMap<u32, StepProgress>,
 }
@@ -38,12 +41,15 @@
 /// The persisted progress of a step.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
-    /// Whether all tasks are done; all other fields are empty then.
+    /// Whether all tasks are done, in a value of an earlier version.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub complete: bool,
-    /// The indices of the tasks that are done.
+    /// The indices of the tasks that are done, in a value of an earlier version.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<u32>,
+    /// The indices of the tasks that are done.
+    #[serde(default, skip_serializing_if = "NumberRanges::is_empty")]
+    pub done_tasks: NumberRanges,
     /// The numbers of the failed runs, by task index.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub failed_runs: BTreeMap<u32, Vec<RunNumber>>,
@@ -51,3 +57,21 @@
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub checkpoints: BTreeMap<u32, EcoString>,
 }
+
+impl OccurrenceProgress {
+    /// Returns whether there is no progress.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.complete_steps.is_empty() && self.steps.is_empty()
+    }
+}
+
+impl StepProgress {
+    /// Returns the indices of the tasks that are done, whichever version wrote them.
+    pub(crate) fn all_done_tasks(&self) -> NumberRanges {
+        let mut done = self.done_tasks.clone();
+        for index in &self.done {
+            done.insert(*index);
+        }
+        done
+    }
+}
--- a/crates/turmericfold-jobs/src/step.rs
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -47,16 +47,12 @@
         settled < self.tasks.len() as u64
     }
 
-    /// Returns the progress to persist.
+    /// Returns the progress to persist of a step that is not done.
     pub(crate) fn progress(&self) -> StepProgress {
         let mut progress = StepProgress::default();
-        if self.is_done() {
-            progress.complete = true;
-            return progress;
-        }
         for (index, task) in (0..).zip(&self.tasks) {
             if task.done {
-                progress.done.push(index);
+                progress.done_tasks.insert(index);
                 continue;
             }
             if !task.failed_runs.is_empty() {
@@ -69,10 +65,19 @@
         progress
     }
 
+    /// Records that all tasks are done.
+    pub(crate) fn complete(&mut self) {
+        for task in &mut self.tasks {
+            task.done = true;
+        }
+        self.recount();
+    }
+
     /// Applies the progress that was read from the store.
     pub(crate) fn restore(&mut self, progress: &StepProgress) {
+        let done = progress.all_done_tasks();
         for (index, task) in (0..).zip(&mut self.tasks) {
-            task.done = progress.complete || progress.done.contains(&index);
+            task.done = progress.complete || done.contains(index);
             task.failed_runs = progress
                 .failed_runs
                 .get(&index)
--- a/tests/features/main.rs
+++ b/tests/features/main.rs
@@ -129,4 +129,5 @@
 mod waiting_counts;
 mod watch_ages;
 mod whole_path;
+mod wide_jobs;
 mod world_fuzz;
--- /dev/null
+++ b/tests/features/wide_jobs.rs
@@ -0,0 +1,115 @@
+//! Jobs of a great many tasks or steps, and what is stored of them.
+
+use std::sync::Arc;
+
+use rstest::rstest;
+use turmericfold_jobs::{
+    EndedRun, Job, JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueSettings,
+    RunEnd, RunKey, RunNumber, StepSpec, TaskKey,
+};
+use turmericfold_types::{Resources, ServiceName};
+
+/// The most bytes of the stored progress of a job of which few tasks are open.
+const MAX_PROGRESS_BYTES: usize = 400;
+
+/// The number of tasks that stay open.
+const OPEN: u32 = 10;
+
+fn record(steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        queue: QueueSettings {
+            name: QueueName("reports".into()),
+            service: ServiceName::new("desk"),
+            priority: 0,
+            max_attempts: 3,
+            slack_factor: 1.5,
+            target_duration_ms: 1_000,
+        },
+        spec: JobSpec {
+            payload: "visit".into(),
+            steps,
+            recurrence: None,
+        },
+        accepted_at_ms: 0,
+    }
+}
+
+fn job(steps: Vec<StepSpec>) -> Job {
+    Job::new(JobId(9), Arc::new(record(steps)))
+}
+
+fn task(step: u32, index: u32) -> TaskKey {
+    TaskKey {
+        job: JobId(9),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+fn finish(job: &mut Job, task: TaskKey) {
+    let run = RunKey {
+        task,
+        number: RunNumber(1),
+    };
+    job.add_run(run, "worker-00".into());
+    job.record_start();
+    let _ = job.end_run(&EndedRun {
+        run,
+        end: RunEnd::Done,
+        checkpoint: None,
+    });
+}
+
+fn small_step(task_count: u32) -> StepSpec {
+    StepSpec::new(task_count, Resources::new(10, 1 << 20), 100)
+}
+
+/// Steps of one task each, of which each waits for the one before.
+fn chain(count: u32) -> Vec<StepSpec> {
+    let step = |number: u32| StepSpec {
+        after: number.checked_sub(1).into_iter().collect(),
+        ..small_step(1)
+    };
+    (0..count).map(step).collect()
+}
+
+/// Guards against progress that grows with each task or step that is done.
+#[rstest]
+#[case("one step of many tasks", vec![small_step(20_000)], (0..20_000 - OPEN).map(|index| task(0, index)).collect())]
+#[case("many steps", chain(4_000), (0..4_000 - OPEN).map(|step| task(step, 0)).collect())]
+fn done_work_is_counted(
+    #[case] scenario: &str,
+    #[case] steps: Vec<StepSpec>,
+    #[case] done: Vec<TaskKey>,
+) {
+    let mut before = job(steps.clone());
+    for task in done {
+        finish(&mut before, task);
+    }
+    let stored = serde_json::to_string(&before.progress()).unwrap();
+    assert!(
+        stored.len() <= MAX_PROGRESS_BYTES,
+        "{scenario}: {}",
+        stored.len()
+    );
+    let progress: JobProgress = serde_json::from_str(&stored).unwrap();
+    let next = job(steps).with_progress(&progress);
+    assert_eq!(next.startable(), before.startable(), "{scenario}");
+    assert!(!next.startable().is_empty(), "{scenario}");
+    assert_eq!(next.state(), JobState::Active, "{scenario}");
+    assert_eq!(next.progress(), before.progress(), "{scenario}");
+}
+
+/// Guards against tasks that a later owner starts again, as an earlier version has stored that they
+/// are done.
+#[test]
+fn earlier_progress_is_read() {
+    let stored = r#"{"cancelled":false,"failed":false,"occurrences":{"0":{"steps":{
+        "0":{"complete":true},"1":{"done":[0,2],"failed_runs":{"1":[4]}}}}}}"#;
+    let progress: JobProgress = serde_json::from_str(stored).unwrap();
+    let steps = vec![small_step(2), small_step(3), small_step(1)];
+    let job = job(steps).with_progress(&progress);
+    assert_eq!(job.startable(), [task(1, 1), task(2, 0)]);
+    assert_eq!(job.task(task(1, 1)).unwrap().failed_runs, [RunNumber(4)]);
+}
