--- a/crates/turmericfold-fleet/src/jobs/mod.rs
+++ b/crates/turmericfold-fleet/src/jobs/mod.rs
@@ -22,6 +22,7 @@
 mod shard;
 mod slow_runs;
 mod starvation;
+mod stored_record;
 mod tracked_runs;
 mod waiting;
 mod waiting_steps;
--- a/crates/turmericfold-fleet/src/jobs/write_draft.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_draft.rs
@@ -6,12 +6,13 @@
 use std::collections::BTreeSet;
 
 use ecow::EcoString;
-use turmericfold_jobs::{JobId, JobRecord};
+use turmericfold_jobs::JobId;
 use turmericfold_platform::{MAX_TRANSACTION_ENTRIES, StoreCall, StoreVersion, Transaction};
 
 use super::job_costs::JobCost;
 use super::job_entry::JobEntry;
 use super::owner::JobOwner;
+use super::stored_record::encode_record;
 use super::write_queue::{Change, PendingWrite};
 use crate::{Authority, JobShard, Moment, Outbox, Unit, keys};
 
@@ -94,8 +95,7 @@
             let Some(entry) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let record: &JobRecord = &entry.job.record;
-            let Ok(value) = serde_json::to_string(record) else {
+            let Ok(value) = encode_record(&entry.job.record) else {
                 log::error!(job:% = id; "job can't be encoded; it will be refused");
                 continue;
             };
--- a/crates/turmericfold-jobs/src/spec.rs
+++ b/crates/turmericfold-jobs/src/spec.rs
@@ -122,7 +122,8 @@
 }
 
 /// A step of a job: a number of tasks with the same requirements.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct StepSpec {
     /// The number of tasks.
     pub task_count: u32,
@@ -172,19 +173,7 @@
             task_count,
             resources,
             estimate_ms,
-            after: Vec::new(),
-            checkpointing: false,
-            gang: false,
-            single_rack: false,
-            required_label: None,
-            data_rack: None,
-            max_per_worker: None,
-            copies_allowed: false,
-            long_running: false,
-            image: EcoString::new(),
-            latency_target_ms: None,
-            filler: false,
-            max_unavailable: None,
+            ..Self::default()
         }
     }
 
--- a/tests/features/wide_jobs.rs
+++ b/tests/features/wide_jobs.rs
@@ -3,12 +3,19 @@
 use std::sync::Arc;
 
 use rstest::rstest;
+use turmericfold_fleet::{CallId, CallerRequest, Event, StoreRequest};
 use turmericfold_jobs::{
     EndedRun, Job, JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueSettings,
     RunEnd, RunKey, RunNumber, StepSpec, TaskKey,
 };
+use turmericfold_platform::StoreCall;
+use turmericfold_tests::fleet_world::QUEUE;
+use turmericfold_tests::job_owner::{JOB, JobOwnerHarness};
 use turmericfold_types::{Resources, ServiceName};
 
+/// The most bytes that a value of the store may have.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
 /// The most bytes of the stored progress of a job of which few tasks are open.
 const MAX_PROGRESS_BYTES: usize = 400;
 
@@ -113,3 +120,47 @@
     assert_eq!(job.startable(), [task(1, 1), task(2, 0)]);
     assert_eq!(job.task(task(1, 1)).unwrap().failed_runs, [RunNumber(4)]);
 }
+
+/// Guards against a job that callers may send and the store refuses, so that its owner repeats the
+/// write and refuses all others.
+#[rstest]
+#[case("a chain", chain(4_000))]
+#[case("steps without requirements", vec![StepSpec::new(1, Resources::default(), 0); 20_000])]
+#[case("steps of one field", vec![StepSpec::new(1, Resources::new(1, 0), 0); 12_000])]
+fn many_steps_are_stored(#[case] scenario: &str, #[case] steps: Vec<StepSpec>) {
+    let mut harness = JobOwnerHarness::new();
+    let spec = JobSpec {
+        payload: "visit".into(),
+        steps,
+        recurrence: None,
+    };
+    let request = CallerRequest::Submit {
+        queue: QueueName(QUEUE.into()),
+        job: JOB,
+        spec: spec.clone(),
+    };
+    let call = CallId(1);
+    harness
+        .driven
+        .deliver(Event::CallerRequest { call, request });
+    let value = stored_record(&harness.driven.out.store).expect("the job is not written");
+    assert!(
+        value.len() <= MAX_VALUE_BYTES,
+        "{scenario}: {}",
+        value.len()
+    );
+    let record: JobRecord = serde_json::from_str(&value).unwrap();
+    assert_eq!(record.spec, spec, "{scenario}");
+}
+
+fn stored_record(calls: &[StoreRequest]) -> Option<String> {
+    let transactions = calls
+        .iter()
+        .filter_map(|request| match &request.store_call {
+            StoreCall::Transact(transaction) => Some(transaction),
+            _ => None,
+        });
+    let mut writes = transactions.flat_map(|transaction| &transaction.write);
+    let write = writes.find(|write| write.key.ends_with("/record"))?;
+    Some(write.value.clone())
+}
