--- a/crates/turmericfold-fleet/src/jobs/job_costs.rs
+++ b/crates/turmericfold-fleet/src/jobs/job_costs.rs
@@ -29,6 +29,8 @@
     pub(super) searches: usize,
     /// The size of a written value, in bytes.
     pub(super) bytes: usize,
+    /// The checkpoints that a write has left out, as there are too many to store.
+    pub(super) unstored_checkpoints: u32,
 }
 
 impl JobCost {
@@ -37,6 +39,7 @@
         self.tasks >= MIN_LOGGED_TASKS
             || self.searches >= MIN_LOGGED_SEARCHES
             || self.bytes >= MIN_LOGGED_BYTES
+            || self.unstored_checkpoints > 0
     }
 
     /// Returns the higher of each figure.
@@ -45,6 +48,7 @@
             tasks: self.tasks.max(other.tasks),
             searches: self.searches.max(other.searches),
             bytes: self.bytes.max(other.bytes),
+            unstored_checkpoints: self.unstored_checkpoints.max(other.unstored_checkpoints),
         }
     }
 
@@ -91,7 +95,8 @@
             job:% = job,
             tasks = cost.tasks,
             searches = cost.searches,
-            bytes = cost.bytes;
+            bytes = cost.bytes,
+            unstored_checkpoints = cost.unstored_checkpoints;
             "job costs its owner much in a pass or a write; other jobs wait meanwhile"
         );
     }
--- a/crates/turmericfold-fleet/src/jobs/write_draft.rs
+++ b/crates/turmericfold-fleet/src/jobs/write_draft.rs
@@ -99,7 +99,11 @@
                 log::error!(job:% = id; "job can't be encoded; it will be refused");
                 continue;
             };
-            self.job_costs.record(id, cost_of_write(&value));
+            let cost = JobCost {
+                bytes: value.len(),
+                ..JobCost::default()
+            };
+            self.job_costs.record(id, cost);
             draft.expect_owner(shard.authority);
             draft.write(keys::job_record(id), None, value);
             entry.is_writing = true;
@@ -134,11 +138,17 @@
                 continue;
             }
             self.write_queue.changed_jobs.remove(&id);
-            let Ok(value) = serde_json::to_string(&entry.job.progress()) else {
+            let progress = entry.job.progress();
+            let Ok(value) = serde_json::to_string(&progress) else {
                 log::error!(job:% = id; "progress of a job can't be encoded; it stays unrecorded");
                 continue;
             };
-            self.job_costs.record(id, cost_of_write(&value));
+            let cost = JobCost {
+                bytes: value.len(),
+                unstored_checkpoints: progress.unstored_checkpoints,
+                ..JobCost::default()
+            };
+            self.job_costs.record(id, cost);
             draft.expect_owner(shard.authority);
             draft.write(keys::job_progress(id), entry.progress_version, value);
             entry.is_writing = true;
@@ -180,13 +190,6 @@
     }
 }
 
-fn cost_of_write(value: &str) -> JobCost {
-    JobCost {
-        bytes: value.len(),
-        ..JobCost::default()
-    }
-}
-
 fn is_writable(entry: &JobEntry) -> bool {
     entry.is_stored && !entry.is_writing && entry.dirty_since.is_some()
 }
--- a/crates/turmericfold-jobs/src/job/mod.rs
+++ b/crates/turmericfold-jobs/src/job/mod.rs
@@ -11,6 +11,7 @@
 use ecow::EcoString;
 use serde::{Deserialize, Serialize};
 
+use crate::checkpoint_budget::CheckpointBudget;
 use crate::{
     JobId, JobProgress, JobSpec, NumberRanges, Occurrence, QueueSettings, RunKey, Step, StepSpec,
     Task, TaskKey,
@@ -120,18 +121,27 @@
         self
     }
 
-    /// Returns the progress to persist.
+    /// Returns the progress to persist; of a job that was cancelled or has failed only that.
     pub fn progress(&self) -> JobProgress {
+        if self.cancelled || self.failed {
+            return JobProgress {
+                cancelled: self.cancelled,
+                failed: self.failed,
+                ..JobProgress::default()
+            };
+        }
+        let mut budget = CheckpointBudget::new();
+        let occurrences = self
+            .occurrences
+            .iter()
+            .map(|(number, occurrence)| (*number, occurrence.progress(&mut budget)))
+            .filter(|(_, progress)| !progress.is_empty())
+            .collect();
         JobProgress {
-            cancelled: self.cancelled,
-            failed: self.failed,
             done_occurrences: self.done_occurrences.clone(),
-            occurrences: self
-                .occurrences
-                .iter()
-                .map(|(number, occurrence)| (*number, occurrence.progress()))
-                .filter(|(_, progress)| !progress.is_empty())
-                .collect(),
+            occurrences,
+            unstored_checkpoints: budget.left_out(),
+            ..JobProgress::default()
         }
     }
 
--- a/crates/turmericfold-jobs/src/lib.rs
+++ b/crates/turmericfold-jobs/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate performs no I/O.
 
+mod checkpoint_budget;
 mod end;
 mod ids;
 mod job;
--- a/crates/turmericfold-jobs/src/occurrence.rs
+++ b/crates/turmericfold-jobs/src/occurrence.rs
@@ -1,5 +1,6 @@
 //! The state of one occurrence of a job.
 
+use crate::checkpoint_budget::CheckpointBudget;
 use crate::{JobSpec, OccurrenceProgress, Step, StepProgress};
 
 /// The state of one occurrence of a job, in which every step runs once.
@@ -27,14 +28,14 @@
     }
 
     /// Returns the progress to persist.
-    pub(crate) fn progress(&self) -> OccurrenceProgress {
+    pub(crate) fn progress(&self, budget: &mut CheckpointBudget) -> OccurrenceProgress {
         let mut progress = OccurrenceProgress::default();
         for (number, step) in (0..).zip(&self.steps) {
             if step.is_done() {
                 progress.complete_steps.insert(number);
                 continue;
             }
-            let step = step.progress();
+            let step = step.progress(budget);
             if step != StepProgress::default() {
                 progress.steps.insert(number, step);
             }
--- a/crates/turmericfold-jobs/src/progress.rs
+++ b/crates/turmericfold-jobs/src/progress.rs
@@ -25,6 +25,9 @@
     /// those that are done here too.
     #[serde(default)]
     pub occurrences: BTreeMap<u32, OccurrenceProgress>,
+    /// How many checkpoints are left out, as there are too many to store.
+    #[serde(skip)]
+    pub unstored_checkpoints: u32,
 }
 
 /// The persisted progress of an occurrence.
--- a/crates/turmericfold-jobs/src/step.rs
+++ b/crates/turmericfold-jobs/src/step.rs
@@ -1,5 +1,6 @@
 //! The state of one step of one occurrence.
 
+use crate::checkpoint_budget::CheckpointBudget;
 use crate::{StepProgress, Task};
 
 /// The state of one step of one occurrence.
@@ -48,7 +49,7 @@
     }
 
     /// Returns the progress to persist of a step that is not done.
-    pub(crate) fn progress(&self) -> StepProgress {
+    pub(crate) fn progress(&self, budget: &mut CheckpointBudget) -> StepProgress {
         let mut progress = StepProgress::default();
         for (index, task) in (0..).zip(&self.tasks) {
             if task.done {
@@ -58,7 +59,9 @@
             if !task.failed_runs.is_empty() {
                 progress.failed_runs.insert(index, task.failed_runs.clone());
             }
-            if let Some(checkpoint) = &task.checkpoint {
+            if let Some(checkpoint) = &task.checkpoint
+                && budget.admits(checkpoint)
+            {
                 progress.checkpoints.insert(index, checkpoint.clone());
             }
         }
--- a/tests/features/wide_jobs.rs
+++ b/tests/features/wide_jobs.rs
@@ -164,3 +164,58 @@
     let write = writes.find(|write| write.key.ends_with("/record"))?;
     Some(write.value.clone())
 }
+
+/// The size of each checkpoint of the tests, in bytes.
+const CHECKPOINT_BYTES: usize = 3_600;
+
+/// Returns a job whose tasks have all lapsed and left a checkpoint.
+fn interrupted(task_count: u32) -> Job {
+    let mut job = job(vec![small_step(task_count)]);
+    for index in 0..task_count {
+        let run = RunKey {
+            task: task(0, index),
+            number: RunNumber(1),
+        };
+        job.add_run(run, "worker-00".into());
+        let _ = job.end_run(&EndedRun {
+            run,
+            end: RunEnd::Lapsed,
+            checkpoint: Some("c\n".repeat(CHECKPOINT_BYTES / 2).into()),
+        });
+    }
+    job
+}
+
+/// Guards against checkpoints that outgrow a value of the store, so that neither the progress nor the
+/// cancelling of the job is ever stored.
+#[test]
+fn checkpoints_fit() {
+    let mut job = interrupted(1_800);
+    let progress = job.progress();
+    let stored = serde_json::to_string(&progress).unwrap();
+    assert!(
+        stored.len() <= MAX_VALUE_BYTES / 2,
+        "{} bytes",
+        stored.len()
+    );
+    assert!(progress.unstored_checkpoints > 0);
+    assert!(job.checkpoint(task(0, 1_799)).is_some(), "it is kept here");
+    let next = self::job(vec![small_step(1_800)]).with_progress(&progress);
+    assert!(next.checkpoint(task(0, 0)).is_some(), "none is stored");
+    assert_eq!(next.startable().len(), 1_800);
+    let _ = job.cancel();
+    let stored = serde_json::to_string(&job.progress()).unwrap();
+    assert!(stored.len() <= MAX_PROGRESS_BYTES, "{} bytes", stored.len());
+    let next = self::job(vec![small_step(1_800)]).with_progress(&job.progress());
+    assert_eq!(next.state(), JobState::Cancelled);
+}
+
+/// Guards against checkpoints that are left out though there is room for them.
+#[test]
+fn few_checkpoints_are_all_stored() {
+    let job = interrupted(40);
+    let progress = job.progress();
+    assert_eq!(progress.unstored_checkpoints, 0);
+    let next = self::job(vec![small_step(40)]).with_progress(&progress);
+    assert!((0..40).all(|index| next.checkpoint(task(0, index)).is_some()));
+}
