Test series of other shapes of steps

Wide occurrences, chains, gangs, tasks that run apart, copies and fillers, 10,800 past occurrences each: no pass reads 4,000 tasks or makes 1,000 searches, and no promise is broken.

--- a/tests/features/long_series.rs
+++ b/tests/features/long_series.rs
@@ -147,6 +147,34 @@
     assert!(world.jobs()[&SERIES].state.is_some(), "{scenario}");
 }
 
+/// Guards against a shape of the steps for which the cost grows with the past times all the same.
+#[rstest]
+#[case("wide", vec![step(100)])]
+#[case("a chain", (0..5).map(|number: u32| StepSpec { after: number.checked_sub(1).into_iter().collect(), ..step(1) }).collect())]
+#[case("a gang", vec![StepSpec { gang: true, ..step(3) }])]
+#[case("apart", vec![StepSpec { max_per_worker: Some(1), ..step(3) }])]
+#[case("copies", vec![StepSpec { copies_allowed: true, ..step(2) }])]
+#[case("fillers", vec![StepSpec { filler: true, image: "scan".into(), ..step(2) }])]
+fn shapes_cost_little(#[case] scenario: &str, #[case] steps: Vec<StepSpec>) {
+    captured_logs::capture();
+    let mut world = FleetWorld::new(3, 3, 4);
+    world.run_for(4_000);
+    let behaviour = TaskBehaviour {
+        resources: step(1).resources,
+        work_ms: Some(300),
+        always_fails: false,
+    };
+    let behaviours = vec![behaviour; steps.len()];
+    world.submit(0, SERIES, spec(steps, DAY / 8, 1_000), behaviours);
+    world.run_for(8_000);
+    let costly = captured_logs::take();
+    let costly: Vec<_> = costly.iter().filter(|it| it.message == COSTLY).collect();
+    assert_eq!(costly, Vec::<&captured_logs::LogLine>::new(), "{scenario}");
+    assert_eq!(world.violations(), [], "{scenario}");
+    let begun = world.runs_begun();
+    assert!(begun > 100, "{scenario}: {begun} runs");
+}
+
 /// Guards against a search in each occurrence for a worker that no occurrence finds.
 #[test]
 fn unfit_steps_cost_little() {
