--- a/crates/turmericfold-fleet/src/workers/start_decision.rs
+++ b/crates/turmericfold-fleet/src/workers/start_decision.rs
@@ -41,9 +41,8 @@
         let Some(run) = worker.runs.get(&key) else {
             return StartDecision::Wait;
         };
-        let obstacle = worker.start_obstacle(context.moment, run, order);
-        let former_owner = (!is_admitted).then_some(RefusalCause::OldAuthority);
-        if let Some(cause) = former_owner.or(obstacle) {
+        let obstacle = worker.start_obstacle(context.moment, run, order, is_admitted);
+        if let Some(cause) = obstacle {
             return StartDecision::GiveUp(cause);
         }
         let may_send = self.may_act_on(context, worker) && !worker.delays_starts(context.moment);
@@ -92,14 +91,19 @@
 
 impl Worker {
     /// Returns why no start call of a run is sent any more, if that is so.
+    ///
+    /// The next owner of a job decides on a run that a call may have started already: it finds the
+    /// run in its report on the worker. The resources of such a run are reserved.
     fn start_obstacle(
         &self,
         moment: Moment,
         run: &Run,
         order: &StartOrder,
+        is_admitted: bool,
     ) -> Option<RefusalCause> {
         let was_sent = run.start_token.is_some();
         let causes = [
+            (!was_sent && !is_admitted, RefusalCause::OldAuthority),
             (self.entry.draining, RefusalCause::WorkerUnusable),
             (is_out_of_date(moment, order), RefusalCause::OutOfDate),
             (!was_sent && self.is_overcommitted(), RefusalCause::NoRoom),
--- a/tests/features/leaving_starts.rs
+++ b/tests/features/leaving_starts.rs
@@ -195,6 +195,21 @@
     assert_eq!(ended.started_calls(), sent);
 }
 
+/// Guards against a run that the next owner of the job has adopted and whose start is given up.
+#[test]
+fn next_owners_keep_runs() {
+    let mut harness = WorkerOwnerHarness::new();
+    harness.order_start();
+    let call = harness.take_start();
+    let shard = JobShard::of(JOB);
+    let key = format!("turmericfold/fleet/owners/jobs/{shard}");
+    let owner = owner_change(&key, process(1, 1), StoreVersion(9));
+    harness.driven.deliver(Event::KeysChanged(vec![owner]));
+    harness.answer(call, no_answer());
+    harness.wait(200);
+    harness.take_start();
+}
+
 /// Guards against a start for which a worker that has started anew has no room.
 #[test]
 fn smaller_workers_are_refused() {
