Search a second time only where siblings limit a step, and split the start call off its decision

A step for which no worker had room was searched for twice in each pass, also in jobs that do not recur; the second search is for recurring jobs whose steps limit their tasks on one worker. send_start decides, call_start makes the call. The tests of series, leaving workers, placement and waiting for room pass.

--- a/crates/turmericfold-fleet/src/jobs/schedule.rs
+++ b/crates/turmericfold-fleet/src/jobs/schedule.rs
@@ -138,7 +138,7 @@
                 // for one, there is none for the others; but each pauses by itself.
                 if is_paused {
                     paused_step = step;
-                } else if self.fits_without_siblings(interference, &service, task, offers) {
+                } else if self.fits_in_other_occurrence(interference, &service, task, offers) {
                     full_steps.insert(task);
                 } else {
                     full_steps.insert_everywhere(task);
@@ -223,15 +223,24 @@
         })
     }
 
-    /// Returns whether there is an offer with room for a task if no other task of its step and
-    /// occurrence runs: then the step may have one in another occurrence.
-    fn fits_without_siblings(
+    /// Returns whether the step of a task for which there is no offer may have one in another
+    /// occurrence: where the other tasks of its step limit it, and there is one without them.
+    fn fits_in_other_occurrence(
         &self,
         interference: &InterferenceModel,
         service: &ServiceName,
         task: TaskKey,
         offers: &[Offer],
     ) -> bool {
+        let job = self.jobs.get(&task.job).map(|entry| &entry.job);
+        let is_limited = job.is_some_and(|job| {
+            let step = job.step_spec(task);
+            job.spec().recurrence.is_some()
+                && step.is_some_and(|step| step.max_per_worker.is_some())
+        });
+        if !is_limited {
+            return false;
+        }
         let no_siblings = BTreeMap::new();
         let chosen = self.choose_by_demand(service, task, |demand| {
             let demand = Demand {
--- a/crates/turmericfold-fleet/src/workers/calls.rs
+++ b/crates/turmericfold-fleet/src/workers/calls.rs
@@ -8,7 +8,7 @@
 use super::run::RunPhase;
 use super::start_decision::StartDecision;
 use crate::context::Context;
-use crate::{Outbox, WorkerCall};
+use crate::{Outbox, StartOrder, WorkerCall};
 
 /// The time since an order from which its start call is logged, in milliseconds.
 const MIN_LOGGED_WAIT_MS: u64 = 100;
@@ -52,21 +52,29 @@
         key: RunKey,
         out: &mut Outbox,
     ) {
-        let lease_ms = self.leases.usual_ms;
-        let now = context.moment.now;
         let known = self.worker(name).and_then(|worker| worker.runs.get(&key));
         let Some(order) = known.and_then(|run| run.order.clone()) else {
             return;
         };
         let is_admitted = self.admits(context.ownership, order.authority);
         match self.decide_start(context, name, key, &order, is_admitted) {
-            StartDecision::Send => {}
-            StartDecision::Wait => return,
-            StartDecision::GiveUp(cause) => {
-                self.give_up_start(context, name, key, cause, out);
-                return;
-            }
+            StartDecision::Send => self.call_start(context, name, key, &order, out),
+            StartDecision::Wait => {}
+            StartDecision::GiveUp(cause) => self.give_up_start(context, name, key, cause, out),
         }
+    }
+
+    /// Makes the start call of an ordered run.
+    fn call_start(
+        &mut self,
+        context: Context<'_>,
+        name: &InstanceName,
+        key: RunKey,
+        order: &StartOrder,
+        out: &mut Outbox,
+    ) {
+        let lease_ms = self.leases.usual_ms;
+        let now = context.moment.now;
         let Some(worker) = self.worker_mut(name) else {
             return;
         };
